Use one backoff, one virtual time and one admin client

The confirmation ledger uses the backoff of decisions.retry, both benchmarks share one virtual time, the demo uses the commands' admin client, and an endpoint process makes one back-end client.

--- a/bench/src/main/kotlin/org/cicadaturn/bench/confirmations/VirtualTime.kt
+++ b/bench/src/main/kotlin/org/cicadaturn/bench/VirtualTime.kt
@@ -1,4 +1,4 @@
-package org.cicadaturn.bench.confirmations
+package org.cicadaturn.bench
 
 import java.util.PriorityQueue
 import kotlin.time.Duration
@@ -6,7 +6,8 @@
 
 /** Runs actions in the order of their virtual time; actions at the same time run in the order of their planning. */
 internal class VirtualTime(
-    start: Instant = Instant.fromEpochSeconds(1_800_000_000),
+    /** Time at which the first action can run. */
+    val start: Instant,
 ) {
     private class Planned(
         val time: Instant,
@@ -21,6 +22,7 @@
     var now: Instant = start
         private set
 
+    /** Plans [action] for [time], or for now if that has passed. */
     fun at(
         time: Instant,
         action: () -> Unit,
@@ -28,18 +30,26 @@
         queue.add(Planned(maxOf(time, now), planned++, action))
     }
 
+    /** Plans [action] for the end of [wait]. */
     fun after(
         wait: Duration,
         action: () -> Unit,
     ) = at(now + wait, action)
 
+    /** Runs all that is planned, including what is planned meanwhile. */
+    fun run() {
+        while (queue.isNotEmpty()) runNext()
+    }
+
     /** Runs what is planned up to [end], and leaves later actions undone. */
     fun runUntil(end: Instant) {
-        while (queue.isNotEmpty() && queue.peek().time <= end) {
-            val next = queue.poll()
-            now = next.time
-            next.action()
-        }
+        while (queue.isNotEmpty() && queue.peek().time <= end) runNext()
         now = end
     }
+
+    private fun runNext() {
+        val next = queue.poll()
+        now = next.time
+        next.action()
+    }
 }
--- a/bench/src/main/kotlin/org/cicadaturn/bench/confirmations/History.kt
+++ b/bench/src/main/kotlin/org/cicadaturn/bench/confirmations/History.kt
@@ -1,5 +1,6 @@
 package org.cicadaturn.bench.confirmations
 
+import org.cicadaturn.bench.VirtualTime
 import org.cicadaturn.decisions.confirmation.AttemptReport
 import org.cicadaturn.decisions.confirmation.CallResult
 import org.cicadaturn.decisions.confirmation.ClaimProof
@@ -18,6 +19,7 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
+import kotlin.time.Instant
 
 /** Faults that tests plant into the simulated system. */
 internal data class PlantedFaults(
@@ -37,7 +39,7 @@
     private val trace: ((String) -> Unit)? = null,
 ) {
     private val random = Random(seed)
-    private val time = VirtualTime()
+    private val time = VirtualTime(Instant.fromEpochSeconds(1_800_000_000))
     private val start = time.now
     private val log = HistoryLog(keys = random.nextInt(2, 5))
     private val store = SimulatedStore(time, random, planted.isStoreConditional, ::fault)
--- a/bench/src/main/kotlin/org/cicadaturn/bench/confirmations/LoadRun.kt
+++ b/bench/src/main/kotlin/org/cicadaturn/bench/confirmations/LoadRun.kt
@@ -1,5 +1,6 @@
 package org.cicadaturn.bench.confirmations
 
+import org.cicadaturn.bench.VirtualTime
 import org.cicadaturn.decisions.confirmation.CallResult
 import org.cicadaturn.decisions.confirmation.ConfirmationResult
 import org.cicadaturn.decisions.confirmation.LedgerPolicy
@@ -52,7 +53,7 @@
     )
 
     private val random = Random(options.seed)
-    private val time = VirtualTime()
+    private val time = VirtualTime(Instant.fromEpochSeconds(1_800_000_000))
     private val start = time.now
     private val store = SimulatedStore(time, random)
     private val ids = List(options.endpoints) { EndpointId("endpoint-$it") }
--- a/bench/src/main/kotlin/org/cicadaturn/bench/confirmations/SimulatedEndpoint.kt
+++ b/bench/src/main/kotlin/org/cicadaturn/bench/confirmations/SimulatedEndpoint.kt
@@ -1,5 +1,6 @@
 package org.cicadaturn.bench.confirmations
 
+import org.cicadaturn.bench.VirtualTime
 import org.cicadaturn.decisions.confirmation.CallId
 import org.cicadaturn.decisions.confirmation.CallResult
 import org.cicadaturn.decisions.confirmation.ConfirmationResult
--- a/bench/src/main/kotlin/org/cicadaturn/bench/confirmations/SimulatedStore.kt
+++ b/bench/src/main/kotlin/org/cicadaturn/bench/confirmations/SimulatedStore.kt
@@ -1,5 +1,6 @@
 package org.cicadaturn.bench.confirmations
 
+import org.cicadaturn.bench.VirtualTime
 import org.cicadaturn.decisions.confirmation.LedgerAction
 import org.cicadaturn.decisions.confirmation.ReadAnswer
 import org.cicadaturn.decisions.confirmation.WriteAnswer
--- a/bench/src/main/kotlin/org/cicadaturn/bench/routing/BenchEndpoint.kt
+++ b/bench/src/main/kotlin/org/cicadaturn/bench/routing/BenchEndpoint.kt
@@ -1,5 +1,6 @@
 package org.cicadaturn.bench.routing
 
+import org.cicadaturn.bench.VirtualTime
 import org.cicadaturn.decisions.admission.AdmissionDecision
 import org.cicadaturn.decisions.admission.AdmissionDecision.Admit
 import org.cicadaturn.decisions.admission.AdmissionDecision.Queue
--- a/bench/src/main/kotlin/org/cicadaturn/bench/routing/BenchEntry.kt
+++ b/bench/src/main/kotlin/org/cicadaturn/bench/routing/BenchEntry.kt
@@ -1,5 +1,6 @@
 package org.cicadaturn.bench.routing
 
+import org.cicadaturn.bench.VirtualTime
 import org.cicadaturn.decisions.admission.Ticket
 import org.cicadaturn.decisions.routing.CacheEvent
 import org.cicadaturn.decisions.routing.CachedPrefix
--- a/bench/src/main/kotlin/org/cicadaturn/bench/routing/BenchRun.kt
+++ b/bench/src/main/kotlin/org/cicadaturn/bench/routing/BenchRun.kt
@@ -1,5 +1,6 @@
 package org.cicadaturn.bench.routing
 
+import org.cicadaturn.bench.VirtualTime
 import org.cicadaturn.decisions.admission.AdmissionLimits
 import org.cicadaturn.decisions.routing.CacheEvent
 import org.cicadaturn.decisions.routing.Choice
@@ -17,6 +18,7 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
+import kotlin.time.Instant
 
 /** Runs the traffic of one load through entries that use one policy. */
 internal class BenchRun(
@@ -25,7 +27,7 @@
     private val loadPercent: Int,
     private val chooserOptions: SampledChooserOptions = SampledChooserOptions(),
 ) {
-    private val time = VirtualTime()
+    private val time = VirtualTime(Instant.fromEpochSeconds(0))
     private val measures = Measures()
     private val faults = Random(options.seed + 1)
     private val endpoints =
--- a/bench/src/main/kotlin/org/cicadaturn/bench/routing/EngineModel.kt
+++ b/bench/src/main/kotlin/org/cicadaturn/bench/routing/EngineModel.kt
@@ -1,5 +1,6 @@
 package org.cicadaturn.bench.routing
 
+import org.cicadaturn.bench.VirtualTime
 import org.cicadaturn.decisions.admission.AdmissionLimits
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.microseconds
--- a/bench/src/main/kotlin/org/cicadaturn/bench/routing/Traffic.kt
+++ b/bench/src/main/kotlin/org/cicadaturn/bench/routing/Traffic.kt
@@ -1,5 +1,6 @@
 package org.cicadaturn.bench.routing
 
+import org.cicadaturn.bench.VirtualTime
 import org.cicadaturn.schema.generated.RoutingBenchOptions
 import kotlin.math.ln
 import kotlin.random.Random
--- a/daemons/src/main/kotlin/org/cicadaturn/daemons/Demo.kt
+++ b/daemons/src/main/kotlin/org/cicadaturn/daemons/Demo.kt
@@ -125,19 +125,18 @@
 private suspend fun moveDomain(
     drive: DemoDrive,
     domain: FailureDomainId,
-): Boolean =
-    HttpClient(CIO).use { client ->
-        val operator = DemoOperator(client, drive.admins.first(), drive.operatorKey)
-        delay(drive.duration / 4)
-        val out = operator.changeState(domain, AdmissionState.DRAINED) ?: return@use false
-        show(drive, "revision $out: $domain is taken out")
-        val idle = operator.awaitIdle(domain, drive.duration / 4)
-        show(drive, if (idle == null) "$domain still has work" else "$domain has no work left after $idle")
-        delay(drive.duration / 4)
-        val back = operator.changeState(domain, AdmissionState.IN_SERVICE) ?: return@use false
-        show(drive, "revision $back: $domain is back")
-        true
-    }
+): Boolean {
+    val operator = DemoOperator(drive.admins.first(), drive.operatorKey)
+    delay(drive.duration / 4)
+    val out = operator.changeState(domain, AdmissionState.DRAINED) ?: return false
+    show(drive, "revision $out: $domain is taken out")
+    val idle = operator.awaitIdle(domain, drive.duration / 4)
+    show(drive, if (idle == null) "$domain still has work" else "$domain has no work left after $idle")
+    delay(drive.duration / 4)
+    val back = operator.changeState(domain, AdmissionState.IN_SERVICE) ?: return false
+    show(drive, "revision $back: $domain is back")
+    return true
+}
 
 private fun show(
     drive: DemoDrive,
--- a/decisions/src/main/kotlin/org/cicadaturn/decisions/confirmation/Digests.kt
+++ b/decisions/src/main/kotlin/org/cicadaturn/decisions/confirmation/Digests.kt
@@ -39,7 +39,7 @@
         sha.update(lengthBytes(part.size))
         sha.update(part)
     }
-    return Digest(sha.digest().joinToString("") { "%02x".format(it) })
+    return Digest(sha.digest().toHexString())
 }
 
 private fun lengthBytes(length: Int): ByteArray =
--- a/decisions/src/main/kotlin/org/cicadaturn/decisions/confirmation/LedgerCalls.kt
+++ b/decisions/src/main/kotlin/org/cicadaturn/decisions/confirmation/LedgerCalls.kt
@@ -105,7 +105,7 @@
     var current = call
     if (view.provenAt > call.lookedIn) {
         val looks = call.looks + 1
-        current = call.copy(looks = looks, lookedIn = view.provenAt, lookAt = now + policy.reread(looks))
+        current = call.copy(looks = looks, lookedIn = view.provenAt, lookAt = now + policy.reread.delayBefore(looks))
         state = state.copy(calls = state.calls + (call.id to current))
     }
     val lookAt = current.lookAt ?: now
--- a/decisions/src/main/kotlin/org/cicadaturn/decisions/confirmation/LedgerPolicy.kt
+++ b/decisions/src/main/kotlin/org/cicadaturn/decisions/confirmation/LedgerPolicy.kt
@@ -1,26 +1,12 @@
 package org.cicadaturn.decisions.confirmation
 
+import org.cicadaturn.decisions.retry.Backoff
+import org.cicadaturn.decisions.retry.doublingBackoff
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.hours
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
-/** Returns the time to wait after the given number of attempts, counted from 1. */
-public typealias Backoff = (attempt: Int) -> Duration
-
-/** Returns a backoff that doubles from [first] up to [longest]. */
-public fun doublingBackoff(
-    first: Duration,
-    longest: Duration,
-): Backoff =
-    { attempt ->
-        val doublings = (attempt - 1).coerceIn(0, MAX_DOUBLINGS)
-        minOf(first * (1 shl doublings), longest)
-    }
-
-/** Enough to pass any longest wait; keeps the shift within an Int. */
-private const val MAX_DOUBLINGS = 20
-
 /** Bounds and waiting times of a shard ledger. */
 public data class LedgerPolicy(
     /** How long the outcome of a confirmation is kept; after it, the key counts as new. */
--- a/decisions/src/main/kotlin/org/cicadaturn/decisions/confirmation/LedgerStore.kt
+++ b/decisions/src/main/kotlin/org/cicadaturn/decisions/confirmation/LedgerStore.kt
@@ -75,7 +75,7 @@
 
 private fun LedgerTurn.backOff() {
     val failures = state.failures + 1
-    state = state.copy(failures = failures, retryAt = now + policy.retry(failures))
+    state = state.copy(failures = failures, retryAt = now + policy.retry.delayBefore(failures))
 }
 
 private fun LedgerTurn.forgetSent(keys: Set<Digest>) {
--- a/decisions/src/main/kotlin/org/cicadaturn/decisions/retry/Backoff.kt
+++ b/decisions/src/main/kotlin/org/cicadaturn/decisions/retry/Backoff.kt
@@ -30,6 +30,12 @@
     }
 }
 
+/** Returns a backoff whose wait is [base] before the first repetition and doubles up to [most]. */
+public fun doublingBackoff(
+    base: Duration,
+    most: Duration,
+): Backoff = Backoff { attempt -> backoffBound(base, most, attempt) }
+
 /** Returns the longest wait before [attempt]. */
 internal fun backoffBound(
     base: Duration,
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/endpoint/EndpointNode.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/endpoint/EndpointNode.kt
@@ -110,12 +110,13 @@
     override val listeners: Map<String, NetworkAddress>
         get() = mapOf("listen" to listener.address, "admin" to admin.address)
 
+    private val backend = httpBackend(client, settings.backend)
     private val runner =
         RequestRunner(
             service = ServiceId(settings.service),
             gate = gate,
-            backend = httpBackend(client, settings.backend),
-            confirmations = storedConfirmations(confirmations, httpBackend(client, settings.backend), gate),
+            backend = backend,
+            confirmations = storedConfirmations(confirmations, backend, gate),
             keeper = keeper,
             clock = parts.clock,
         )
