--- a/daemons/src/main/kotlin/org/cicadaturn/daemons/Main.kt
+++ b/daemons/src/main/kotlin/org/cicadaturn/daemons/Main.kt
@@ -16,6 +16,7 @@
 private val work =
     Work(
         entry = ::runEntry,
+        gateway = ::runGateway,
         endpoint = ::runEndpoint,
         standins = StandinWork(::runPlatformStandin, ::runEngineStandin, ::runOrdersStandin),
         control = controlWork(),
--- a/daemons/src/main/kotlin/org/cicadaturn/daemons/command/CommandTree.kt
+++ b/daemons/src/main/kotlin/org/cicadaturn/daemons/command/CommandTree.kt
@@ -18,6 +18,7 @@
 import com.github.ajalt.mordant.terminal.Terminal
 import org.cicadaturn.daemons.settings.readEndpointSettings
 import org.cicadaturn.daemons.settings.readEntrySettings
+import org.cicadaturn.daemons.settings.readGatewaySettings
 import org.cicadaturn.schema.generated.ProcessSettings
 import java.util.Properties
 
@@ -81,6 +82,15 @@
         work.entry?.let { run ->
             NodeCommand("entry", "Runs an entry process.", ::readEntrySettings, { startLogs(work, it.process) }, run)
         },
+        work.gateway?.let { run ->
+            NodeCommand(
+                "gateway",
+                "Runs a gateway process.",
+                ::readGatewaySettings,
+                { startLogs(work, it.process) },
+                run,
+            )
+        },
         work.endpoint?.let { run ->
             NodeCommand(
                 "endpoint",
--- a/daemons/src/main/kotlin/org/cicadaturn/daemons/command/Work.kt
+++ b/daemons/src/main/kotlin/org/cicadaturn/daemons/command/Work.kt
@@ -6,6 +6,7 @@
 import org.cicadaturn.schema.generated.Endpoint
 import org.cicadaturn.schema.generated.EndpointFile
 import org.cicadaturn.schema.generated.EntryFile
+import org.cicadaturn.schema.generated.GatewayFile
 import org.cicadaturn.schema.generated.Intent
 import org.cicadaturn.schema.generated.NetworkAddress
 import java.nio.file.Path
@@ -17,6 +18,7 @@
  * A command whose work is null or an empty list is left out of the command tree.
  *
  * @property entry runs an entry process until it is stopped
+ * @property gateway runs a gateway process until it is stopped
  * @property endpoint runs an endpoint process until it is stopped
  * @property standins runs the stand-ins of outside systems
  * @property control runs the operators' commands
@@ -26,6 +28,7 @@
  */
 internal data class Work(
     val entry: ((EntryFile) -> Int)? = null,
+    val gateway: ((GatewayFile) -> Int)? = null,
     val endpoint: ((EndpointFile) -> Int)? = null,
     val standins: StandinWork = StandinWork(),
     val control: ControlWork = ControlWork(),
--- a/daemons/src/main/kotlin/org/cicadaturn/daemons/settings/SettingsReader.kt
+++ b/daemons/src/main/kotlin/org/cicadaturn/daemons/settings/SettingsReader.kt
@@ -12,6 +12,7 @@
 import org.cicadaturn.schema.SettingsType
 import org.cicadaturn.schema.generated.EndpointFile
 import org.cicadaturn.schema.generated.EntryFile
+import org.cicadaturn.schema.generated.GatewayFile
 import org.cicadaturn.schema.generated.settingsRoles
 import org.cicadaturn.schema.generated.settingsSections
 import java.nio.file.Path
@@ -20,13 +21,21 @@
 internal fun readEntrySettings(path: Path): Either<List<SettingsFault>, EntryFile> =
     readSettings("entry", path, EntryFile.serializer())
 
+/** Returns the settings of a gateway process, or every fault of the file at [path]. */
+internal fun readGatewaySettings(path: Path): Either<List<SettingsFault>, GatewayFile> =
+    readSettings("gateway", path, GatewayFile.serializer())
+
 /** Returns the settings of an endpoint process, or every fault of the file at [path]. */
 internal fun readEndpointSettings(path: Path): Either<List<SettingsFault>, EndpointFile> =
     readSettings("endpoint", path, EndpointFile.serializer())
 
 /** Lists the readers by role; a test compares the roles with the catalogue. */
 internal val settingsReaders: Map<String, (Path) -> Either<List<SettingsFault>, Any>> =
-    mapOf("entry" to ::readEntrySettings, "endpoint" to ::readEndpointSettings)
+    mapOf(
+        "entry" to ::readEntrySettings,
+        "gateway" to ::readGatewaySettings,
+        "endpoint" to ::readEndpointSettings,
+    )
 
 /** Returns the settings of [role] as [serializer] builds them, or every fault of the file at [path]. */
 internal fun <T> readSettings(
--- a/daemons/src/main/kotlin/org/cicadaturn/daemons/settings/SettingsRules.kt
+++ b/daemons/src/main/kotlin/org/cicadaturn/daemons/settings/SettingsRules.kt
@@ -71,10 +71,13 @@
         "process" to "admin-listen",
         "entry" to "listen",
         "entry" to "peer-listen",
+        "gateway" to "listen",
+        "gateway" to "ready-listen",
+        "gateway" to "peer-listen",
         "endpoint" to "listen",
     )
 
-private val connected = listOf("store" to "address", "entry" to "peers", "endpoint" to "backend")
+private val connected = listOf("store" to "address", "entry" to "peers", "gateway" to "seeds", "endpoint" to "backend")
 
 private fun keepaliveTimeoutExceedsInterval(v: SettingsValues): List<SettingsFault.Contradiction> {
     val interval = v.time("wire", "keepalive-interval") ?: return emptyList()
--- a/daemons/src/main/kotlin/org/cicadaturn/daemons/settings/SettingsValue.kt
+++ b/daemons/src/main/kotlin/org/cicadaturn/daemons/settings/SettingsValue.kt
@@ -40,6 +40,12 @@
         override val json: JsonElement get() = JsonPrimitive(number)
     }
 
+    data class Decimal(
+        val number: Double,
+    ) : SettingsValue {
+        override val json: JsonElement get() = JsonPrimitive(number)
+    }
+
     data class Time(
         val duration: Duration,
     ) : SettingsValue {
@@ -83,6 +89,7 @@
         SettingsType.TEXT -> SettingsValue.Text(text).right()
         SettingsType.SECRET -> parseSecret(key, text)
         SettingsType.INTEGER -> parseWhole(key, text)
+        SettingsType.DECIMAL -> parseDecimal(key, text)
         SettingsType.DURATION -> parseTime(key, text)
         SettingsType.BOOLEAN -> text.toBooleanStrictOrNull()?.let(SettingsValue::Flag).orWrongForm()
         SettingsType.ADDRESS -> parseAddress(text)?.let(SettingsValue::Address).orWrongForm()
@@ -117,6 +124,7 @@
                 "text of at least ${key.min} characters"
             }
         SettingsType.INTEGER -> "a whole number${rangeOf(key)}${if (key.unit == null) "" else " (${key.unit})"}"
+        SettingsType.DECIMAL -> "a number${rangeOf(key)}${if (key.unit == null) "" else " (${key.unit})"}"
         SettingsType.DURATION -> "a number with a unit out of ms, s, m and h${rangeOf(key)}"
         SettingsType.BOOLEAN -> "true or false"
         SettingsType.ADDRESS -> "an IP number and a port, for example 127.0.0.1:8080 or [::1]:8080"
@@ -124,6 +132,8 @@
         SettingsType.CHOICE -> "one of ${key.choices.joinToString()}"
     }
 
+private val decimalForm = Regex("""\d+(\.\d+)?""")
+
 private val durationForm = Regex("""\d+(\.\d+)?(ms|s|m|h)""")
 
 private val addressForm = Regex("""(?:([0-9.]+)|\[([0-9a-fA-F:.]+)]):(\d{1,5})""")
@@ -158,6 +168,17 @@
     return if (inRange) SettingsValue.Whole(number.toInt()).right() else ValueError.OUT_OF_RANGE.left()
 }
 
+private fun parseDecimal(
+    key: SettingsKey,
+    text: String,
+): Either<ValueError, SettingsValue> {
+    if (!decimalForm.matches(text)) return ValueError.WRONG_FORM.left()
+    val number = text.toDouble()
+    val least = key.min?.toDouble() ?: 0.0
+    val greatest = key.max?.toDouble() ?: Double.MAX_VALUE
+    return if (number in least..greatest) SettingsValue.Decimal(number).right() else ValueError.OUT_OF_RANGE.left()
+}
+
 private fun parseTime(
     key: SettingsKey,
     text: String,
--- /dev/null
+++ b/decisions/src/main/kotlin/org/cicadaturn/decisions/gateway/AttemptPolicy.kt
@@ -0,0 +1,100 @@
+package org.cicadaturn.decisions.gateway
+
+import org.cicadaturn.schema.generated.RouteKind
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+
+/** How one attempt at an endpoint ended. */
+public enum class AttemptEnd {
+    /** No byte of the request was sent, as no connection could be made. */
+    NOT_SENT,
+
+    /** The endpoint said that it did not run the request. */
+    NOT_EXECUTED,
+
+    /** The endpoint answered with a failure of its own; it counts as run. */
+    FAILED,
+
+    /** The answer was cut, unreadable or another request's; the request may have run. */
+    BROKEN,
+
+    /** Nothing came for longer than a sound endpoint takes; the request may have run. */
+    STALLED,
+}
+
+/**
+ * What is known of a request when an attempt has ended.
+ *
+ * @property kind what may be repeated
+ * @property isResumable true if a stream may be continued elsewhere
+ * @property sent endpoints that the request was sent to
+ * @property attempts endpoints that it may be sent to
+ * @property unsent attempts that ended before anything was sent
+ * @property mayHaveRun true if any attempt may have run
+ * @property isAnswerBegun true if the caller already has a part of the answer
+ * @property remaining time to the deadline
+ */
+public data class AttemptHistory(
+    val kind: RouteKind,
+    val isResumable: Boolean,
+    val sent: Int,
+    val attempts: Int,
+    val unsent: Int,
+    val mayHaveRun: Boolean,
+    val isAnswerBegun: Boolean,
+    val remaining: Duration,
+)
+
+/** What to do after an attempt has ended. */
+public enum class NextStep {
+    /** Send the request to another endpoint, within the retry budget. */
+    REPEAT,
+
+    /** Pass the endpoint's own failure on. */
+    PASS_FAILURE,
+
+    /** Answer that the request has not run. */
+    REFUSE,
+
+    /** Answer that the outcome is unknown. */
+    FAIL,
+
+    /** End the answer that was begun without completing it. */
+    CUT,
+}
+
+/**
+ * Decides what follows an attempt that ended with [end], given [history], which includes that attempt.
+ *
+ * A repetition is only proposed where it is safe: nothing was sent, the endpoint denies having run it, or the
+ * request may run twice.
+ */
+public fun nextStep(
+    end: AttemptEnd,
+    history: AttemptHistory,
+): NextStep {
+    val isRepeatable = history.kind == RouteKind.IDEMPOTENT || (history.kind == RouteKind.STREAM && history.isResumable)
+    val isSafe = end == AttemptEnd.NOT_SENT || end == AttemptEnd.NOT_EXECUTED || isRepeatable
+    val hasTime = history.remaining > LEAST_TIME_TO_REPEAT
+    val hasAttempts = history.sent < history.attempts && history.unsent <= MOST_UNSENT
+    if (isSafe && hasTime && hasAttempts) return NextStep.REPEAT
+    return lastStep(end, history)
+}
+
+/** Decides how a request ends that is not repeated; see [nextStep]. */
+public fun lastStep(
+    end: AttemptEnd,
+    history: AttemptHistory,
+): NextStep =
+    when {
+        history.isAnswerBegun -> NextStep.CUT
+        end == AttemptEnd.FAILED -> NextStep.PASS_FAILURE
+        history.mayHaveRun -> NextStep.FAIL
+        else -> NextStep.REFUSE
+    }
+
+/** Below this, an endpoint could not finish even a short request. */
+private val LEAST_TIME_TO_REPEAT = 20.milliseconds
+
+/** Connections that may fail before a request is refused; bounds the work that a dead service causes. */
+private const val MOST_UNSENT = 3
--- a/schema-gen/src/main/kotlin/org/cicadaturn/schemagen/Generate.kt
+++ b/schema-gen/src/main/kotlin/org/cicadaturn/schemagen/Generate.kt
@@ -17,7 +17,7 @@
 private fun fileOf(schema: SchemaFile): String {
     val file =
         FileSpec
-            .builder(GENERATED_PACKAGE, schema.file)
+            .builder(schema.home, schema.file)
             .addFileComment(
                 "%L",
                 "Generated from the schema by schema-gen; run bin/generate after a change of the schema.",
@@ -27,7 +27,7 @@
         optIn.addMember("%T::class", ClassName("kotlinx.serialization", "ExperimentalSerializationApi"))
         file.addAnnotation(optIn.useSiteTarget(AnnotationSpec.UseSiteTarget.FILE).build())
     }
-    schema.types.forEach { file.addType(declare(it)) }
+    schema.types.forEach { file.addType(declare(it, schema.home)) }
     schema.sections.forEach { file.addType(settingsClass(it)) }
     schema.roles.forEach { file.addType(settingsFileClass(it, schema.sections)) }
     if (schema.sections.isNotEmpty()) {
--- a/schema-gen/src/main/kotlin/org/cicadaturn/schemagen/Schema.kt
+++ b/schema-gen/src/main/kotlin/org/cicadaturn/schemagen/Schema.kt
@@ -1,15 +1,17 @@
 package org.cicadaturn.schemagen
 
+import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.json.Json
 import java.nio.file.Path
 import kotlin.io.path.readText
 
-/** One schema file: either [types] or [sections] and [roles]. */
+/** One schema file: either [types] or [sections] and [roles]; [home] is the package of its code. */
 @Serializable
 data class SchemaFile(
     val file: String,
     val doc: String,
+    @SerialName("package") val home: String = GENERATED_PACKAGE,
     val types: List<TypeEntry> = emptyList(),
     val sections: List<SectionEntry> = emptyList(),
     val roles: List<RoleEntry> = emptyList(),
--- a/schema-gen/src/main/kotlin/org/cicadaturn/schemagen/Settings.kt
+++ b/schema-gen/src/main/kotlin/org/cicadaturn/schemagen/Settings.kt
@@ -18,7 +18,14 @@
 /** Returns the data class that holds the values of [section]. */
 internal fun settingsClass(section: SectionEntry): TypeSpec {
     val spec =
-        dataClass(section.type, "Holds section `${section.name}`. ${section.doc}", section.keys.map { fieldOf(it) })
+        dataClass(
+            section.type,
+            "Holds section `${section.name}`. ${section.doc}",
+            section.keys.map {
+                fieldOf(it)
+            },
+            GENERATED_PACKAGE,
+        )
     if (section.keys.any { it.type == "SECRET" }) spec.addFunction(textWithoutSecrets(section))
     return spec.build()
 }
@@ -48,7 +55,7 @@
             val section = sections.first { it.name == name }
             FieldEntry(name, section.type, section.doc)
         }
-    return dataClass(role.type, role.doc, fields).build()
+    return dataClass(role.type, role.doc, fields, GENERATED_PACKAGE).build()
 }
 
 /** Returns the property that lists every section and key, for the reader and the example printer. */
@@ -105,6 +112,7 @@
         when (key.type) {
             "TEXT", "CHOICE", "SECRET" -> "String"
             "INTEGER" -> "Int"
+            "DECIMAL" -> "Double"
             "DURATION" -> "Duration"
             "BOOLEAN" -> "Boolean"
             "ADDRESS" -> "NetworkAddress"
--- a/schema-gen/src/main/kotlin/org/cicadaturn/schemagen/TypeNames.kt
+++ b/schema-gen/src/main/kotlin/org/cicadaturn/schemagen/TypeNames.kt
@@ -11,7 +11,7 @@
 import com.squareup.kotlinpoet.STRING
 import com.squareup.kotlinpoet.TypeName
 
-/** Package of all generated code. */
+/** Package of generated code whose schema file names none. */
 const val GENERATED_PACKAGE: String = "org.cicadaturn.schema.generated"
 
 internal val serializable = ClassName("kotlinx.serialization", "Serializable")
@@ -19,11 +19,17 @@
 internal val byteString = ClassName("kotlinx.serialization.cbor", "ByteString")
 internal val duration = ClassName("kotlin.time", "Duration")
 internal val instant = ClassName("kotlin.time", "Instant")
+internal val jsonElement = ClassName("kotlinx.serialization.json", "JsonElement")
 
-/** Returns the Kotlin type that [text] of a schema file names, for example `List<Header>` or `Duration?`. */
-internal fun typeNameOf(text: String): TypeName {
-    if (text.endsWith("?")) return typeNameOf(text.dropLast(1)).copy(nullable = true)
-    if (text.startsWith("List<")) return LIST.parameterizedBy(typeNameOf(text.removePrefix("List<").removeSuffix(">")))
+/** Returns the Kotlin type that [text] of a schema file of package [home] names, for example `List<Header>` or `Duration?`. */
+internal fun typeNameOf(
+    text: String,
+    home: String,
+): TypeName {
+    if (text.endsWith("?")) return typeNameOf(text.dropLast(1), home).copy(nullable = true)
+    if (text.startsWith("List<")) {
+        return LIST.parameterizedBy(typeNameOf(text.removePrefix("List<").removeSuffix(">"), home))
+    }
     return when (text) {
         "String" -> STRING
         "Int" -> INT
@@ -33,6 +39,7 @@
         "Bytes" -> BYTE_ARRAY
         "Duration" -> duration
         "Instant" -> instant
-        else -> ClassName(GENERATED_PACKAGE, text)
+        "Json" -> jsonElement
+        else -> ClassName(home, text)
     }
 }
--- a/schema-gen/src/main/kotlin/org/cicadaturn/schemagen/Types.kt
+++ b/schema-gen/src/main/kotlin/org/cicadaturn/schemagen/Types.kt
@@ -14,21 +14,27 @@
 import com.squareup.kotlinpoet.TypeSpec
 
 /** Returns the declaration for [entry]. */
-internal fun declare(entry: TypeEntry): TypeSpec =
+internal fun declare(
+    entry: TypeEntry,
+    home: String,
+): TypeSpec =
     when (entry.kind) {
-        "value" -> valueClass(entry)
+        "value" -> valueClass(entry, home)
         "enum" -> enumeration(entry)
-        "data" -> dataClass(entry.name, entry.doc, entry.fields).build()
-        "sealed" -> sealedFamily(entry)
+        "data" -> dataClass(entry.name, entry.doc, entry.fields, home).build()
+        "sealed" -> sealedFamily(entry, home)
         else -> throw IllegalArgumentException(
             "unknown kind ${entry.kind} of ${entry.name}; use value, enum, data, sealed",
         )
     }
 
-private fun valueClass(entry: TypeEntry): TypeSpec {
+private fun valueClass(
+    entry: TypeEntry,
+    home: String,
+): TypeSpec {
     val property = if (entry.of == "Long") "number" else "text"
-    val type = typeNameOf(requireNotNull(entry.of) { "value type ${entry.name} needs 'of'" })
-    val self = ClassName(GENERATED_PACKAGE, entry.name)
+    val type = typeNameOf(requireNotNull(entry.of) { "value type ${entry.name} needs 'of'" }, home)
+    val self = ClassName(home, entry.name)
     val spec =
         TypeSpec
             .classBuilder(entry.name)
@@ -75,7 +81,10 @@
     return spec.build()
 }
 
-private fun sealedFamily(entry: TypeEntry): TypeSpec {
+private fun sealedFamily(
+    entry: TypeEntry,
+    home: String,
+): TypeSpec {
     val spec =
         TypeSpec
             .interfaceBuilder(entry.name)
@@ -84,9 +93,9 @@
             .addModifiers(KModifier.SEALED)
     entry.variants.forEach { v ->
         val variant =
-            dataClass(v.name, v.doc, v.fields)
+            dataClass(v.name, v.doc, v.fields, home)
                 .addAnnotation(AnnotationSpec.builder(serialName).addMember("%S", v.serial).build())
-                .addSuperinterface(ClassName(GENERATED_PACKAGE, entry.name))
+                .addSuperinterface(ClassName(home, entry.name))
         spec.addType(variant.build())
     }
     return spec.build()
@@ -96,12 +105,13 @@
     name: String,
     doc: String,
     fields: List<FieldEntry>,
+    home: String,
 ): TypeSpec.Builder {
     val constructor = FunSpec.constructorBuilder()
     val spec = TypeSpec.classBuilder(name).addKdoc("%L", kdocOf(doc, fields)).addAnnotation(serializable)
     spec.addModifiers(KModifier.DATA)
     fields.forEach { f ->
-        val type = typeNameOf(f.type)
+        val type = typeNameOf(f.type, home)
         val parameter = ParameterSpec.builder(f.name, type)
         f.default?.let { parameter.defaultValue(CodeBlock.of("%L", it)) }
         constructor.addParameter(parameter.build())
--- a/schema-gen/src/test/kotlin/org/cicadaturn/schemagen/GeneratedCodeTest.kt
+++ b/schema-gen/src/test/kotlin/org/cicadaturn/schemagen/GeneratedCodeTest.kt
@@ -8,13 +8,23 @@
 import kotlin.io.path.readText
 
 class GeneratedCodeTest {
-    private val schema = Path.of("../schema/src/main/schema")
-    private val committed = Path.of("../schema/src/main/kotlin/org/cicadaturn/schema/generated")
-
     /** Guards against a schema change without generated code, and against an edit of generated code by hand. */
     @Test
     fun `committed code equals the code generated from the schema`() {
-        val onDisk = committed.listDirectoryEntries("*.kt").associate { it.name to it.readText() }
-        assertEquals(generate(schema), onDisk, "run bin/generate and commit the result")
+        assertCommitted("../schema/src/main/schema", "../schema/src/main/kotlin/org/cicadaturn/schema/generated")
+    }
+
+    /** Guards against the same for the platform's documents. */
+    @Test
+    fun `committed code of the platform equals the code generated from its schema`() {
+        assertCommitted("../platform/src/main/schema", "../platform/src/main/kotlin/org/cicadaturn/platform/generated")
+    }
+
+    private fun assertCommitted(
+        schema: String,
+        committed: String,
+    ) {
+        val onDisk = Path.of(committed).listDirectoryEntries("*.kt").associate { it.name to it.readText() }
+        assertEquals(generate(Path.of(schema)), onDisk, "run bin/generate and commit the result")
     }
 }
--- a/schema/src/main/kotlin/org/cicadaturn/schema/SettingsCatalogue.kt
+++ b/schema/src/main/kotlin/org/cicadaturn/schema/SettingsCatalogue.kt
@@ -8,6 +8,9 @@
     /** A whole number. */
     INTEGER,
 
+    /** A number, with or without a decimal fraction. */
+    DECIMAL,
+
     /** A number and a unit out of ms, s, m and h, for example `250ms`. */
     DURATION,
 
--- /dev/null
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/GatewayNode.kt
@@ -0,0 +1,184 @@
+package org.cicadaturn.tasks.gateway
+
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.withContext
+import org.apache.logging.log4j.LogManager
+import org.cicadaturn.decisions.gateway.BalancerOptions
+import org.cicadaturn.decisions.gateway.RouteTable
+import org.cicadaturn.decisions.gateway.endpointBalancer
+import org.cicadaturn.decisions.gateway.routeTable
+import org.cicadaturn.decisions.retry.fullJitterBackoff
+import org.cicadaturn.schema.generated.CallerLimits
+import org.cicadaturn.schema.generated.FailureDomainId
+import org.cicadaturn.schema.generated.GatewayFile
+import org.cicadaturn.schema.generated.GatewayPeer
+import org.cicadaturn.schema.generated.NetworkAddress
+import org.cicadaturn.schema.generated.ProcessId
+import org.cicadaturn.tasks.Node
+import org.cicadaturn.tasks.http.HttpLink
+import org.cicadaturn.tasks.http.HttpListener
+import org.cicadaturn.tasks.http.HttpPart
+import org.cicadaturn.tasks.http.HttpRuntime
+import org.cicadaturn.tasks.http.ResponseHead
+import org.cicadaturn.tasks.http.httpConnector
+import org.cicadaturn.tasks.http.listen
+import kotlin.random.Random
+import kotlin.time.Clock
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/**
+ * Parts of a gateway process that its environment gives.
+ *
+ * @property clock steady clock; its origin does not matter
+ */
+public class GatewayParts(
+    public val runtime: HttpRuntime,
+    public val store: FleetStore,
+    public val dialect: GatewayDialect,
+    public val clock: Clock,
+    public val random: Random,
+)
+
+/** Starts a gateway process: callers in front, endpoints called directly, the fleet known from the platform. */
+public suspend fun gatewayNode(
+    file: GatewayFile,
+    parts: GatewayParts,
+): Node {
+    val node = GatewayNode(file, parts)
+    withContext(parts.runtime.dispatcher) { node.start() }
+    return node
+}
+
+private class GatewayNode(
+    private val file: GatewayFile,
+    private val parts: GatewayParts,
+) : Node,
+    ConnectionLoad {
+    private val settings = file.gateway
+    private val scope = CoroutineScope(parts.runtime.dispatcher + SupervisorJob())
+    private val connector = httpConnector(parts.runtime)
+    private val peer =
+        GatewayPeer(ProcessId(file.process.id), settings.peerListen, FailureDomainId(file.process.failureDomain))
+    private val fleet =
+        startFleet(
+            scope,
+            FleetParts(
+                store = parts.store,
+                self = peer,
+                relay = peerRelay(connector, settings.peerListen, settings.seeds, parts.random),
+                watchWait = file.store.watchWait,
+                backoff = fullJitterBackoff(STORE_BACKOFF, STORE_BACKOFF_MOST, parts.random),
+                clock = parts.clock,
+            ),
+        )
+    private val balancer =
+        startBalancer(scope, endpointBalancer(balancerOptions(), parts.random), fleet, parts.clock)
+    private val pool = startConnectionPool(scope, fleet, parts.clock)
+    private val exchange = Exchange(connector, pool, balancer, parts.dialect, parts.clock)
+    private val journal = requestJournal()
+    private val handler =
+        RequestHandler(fleet.state, ::table, balancer, exchange, parts.dialect, parts.clock, parts.random, journal)
+    private var routes: RouteTable? = null
+    private var stopping = false
+    private var inProgress = 0
+    private lateinit var callers: HttpListener
+    private lateinit var ready: HttpListener
+    private lateinit var peers: HttpListener
+
+    override val listeners: Map<String, NetworkAddress>
+        get() = mapOf("listen" to callers.address, "ready" to ready.address, "peers" to peers.address)
+
+    private fun balancerOptions(): BalancerOptions =
+        BalancerOptions(
+            home = FailureDomainId(file.process.failureDomain),
+            coldOver = settings.coldFactor,
+            coldSlack = settings.coldSlack,
+            retryPercent = (settings.retryRatio * PERCENT).toInt(),
+            retrySlack = settings.retrySlack,
+            retryWindow = settings.retryWindow,
+        )
+
+    suspend fun start() {
+        callers = listen(parts.runtime, scope, settings.listen, HEADER_BYTES) { serveCaller(it) }
+        ready = listen(parts.runtime, scope, settings.readyListen, HEADER_BYTES) { serveReady(it) }
+        peers = listen(parts.runtime, scope, settings.peerListen, HEADER_BYTES) { servePeer(it, fleet::ownView) }
+        logger.info("gateway: {} listens on {}", file.process.id, settings.listen)
+    }
+
+    /** The index is made once for each configuration. */
+    private fun table(): RouteTable? {
+        val configuration = fleet.state.value.view.configuration ?: return null
+        val known = routes
+        if (known != null && known.configuration === configuration) return known
+        return routeTable(configuration).also { routes = it }
+    }
+
+    private fun limits(): CallerLimits =
+        fleet.state.value.view.configuration
+            ?.limits ?: CallerLimits()
+
+    private suspend fun serveCaller(link: HttpLink) {
+        CallerConnection(link, handler, parts.dialect, journal, parts.clock, ::limits, this).serve()
+    }
+
+    private suspend fun serveReady(link: HttpLink) {
+        while (true) {
+            val request = link.receive() ?: return
+            if (request is HttpPart.Malformed) return
+            if (request !is HttpPart.Request) continue
+            val status = if (isReady()) OK else UNAVAILABLE
+            if (!link.sendResponse(ResponseHead(status, emptyList(), request.head.isLast), ByteArray(0))) return
+            if (request.head.isLast) return
+        }
+    }
+
+    private fun isReady(): Boolean = !stopping && fleet.state.value.isKnown
+
+    override fun isStopping(): Boolean = stopping
+
+    override fun busy(change: Int) {
+        inProgress += change
+    }
+
+    /** Callers are still sent here for two readiness checks, so the process serves on before it waits for its end. */
+    override suspend fun stop(): Int =
+        withContext(parts.runtime.dispatcher) {
+            logger.info("gateway: stops with {} requests in progress", inProgress)
+            stopping = true
+            val start = parts.clock.now()
+            val latest = start + file.process.stopTimeout - STOP_RESERVE
+            delay(UNREADY_TIME)
+            while (inProgress > 0 && parts.clock.now() < latest) delay(STOP_POLL)
+            callers.close()
+            // Requests that were read while the listener closed.
+            while (inProgress > 0 && parts.clock.now() < latest) delay(STOP_POLL)
+            val cut = inProgress
+            logger.info("gateway: ends with {} requests cut", cut)
+            scope.cancel()
+            cut
+        }
+
+    private companion object {
+        val logger = LogManager.getLogger(GatewayNode::class.java)
+
+        val STORE_BACKOFF = 100.milliseconds
+        val STORE_BACKOFF_MOST = 1.seconds
+
+        /** Two readiness checks a second apart, and one second for connections that were opened just before. */
+        val UNREADY_TIME = 3.seconds
+        val STOP_POLL = 20.milliseconds
+
+        /** Time to end by itself before the platform kills the process. */
+        val STOP_RESERVE = 700.milliseconds
+
+        const val HEADER_BYTES = 65_536
+        const val PERCENT = 100.0
+        const val OK = 200
+        const val UNAVAILABLE = 503
+    }
+}
--- /dev/null
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/RequestHandler.kt
@@ -0,0 +1,386 @@
+package org.cicadaturn.tasks.gateway
+
+import kotlinx.coroutines.flow.StateFlow
+import kotlinx.coroutines.withTimeoutOrNull
+import org.cicadaturn.decisions.gateway.Admission
+import org.cicadaturn.decisions.gateway.AttemptEnd
+import org.cicadaturn.decisions.gateway.AttemptHistory
+import org.cicadaturn.decisions.gateway.EndpointChoice
+import org.cicadaturn.decisions.gateway.EndpointRequest
+import org.cicadaturn.decisions.gateway.FleetState
+import org.cicadaturn.decisions.gateway.NextStep
+import org.cicadaturn.decisions.gateway.RouteTable
+import org.cicadaturn.decisions.gateway.StreamEvent
+import org.cicadaturn.decisions.gateway.lastStep
+import org.cicadaturn.decisions.gateway.nextStep
+import org.cicadaturn.schema.generated.EndpointId
+import org.cicadaturn.schema.generated.Header
+import org.cicadaturn.schema.generated.LiveEndpoint
+import org.cicadaturn.schema.generated.Route
+import org.cicadaturn.schema.generated.RouteKind
+import org.cicadaturn.schema.generated.ServiceId
+import org.cicadaturn.tasks.http.HttpLink
+import org.cicadaturn.tasks.http.RequestHead
+import org.cicadaturn.tasks.http.ResponseHead
+import org.cicadaturn.tasks.http.endToEnd
+import org.cicadaturn.tasks.http.valueOf
+import kotlin.random.Random
+import kotlin.time.Clock
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.DurationUnit
+import kotlin.time.Instant
+
+/**
+ * A request that was read whole.
+ *
+ * @property arrivedAt when its first byte was read
+ */
+internal class CallerRequest(
+    val head: RequestHead,
+    val body: ByteArray,
+    val arrivedAt: Instant,
+)
+
+/** How a request ended, for logs and metrics. */
+internal data class RequestEnd(
+    val status: Int,
+    val reason: String,
+    val keepsConnection: Boolean,
+)
+
+/** Serves requests: admission, choice of endpoints, attempts and the answer. */
+internal class RequestHandler(
+    private val fleet: StateFlow<FleetState>,
+    private val routes: () -> RouteTable?,
+    private val balancer: Balancer,
+    private val exchange: Exchange,
+    private val dialect: GatewayDialect,
+    private val clock: Clock,
+    private val random: Random,
+    private val journal: RequestJournal,
+) {
+    /** Serves [request] and answers on [caller]; [isLast] asks the caller to open a new connection afterwards. */
+    suspend fun handle(
+        request: CallerRequest,
+        caller: HttpLink,
+        isLast: () -> Boolean,
+    ): RequestEnd {
+        val answer = CallerAnswer(caller, isLast, request.head.isLast)
+        val table = routes()
+        if (table == null || !fleet.value.isKnown) return answer.refuse(RETRY_WHEN_UNKNOWN, "no configuration yet")
+        val head = request.head
+        val admission = table.admit(head.headers.valueOf("Host").orEmpty(), head.path, keyOf(head))
+        if (admission !is Admission.Admitted) return deny(admission, answer)
+        val work = Work(request, admission, answer)
+        return work.run()
+    }
+
+    private fun keyOf(head: RequestHead): String? {
+        val value = head.headers.valueOf("Authorization") ?: return null
+        val scheme = value.substringBefore(' ')
+        if (!scheme.equals(dialect.keyScheme, ignoreCase = true)) return null
+        return value.substringAfter(' ', "").trim().ifEmpty { null }
+    }
+
+    /** An older configuration may lack the route or the key, so a process out of touch denies nothing for good. */
+    private suspend fun deny(
+        admission: Admission,
+        answer: CallerAnswer,
+    ): RequestEnd {
+        if (!fleet.value.isConfigurationCurrent) return answer.refuse(RETRY_WHEN_UNKNOWN, "configuration may be old")
+        if (admission == Admission.UnknownRoute) return answer.own(NOT_FOUND, "no route", emptyList())
+        return answer.own(UNAUTHORIZED, "unknown key", listOf(Header("WWW-Authenticate", dialect.keyScheme)))
+    }
+
+    private inner class Work(
+        private val request: CallerRequest,
+        private val admission: Admission.Admitted,
+        private val answer: CallerAnswer,
+    ) {
+        private val route: Route = admission.route
+        private val service: ServiceId = pick(route)
+        private val id = request.head.headers.valueOf(dialect.requestId)
+        private val deadline = request.arrivedAt + allowed()
+        private val tried = HashSet<EndpointId>()
+        private var sent = 0
+        private var unsent = 0
+        private var mayHaveRun = false
+        private var lastFailure: Pair<ResponseHead, ByteArray>? = null
+
+        private fun allowed(): Duration {
+            val named =
+                request.head.headers
+                    .valueOf(dialect.deadlineMillis)
+                    ?.trim()
+                    ?.toLongOrNull()
+                    ?.milliseconds
+            return minOf(named ?: route.timeout, route.timeout)
+        }
+
+        private fun remaining(): Duration = deadline - clock.now()
+
+        suspend fun run(): RequestEnd {
+            balancer.arrived(service)
+            val end = withTimeoutOrNull(remaining().coerceAtLeast(1.milliseconds)) { attempts() }
+            return end ?: expire()
+        }
+
+        private suspend fun expire(): RequestEnd =
+            when {
+                answer.isBegun -> answer.cut("deadline passed within the answer")
+                sent > 0 -> answer.own(GATEWAY_TIMEOUT, "deadline passed", emptyList())
+                else -> answer.refuse(RETRY_WHEN_UNKNOWN, "deadline passed before an endpoint was found")
+            }
+
+        private suspend fun attempts(): RequestEnd {
+            var last = AttemptEnd.NOT_SENT
+            while (true) {
+                val choice = balancer.choose(EndpointRequest(service, tried, isRepeat = sent > 0))
+                when (choice) {
+                    is EndpointChoice.None -> {
+                        journal.attempt(id, null, choice.reason)
+                        return finish(lastStep(last, history()), choice.reason, choice.retryAfter)
+                    }
+                    is EndpointChoice.Chosen -> {
+                        val result = attempt(choice.endpoint)
+                        if (result !is AttemptResult.Ended) return answer.end()
+                        last = result.end
+                        val step = nextStep(result.end, history())
+                        journal.attempt(id, choice.endpoint, "${result.detail}; $step")
+                        if (step != NextStep.REPEAT) return finish(step, result.detail, RETRY_WHEN_FULL)
+                    }
+                }
+            }
+        }
+
+        private suspend fun attempt(endpoint: LiveEndpoint): AttemptResult {
+            tried += endpoint.id
+            // Counted before it is sent, so that a deadline that passes meanwhile does not read as "not run".
+            sent += 1
+            val result = exchange.run(attemptRequest(endpoint), answer)
+            if (result !is AttemptResult.Ended) return result
+            if (result.end == AttemptEnd.NOT_SENT) {
+                sent -= 1
+                unsent += 1
+            }
+            if (result.end !in NOT_RUN) mayHaveRun = true
+            result.failure?.let { lastFailure = it }
+            return result
+        }
+
+        private fun attemptRequest(endpoint: LiveEndpoint): AttemptRequest {
+            val remaining = remaining()
+            val isRepeatable = route.kind == RouteKind.IDEMPOTENT || route.resumable
+            val hasOther = sent < route.attempts
+            val limit =
+                when {
+                    !isRepeatable || !hasOther -> remaining
+                    route.kind == RouteKind.STREAM -> STREAM_STALL
+                    else -> route.latencyTarget * SLOW_FACTOR
+                }
+            return AttemptRequest(
+                endpoint = endpoint,
+                kind = if (isRepeatable) route.kind else RouteKind.AT_MOST_ONCE,
+                head = headFor(endpoint, remaining),
+                body = request.body,
+                requestId = id,
+                firstByteLimit = minOf(limit, remaining).coerceAtLeast(1.milliseconds),
+                gapLimit = minOf(limit, remaining).coerceAtLeast(1.milliseconds),
+                remaining = remaining,
+            )
+        }
+
+        private fun headFor(
+            endpoint: LiveEndpoint,
+            remaining: Duration,
+        ): RequestHead {
+            val own =
+                setOf(
+                    dialect.deadlineMillis,
+                    dialect.organisation,
+                    dialect.expectedEndpoint,
+                ).map { it.lowercase() }
+            val isKeyed = routes()?.configuration?.tenancies != null
+            val resumeFrom = answer.lastEventId
+            val passed =
+                request.head.headers.endToEnd().filter {
+                    val name = it.name.lowercase()
+                    name !in own &&
+                        !(isKeyed && name == "authorization") &&
+                        !(resumeFrom != null && name == dialect.lastEventId.lowercase())
+                }
+            val added =
+                listOfNotNull(
+                    Header(dialect.deadlineMillis, remaining.inWholeMilliseconds.coerceAtLeast(1).toString()),
+                    Header(dialect.expectedEndpoint, endpoint.id.text),
+                    admission.organisation?.let { Header(dialect.organisation, it.text) },
+                    resumeFrom?.let { Header(dialect.lastEventId, it.toString()) },
+                )
+            return RequestHead(request.head.method, request.head.target, passed + added)
+        }
+
+        private fun history(): AttemptHistory =
+            AttemptHistory(
+                kind = route.kind,
+                isResumable = route.resumable,
+                sent = sent,
+                attempts = route.attempts,
+                unsent = unsent,
+                mayHaveRun = mayHaveRun,
+                isAnswerBegun = answer.isBegun,
+                remaining = remaining(),
+            )
+
+        private suspend fun finish(
+            step: NextStep,
+            reason: String,
+            retryAfter: Duration,
+        ): RequestEnd =
+            when (step) {
+                NextStep.PASS_FAILURE -> passFailure(reason)
+                NextStep.REFUSE -> answer.refuse(retryAfter, reason)
+                NextStep.CUT -> answer.cut(reason)
+                NextStep.FAIL, NextStep.REPEAT -> answer.own(BAD_GATEWAY, reason, emptyList())
+            }
+
+        private suspend fun passFailure(reason: String): RequestEnd {
+            val failure = lastFailure ?: return answer.own(BAD_GATEWAY, reason, emptyList())
+            answer.whole(failure.first, failure.second)
+            return answer.end()
+        }
+    }
+
+    private fun pick(route: Route): ServiceId {
+        val total = route.shares.sumOf { it.weight }
+        var draw = if (total > 0) random.nextInt(total) else 0
+        return route.shares
+            .first { share ->
+                draw < share.weight ||
+                    run {
+                        draw -= share.weight
+                        false
+                    }
+            }.service
+    }
+
+    private companion object {
+        val NOT_RUN = setOf(AttemptEnd.NOT_SENT, AttemptEnd.NOT_EXECUTED)
+
+        /** Callers leave a stream after a gap of two seconds; a resumption needs a part of them. */
+        val STREAM_STALL = 1_250.milliseconds
+
+        /** Answers that take longer than this many times the target are asked for elsewhere. */
+        const val SLOW_FACTOR = 4
+
+        val RETRY_WHEN_UNKNOWN = 500.milliseconds
+        val RETRY_WHEN_FULL = 300.milliseconds
+        const val UNAUTHORIZED = 401
+        const val NOT_FOUND = 404
+        const val BAD_GATEWAY = 502
+        const val GATEWAY_TIMEOUT = 504
+    }
+}
+
+/** The answer to one request, on the caller's connection. */
+internal class CallerAnswer(
+    private val caller: HttpLink,
+    private val isStopping: () -> Boolean,
+    private val callerCloses: Boolean,
+) : AnswerSink {
+    /** True once a part of the answer may have reached the caller. */
+    var isBegun = false
+        private set
+
+    /** Identifier of the last event that the caller was sent. */
+    var lastEventId: Long? = null
+        private set
+
+    private var isComplete = false
+    private var closes = callerCloses
+    private var status = 0
+
+    private fun closing(): Boolean {
+        closes = callerCloses || isStopping()
+        return closes
+    }
+
+    override suspend fun whole(
+        head: ResponseHead,
+        body: ByteArray,
+    ): Boolean {
+        isBegun = true
+        status = head.status
+        isComplete = caller.sendResponse(ResponseHead(head.status, head.headers.endToEnd(), closing()), body)
+        return isComplete
+    }
+
+    override suspend fun event(
+        head: ResponseHead,
+        event: StreamEvent,
+    ): Boolean {
+        val id = event.id
+        val last = lastEventId
+        // The endpoint that continues a stream may begin before the event that was asked for.
+        if (id != null && last != null && id <= last) return true
+        begin(head)
+        if (id != null) lastEventId = id
+        return caller.sendData(event.bytes)
+    }
+
+    override suspend fun piece(
+        head: ResponseHead,
+        bytes: ByteArray,
+    ): Boolean {
+        begin(head)
+        return caller.sendData(bytes)
+    }
+
+    private suspend fun begin(head: ResponseHead) {
+        if (isBegun) return
+        isBegun = true
+        status = head.status
+        caller.sendHead(ResponseHead(head.status, head.headers.endToEnd(), closing()))
+    }
+
+    override suspend fun end(head: ResponseHead): Boolean {
+        begin(head)
+        isComplete = caller.sendEnd()
+        return isComplete
+    }
+
+    fun end(): RequestEnd = RequestEnd(status, if (isComplete) "answered" else "caller gone", isComplete && !closes)
+
+    /** Ends an answer that was begun, so that it does not look complete. */
+    fun cut(reason: String): RequestEnd {
+        caller.close()
+        return RequestEnd(status, "cut: $reason", keepsConnection = false)
+    }
+
+    /** Says that the request has not run and when to come back. */
+    suspend fun refuse(
+        retryAfter: Duration,
+        reason: String,
+    ): RequestEnd {
+        val seconds = retryAfter.toDouble(DurationUnit.SECONDS).toString()
+        return own(UNAVAILABLE, reason, listOf(Header("Retry-After", seconds)))
+    }
+
+    /** Sends an answer of the gateway itself. */
+    suspend fun own(
+        status: Int,
+        reason: String,
+        headers: List<Header>,
+    ): RequestEnd {
+        isBegun = true
+        this.status = status
+        val text = "$reason\n".encodeToByteArray()
+        val head = ResponseHead(status, headers + Header("Content-Type", "text/plain; charset=utf-8"), closing())
+        isComplete = caller.sendResponse(head, text)
+        return RequestEnd(status, reason, isComplete && !closes)
+    }
+
+    private companion object {
+        const val UNAVAILABLE = 503
+    }
+}
--- /dev/null
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/http/HttpLink.kt
@@ -0,0 +1,258 @@
+package org.cicadaturn.tasks.http
+
+import io.netty.buffer.ByteBuf
+import io.netty.buffer.ByteBufUtil
+import io.netty.buffer.Unpooled
+import io.netty.channel.Channel
+import io.netty.channel.ChannelFuture
+import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.ChannelInboundHandlerAdapter
+import io.netty.handler.codec.TooLongFrameException
+import io.netty.handler.codec.http.DefaultFullHttpRequest
+import io.netty.handler.codec.http.DefaultFullHttpResponse
+import io.netty.handler.codec.http.DefaultHttpContent
+import io.netty.handler.codec.http.DefaultHttpHeadersFactory
+import io.netty.handler.codec.http.DefaultHttpResponse
+import io.netty.handler.codec.http.HttpContent
+import io.netty.handler.codec.http.HttpHeaders
+import io.netty.handler.codec.http.HttpMethod
+import io.netty.handler.codec.http.HttpObject
+import io.netty.handler.codec.http.HttpRequest
+import io.netty.handler.codec.http.HttpResponse
+import io.netty.handler.codec.http.HttpResponseStatus
+import io.netty.handler.codec.http.HttpUtil
+import io.netty.handler.codec.http.HttpVersion
+import io.netty.handler.codec.http.LastHttpContent
+import io.netty.util.ReferenceCountUtil
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.Deferred
+import org.cicadaturn.schema.generated.Header
+import kotlinx.coroutines.channels.Channel as Inbox
+
+/**
+ * One HTTP/1.1 connection, at either end.
+ *
+ * Reads are made on demand: at most one buffer of the socket, or the parts decoded from it, is held unread.
+ * Belongs to one coroutine at a time.
+ */
+public interface HttpLink {
+    /** Completes when the connection has ended, for whatever reason. */
+    public val closed: Deferred<Unit>
+
+    /** True if the connection is open and nothing unread has arrived. */
+    public val isIdle: Boolean
+
+    /** Returns the next part, or null if the connection has ended; an answer cut short has no [HttpPart.End]. */
+    public suspend fun receive(): HttpPart?
+
+    /** Asks the socket for more, so that its end is noticed although no part is awaited. */
+    public fun readAhead()
+
+    /** Sends a whole request; the result completes when it was handed to the network. */
+    public fun sendRequest(
+        head: RequestHead,
+        body: ByteArray,
+    ): Deferred<Boolean>
+
+    /** Asks the caller for the body that it holds back. */
+    public fun sendContinue()
+
+    /** Sends a whole answer and returns whether it was handed to the network. */
+    public suspend fun sendResponse(
+        head: ResponseHead,
+        body: ByteArray,
+    ): Boolean
+
+    /** Sends the start of an answer whose body follows in pieces. */
+    public suspend fun sendHead(head: ResponseHead): Boolean
+
+    /** Sends a piece of the body of an answer. */
+    public suspend fun sendData(bytes: ByteArray): Boolean
+
+    /** Sends the end of an answer whose body was sent in pieces. */
+    public suspend fun sendEnd(): Boolean
+
+    /** Closes the connection. */
+    public fun close()
+}
+
+internal class NettyLink(
+    private val channel: Channel,
+) : ChannelInboundHandlerAdapter(),
+    HttpLink {
+    // Unbounded, but filled by one read of the socket at a time, which is asked for when the inbox is empty.
+    private val inbox = Inbox<HttpPart>(Inbox.UNLIMITED)
+    private val ended = CompletableDeferred<Unit>()
+    private var isReset = false
+    private var pending = 0
+
+    override val closed: Deferred<Unit> get() = ended
+    override val isIdle: Boolean get() = channel.isActive && pending == 0
+
+    override suspend fun receive(): HttpPart? {
+        val ready = inbox.tryReceive().getOrNull()
+        if (ready == null) channel.read()
+        val part = ready ?: inbox.receiveCatching().getOrNull()
+        if (part != null) pending -= 1
+        return part
+    }
+
+    override fun readAhead() {
+        channel.read()
+    }
+
+    override fun channelRead(
+        context: ChannelHandlerContext,
+        message: Any,
+    ) {
+        try {
+            if (message is HttpObject) take(message)
+        } finally {
+            ReferenceCountUtil.release(message)
+        }
+    }
+
+    private fun take(message: HttpObject) {
+        val failure = message.decoderResult().cause()
+        if (failure !=
+            null
+        ) {
+            return deliver(HttpPart.Malformed(failure.message ?: failure.toString(), statusOf(failure)))
+        }
+        if (message is HttpRequest) deliver(HttpPart.Request(requestHead(message)))
+        if (message is HttpResponse) deliver(HttpPart.Response(responseHead(message)))
+        if (message is HttpContent) takeContent(message)
+    }
+
+    private fun takeContent(message: HttpContent) {
+        if (message.content().isReadable) deliver(HttpPart.Data(ByteBufUtil.getBytes(message.content())))
+        // A body without a length that ends with a reset is not complete.
+        if (message is LastHttpContent && !isReset) deliver(HttpPart.End)
+    }
+
+    private fun deliver(part: HttpPart) {
+        if (inbox.trySend(part).isSuccess) pending += 1
+    }
+
+    override fun channelInactive(context: ChannelHandlerContext) {
+        inbox.close()
+        ended.complete(Unit)
+    }
+
+    @Deprecated("Netty declares it so")
+    override fun exceptionCaught(
+        context: ChannelHandlerContext,
+        cause: Throwable,
+    ) {
+        isReset = true
+        context.close()
+    }
+
+    override fun sendRequest(
+        head: RequestHead,
+        body: ByteArray,
+    ): Deferred<Boolean> {
+        val request =
+            DefaultFullHttpRequest(
+                HttpVersion.HTTP_1_1,
+                HttpMethod.valueOf(head.method),
+                head.target,
+                buffer(body),
+                unvalidated,
+                unvalidated,
+            )
+        fill(request.headers(), head.headers)
+        if (body.isNotEmpty() ||
+            head.method in METHODS_WITH_BODY
+        ) {
+            HttpUtil.setContentLength(request, body.size.toLong())
+        }
+        val sent = CompletableDeferred<Boolean>()
+        channel.writeAndFlush(request).addListener { sent.complete(it.isSuccess) }
+        return sent
+    }
+
+    override fun sendContinue() {
+        channel.writeAndFlush(DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE))
+    }
+
+    override suspend fun sendResponse(
+        head: ResponseHead,
+        body: ByteArray,
+    ): Boolean {
+        val response =
+            DefaultFullHttpResponse(
+                HttpVersion.HTTP_1_1,
+                statusLine(head.status),
+                buffer(body),
+                unvalidated,
+                unvalidated,
+            )
+        fill(response.headers(), head.headers)
+        HttpUtil.setContentLength(response, body.size.toLong())
+        if (head.isLast) HttpUtil.setKeepAlive(response, false)
+        return isDone(channel.writeAndFlush(response))
+    }
+
+    override suspend fun sendHead(head: ResponseHead): Boolean {
+        val response = DefaultHttpResponse(HttpVersion.HTTP_1_1, statusLine(head.status), unvalidated)
+        fill(response.headers(), head.headers)
+        HttpUtil.setTransferEncodingChunked(response, true)
+        if (head.isLast) HttpUtil.setKeepAlive(response, false)
+        return isDone(channel.write(response), isAwaited = false)
+    }
+
+    override suspend fun sendData(bytes: ByteArray): Boolean =
+        isDone(channel.writeAndFlush(DefaultHttpContent(buffer(bytes))))
+
+    override suspend fun sendEnd(): Boolean = isDone(channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT))
+
+    override fun close() {
+        channel.close()
+    }
+
+    /** Waiting for each write keeps a caller that does not read from filling the memory of the process. */
+    private suspend fun isDone(
+        write: ChannelFuture,
+        isAwaited: Boolean = true,
+    ): Boolean {
+        if (!isAwaited) return channel.isActive
+        val done = CompletableDeferred<Boolean>()
+        write.addListener { done.complete(it.isSuccess) }
+        return done.await()
+    }
+}
+
+private fun buffer(bytes: ByteArray): ByteBuf =
+    if (bytes.isEmpty()) Unpooled.EMPTY_BUFFER else Unpooled.wrappedBuffer(bytes)
+
+private fun statusLine(status: Int): HttpResponseStatus = HttpResponseStatus.valueOf(status)
+
+private fun fill(
+    target: HttpHeaders,
+    headers: List<Header>,
+) {
+    headers.forEach { target.add(it.name, it.value) }
+}
+
+private fun requestHead(request: HttpRequest): RequestHead =
+    RequestHead(request.method().name(), request.uri(), headersOf(request.headers()), !HttpUtil.isKeepAlive(request))
+
+private fun responseHead(response: HttpResponse): ResponseHead =
+    ResponseHead(response.status().code(), headersOf(response.headers()), !HttpUtil.isKeepAlive(response))
+
+private fun headersOf(headers: HttpHeaders): List<Header> {
+    val list = ArrayList<Header>(headers.size())
+    val entries = headers.iteratorAsString()
+    while (entries.hasNext()) entries.next().let { list += Header(it.key, it.value) }
+    return list
+}
+
+private fun statusOf(failure: Throwable): Int = if (failure is TooLongFrameException) HEADERS_TOO_LARGE else BAD_REQUEST
+
+/** The values were validated when they were decoded. */
+private val unvalidated = DefaultHttpHeadersFactory.headersFactory().withValidation(false)
+
+private val METHODS_WITH_BODY = setOf("POST", "PUT", "PATCH")
+private const val BAD_REQUEST = 400
+private const val HEADERS_TOO_LARGE = 431
--- /dev/null
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/http/HttpListener.kt
@@ -0,0 +1,97 @@
+package org.cicadaturn.tasks.http
+
+import io.netty.bootstrap.ServerBootstrap
+import io.netty.channel.Channel
+import io.netty.channel.ChannelInitializer
+import io.netty.channel.ChannelOption
+import io.netty.channel.socket.SocketChannel
+import io.netty.channel.socket.nio.NioServerSocketChannel
+import io.netty.handler.codec.http.HttpDecoderConfig
+import io.netty.handler.codec.http.HttpMessage
+import io.netty.handler.codec.http.HttpRequestDecoder
+import io.netty.handler.codec.http.HttpResponseEncoder
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.launch
+import org.cicadaturn.schema.generated.NetworkAddress
+import java.net.InetSocketAddress
+
+/** A listening socket. */
+public interface HttpListener {
+    /** Address that is listened on, with the port that the system picked if it was 0. */
+    public val address: NetworkAddress
+
+    /** Stops to accept; open connections stay. */
+    public suspend fun close()
+}
+
+/**
+ * Listens on [address] and runs [serve] in [scope] for each connection, which ends with it.
+ *
+ * @param headerBytes longest request line and longest sum of header lines
+ */
+public suspend fun listen(
+    runtime: HttpRuntime,
+    scope: CoroutineScope,
+    address: NetworkAddress,
+    headerBytes: Int,
+    serve: suspend (HttpLink) -> Unit,
+): HttpListener {
+    val initializer =
+        object : ChannelInitializer<SocketChannel>() {
+            override fun initChannel(channel: SocketChannel) {
+                val link = NettyLink(channel)
+                channel.pipeline().addLast(StrictRequestDecoder(headerBytes), HttpResponseEncoder(), link)
+                scope.launch {
+                    try {
+                        serve(link)
+                    } finally {
+                        link.close()
+                    }
+                }
+            }
+        }
+    val server =
+        ServerBootstrap()
+            .group(runtime.group())
+            .channel(NioServerSocketChannel::class.java)
+            .option(ChannelOption.SO_BACKLOG, BACKLOG)
+            .option(ChannelOption.SO_REUSEADDR, true)
+            .childOption(ChannelOption.TCP_NODELAY, true)
+            .childOption(ChannelOption.AUTO_READ, false)
+            .childOption(ChannelOption.RCVBUF_ALLOCATOR, oneBufferPerRead)
+            .childHandler(initializer)
+    keepAlive.forEach { (option, value) ->
+        @Suppress("UNCHECKED_CAST")
+        server.childOption(option as ChannelOption<Any>, value)
+    }
+    val channel = server.bind(InetSocketAddress(address.ip, address.port)).also { it.awaitDone() }.channel()
+    return NettyListener(channel, address.ip)
+}
+
+private class NettyListener(
+    private val channel: Channel,
+    ip: String,
+) : HttpListener {
+    override val address = NetworkAddress(ip, (channel.localAddress() as InetSocketAddress).port)
+
+    override suspend fun close() {
+        channel.close().awaitDone()
+    }
+}
+
+/** Refuses messages whose length could be read in two ways, which would allow request smuggling. */
+private class StrictRequestDecoder(
+    headerBytes: Int,
+) : HttpRequestDecoder(
+        HttpDecoderConfig()
+            .setMaxInitialLineLength(headerBytes)
+            .setMaxHeaderSize(headerBytes)
+            .setChunkedSupported(true)
+            .setAllowDuplicateContentLengths(false),
+    ) {
+    override fun handleTransferEncodingChunkedWithContentLength(message: HttpMessage): Unit =
+        throw IllegalArgumentException("both Transfer-Encoding and Content-Length; send one of them")
+}
+
+/** Connections that wait to be accepted; a restart of callers opens many at once. */
+private const val BACKLOG = 512
