Balance expert maps from one gateway under a lease

A planner (local search), a switch that only goes forward once arms may be under way, a lease with a fencing token and the conductor that reads counts and gives orders.

--- a/daemons/src/main/kotlin/org/cicadaturn/daemons/Gateway.kt
+++ b/daemons/src/main/kotlin/org/cicadaturn/daemons/Gateway.kt
@@ -3,6 +3,7 @@
 import kotlinx.coroutines.runBlocking
 import org.cicadaturn.daemons.command.SUCCESS
 import org.cicadaturn.platform.platformDialect
+import org.cicadaturn.platform.platformRanks
 import org.cicadaturn.platform.platformStore
 import org.cicadaturn.schema.generated.GatewayFile
 import org.cicadaturn.tasks.gateway.GatewayParts
@@ -26,8 +27,10 @@
         GatewayParts(
             runtime = runtime,
             store = platformStore(httpConnector(runtime), file.store.address, file.store.timeout),
+            ranks = ::platformRanks,
             dialect = platformDialect,
             clock = steadyClock(),
+            cautiousClock = cautiousClock(),
             random = Random(SecureRandom().nextLong()),
         )
     return runBlocking {
@@ -48,3 +51,25 @@
         override fun now(): Instant = origin + start.elapsedNow()
     }
 }
+
+/**
+ * Returns a clock that advances by the larger of steady clock and time of day between two readings.
+ *
+ * The steady clock stands still while the machine is suspended; the time of day may be set back.
+ */
+private fun cautiousClock(): Clock =
+    object : Clock {
+        private val steady = steadyClock()
+        private var lastSteady = steady.now()
+        private var lastWall = Clock.System.now()
+        private var now = Instant.fromEpochSeconds(0)
+
+        override fun now(): Instant {
+            val steadyNow = steady.now()
+            val wallNow = Clock.System.now()
+            now += maxOf(steadyNow - lastSteady, wallNow - lastWall)
+            lastSteady = steadyNow
+            lastWall = wallNow
+            return now
+        }
+    }
--- /dev/null
+++ b/decisions/src/main/kotlin/org/cicadaturn/decisions/experts/PlacementPlan.kt
@@ -0,0 +1,167 @@
+package org.cicadaturn.decisions.experts
+
+/**
+ * Result of a plan.
+ *
+ * @property before mean over the sets of the most loaded rank's load, in parts of the mean, under the current map
+ * @property after the same under [map]
+ * @property copies experts that have to be copied
+ * @property mostCopies experts that the rank with the most has to copy, which sets the time
+ */
+public data class PlacementPlan(
+    val map: ExpertMap,
+    val before: Double,
+    val after: Double,
+    val copies: Int,
+    val mostCopies: Int,
+)
+
+/**
+ * Returns a map with a lower skew under [demand] that can be reached from [current] in one change.
+ *
+ * A local search over each set: it takes load off the most loaded rank by adding a copy of one of its experts
+ * elsewhere, in place of a copy that the set can spare, or by exchanging experts of two ranks. The time grows with
+ * ranks * places^2 for each step, and the steps with the number of new experts allowed.
+ */
+public fun planPlacement(
+    current: ExpertMap,
+    demand: List<DoubleArray>,
+    bounds: PlacementBounds,
+): PlacementPlan {
+    val sets = current.sets.mapIndexed { s, ranks -> SetSearch(ranks, demand[s], bounds).run() }
+    val map = ExpertMap(sets)
+    val copies =
+        List(bounds.ranks) { r -> sets.indices.sumOf { s -> sets[s][r].count { it !in current.sets[s][r] } } }
+    val before = skewOf(current, demand).average()
+    return PlacementPlan(map, before, skewOf(map, demand).average(), copies.sum(), copies.max())
+}
+
+private class SetSearch(
+    private val start: List<List<Int>>,
+    private val demand: DoubleArray,
+    private val bounds: PlacementBounds,
+) {
+    private val held = start.map { it.toMutableSet() }
+    private val copies = IntArray(demand.size).also { c -> start.forEach { rank -> rank.forEach { c[it] += 1 } } }
+    private val loads = rankLoads(start, demand)
+
+    /** A change of one set: [expert] is added to [to], [replaced] leaves [to], [leaves] leaves [from]. */
+    private class Move(
+        val from: Int,
+        val to: Int,
+        val expert: Int,
+        val replaced: Int?,
+        val leaves: Boolean,
+        val peak: Double,
+    )
+
+    fun run(): List<List<Int>> {
+        var steps = bounds.ranks * (bounds.newPlaces + 1)
+        while (steps > 0) {
+            val move = best() ?: break
+            apply(move)
+            steps -= 1
+        }
+        return held.map { it.sorted() }
+    }
+
+    private fun best(): Move? {
+        val hot = loads.indices.maxBy { loads[it] }
+        val peak = loads[hot]
+        val targets =
+            loads.indices
+                .filter { it != hot }
+                .sortedBy { loads[it] }
+                .take(TARGETS)
+        var best: Move? = null
+        for (expert in held[hot]) {
+            for (to in targets) {
+                if (expert in held[to] || !canTake(to, expert)) continue
+                for (replaced in replaceable(to)) {
+                    for (leaves in listOf(false, true)) {
+                        val move = consider(hot, to, expert, replaced, leaves) ?: continue
+                        if (move.peak < (best?.peak ?: (peak * LEAST_GAIN))) best = move
+                    }
+                }
+            }
+        }
+        return best
+    }
+
+    private fun canTake(
+        rank: Int,
+        expert: Int,
+    ): Boolean = expert in start[rank] || held[rank].count { it !in start[rank] } < bounds.newPlaces
+
+    /** Returns the experts that may leave [rank] for a new one; null stands for a free place. */
+    private fun replaceable(rank: Int): List<Int?> {
+        val free: List<Int?> = if (held[rank].size < bounds.places) listOf(null) else emptyList()
+        return free + held[rank]
+    }
+
+    /** Returns the move with the highest load that it leaves on any rank that it touches, or null if it is not allowed. */
+    private fun consider(
+        from: Int,
+        to: Int,
+        expert: Int,
+        replaced: Int?,
+        leaves: Boolean,
+    ): Move? {
+        // An exchange puts the replaced expert where the other one leaves; else it must have another copy.
+        val isExchange = leaves && replaced != null && copies[replaced] == 1
+        if (replaced != null && copies[replaced] == 1 && !leaves) return null
+        if (isExchange && (replaced in held[from] || !canTake(from, replaced))) return null
+        val change = DoubleArray(loads.size)
+        val newCopies = copies[expert] + if (leaves) 0 else 1
+        addLoads(change, expert, newCopies, added = to, removed = if (leaves) from else null)
+        if (replaced != null) {
+            val rest = copies[replaced] - if (isExchange) 0 else 1
+            addLoads(change, replaced, rest, added = if (isExchange) from else null, removed = to)
+        }
+        var peak = 0.0
+        for (r in loads.indices) peak = maxOf(peak, loads[r] + change[r])
+        return Move(from, to, expert, replaced, leaves, peak)
+    }
+
+    private fun addLoads(
+        change: DoubleArray,
+        expert: Int,
+        newCopies: Int,
+        added: Int?,
+        removed: Int?,
+    ) {
+        val old = demand[expert] / copies[expert]
+        val new = demand[expert] / newCopies
+        for (r in held.indices) {
+            val holds = expert in held[r]
+            if (holds) change[r] -= old
+            val willHold = (holds && r != removed) || r == added
+            if (willHold) change[r] += new
+        }
+    }
+
+    private fun apply(move: Move) {
+        val replaced = move.replaced
+        val isExchange = move.leaves && replaced != null && copies[replaced] == 1
+        held[move.to] += move.expert
+        copies[move.expert] += 1
+        if (move.leaves) {
+            held[move.from] -= move.expert
+            copies[move.expert] -= 1
+        }
+        if (replaced != null) {
+            held[move.to] -= replaced
+            if (isExchange) held[move.from] += replaced else copies[replaced] -= 1
+        }
+        val after = rankLoads(held.map { it.toList() }, demand)
+        after.copyInto(loads)
+    }
+
+    private companion object {
+        /** Least loaded ranks that are tried as targets; the others rarely give the best move. */
+        const val TARGETS = 6
+
+        /** A move that lowers the peak by less is not worth a copy. */
+        const val LEAST_GAIN = 0.999
+    }
+}
--- /dev/null
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/experts/Conductor.kt
@@ -0,0 +1,194 @@
+package org.cicadaturn.tasks.experts
+
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.async
+import kotlinx.coroutines.awaitAll
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import org.apache.logging.log4j.LogManager
+import org.cicadaturn.decisions.experts.DemandEstimate
+import org.cicadaturn.decisions.experts.ExpertMap
+import org.cicadaturn.decisions.experts.PlacementBounds
+import org.cicadaturn.decisions.experts.PlacementPlan
+import org.cicadaturn.decisions.experts.RankState
+import org.cicadaturn.decisions.experts.demandEstimate
+import org.cicadaturn.decisions.experts.leftOver
+import org.cicadaturn.decisions.experts.planPlacement
+import org.cicadaturn.schema.generated.ExpertProfile
+import org.cicadaturn.schema.generated.LiveEndpoint
+import org.cicadaturn.schema.generated.ServiceId
+import org.cicadaturn.tasks.gateway.Fleet
+import kotlin.time.Clock
+import kotlin.time.Duration.Companion.milliseconds
+
+/** Starts a task in [scope] that keeps the expert maps of all groups balanced while [lease] is held. */
+public fun startConductor(
+    scope: CoroutineScope,
+    fleet: Fleet,
+    lease: Lease,
+    calls: RankCalls,
+    clock: Clock,
+) {
+    val conductor = Conductor(fleet, lease, calls, clock)
+    scope.launch { conductor.run() }
+}
+
+/** Ranks of one group in one epoch. */
+internal class Group(
+    val name: String,
+    val service: ServiceId,
+    val epoch: Long,
+    val ranks: Map<Int, LiveEndpoint>,
+    val profile: ExpertProfile,
+)
+
+private class Conductor(
+    private val fleet: Fleet,
+    private val lease: Lease,
+    private val calls: RankCalls,
+    private val clock: Clock,
+) {
+    private val groups = HashMap<String, GroupWork>()
+
+    suspend fun run() {
+        while (true) {
+            if (lease.token() == null) {
+                groups.clear()
+                delay(IDLE_INTERVAL)
+                continue
+            }
+            if (groups.isEmpty()) discover()
+            groups.values.toList().forEach { work -> if (!work.cycle()) groups.remove(work.group.name) }
+            delay(if (groups.isEmpty()) IDLE_INTERVAL else CYCLE_INTERVAL)
+        }
+    }
+
+    /** Finds the groups by the reports of the endpoints; a group counts only if all its ranks report one epoch. */
+    private suspend fun discover() {
+        val view = fleet.state.value.view
+        val services =
+            view.configuration
+                ?.services
+                .orEmpty()
+                .filter { it.experts != null }
+        for (service in services) {
+            val endpoints = view.endpoints.filter { it.service == service.id }
+            // What another process ordered just before must be in the reports.
+            delay(service.experts!!.reportLag * 2)
+            val reports = gather(endpoints) { calls.report(it) }
+            reports.entries.groupBy { it.value.group }.forEach { (name, members) ->
+                val epochs = members.map { it.value.state.epoch }.toSet()
+                val ranks = members.associate { it.value.rank to it.key }
+                val isWhole = epochs.size == 1 && ranks.keys == (0 until ranks.size).toSet()
+                if (!isWhole || members.any { !it.value.isOpen } || members.size != endpoints.size) return@forEach
+                val group = Group(name, service.id, epochs.single(), ranks, service.experts!!)
+                val states = members.associate { it.value.rank to it.value.state }
+                open(group, GroupOrders(group, calls, lease, clock), states)
+            }
+        }
+    }
+
+    private suspend fun open(
+        group: Group,
+        orders: GroupOrders,
+        states: Map<Int, RankState>,
+    ) {
+        leftOver(states)?.let { phase ->
+            logger.info("experts: {} takes up {}", group.name, phase)
+            if (!orders.finish(phase)) return
+        }
+        val maps = gather(group.ranks.values.toList()) { calls.map(it) }
+        val byRank = group.ranks.mapValues { maps[it.value] }
+        val versions = byRank.values.map { it?.version }.toSet()
+        val version = versions.singleOrNull()
+        if (version == null || byRank.values.any { it!!.epoch != group.epoch }) {
+            logger.info("experts: {} has maps {}", group.name, versions)
+            return
+        }
+        val sets =
+            (0 until group.profile.sets).map { s ->
+                group.ranks.keys
+                    .sorted()
+                    .map { r -> byRank.getValue(r)!!.experts[s] }
+            }
+        logger.info("experts: {} epoch {} has {} ranks and map {}", group.name, group.epoch, group.ranks.size, version)
+        groups[group.name] = GroupWork(group, orders, calls, ExpertMap(sets), version)
+    }
+
+    private companion object {
+        val logger = LogManager.getLogger(Conductor::class.java)
+
+        /** Time between looks for the lease or for a whole group. */
+        val IDLE_INTERVAL = 500.milliseconds
+
+        /** Time between reads of the counts; demand shifts within seconds. */
+        val CYCLE_INTERVAL = 500.milliseconds
+    }
+}
+
+/** The balancing of one group in one epoch. */
+private class GroupWork(
+    val group: Group,
+    private val orders: GroupOrders,
+    private val calls: RankCalls,
+    private var map: ExpertMap,
+    private var version: Long,
+) {
+    private val profile = group.profile
+    private val bounds = PlacementBounds(profile.experts, group.ranks.size, profile.places, profile.newPlaces)
+    private var turn = 0
+    private val demand: DemandEstimate = demandEstimate(profile.sets, profile.experts)
+
+    /** Reads some counts and changes the map if that pays; returns false if the group has to be looked at anew. */
+    suspend fun cycle(): Boolean {
+        val asked = nextRanks()
+        val picked = gather(asked.map { group.ranks.getValue(it) }) { calls.picked(it) }
+        if (picked.size < asked.size) return false
+        if (picked.values.any { it.epoch != group.epoch }) return false
+        asked.forEach { rank -> demand.add(rank, picked.getValue(group.ranks.getValue(rank)).counts) }
+        if (!demand.isSufficient) return true
+        val plan = planPlacement(map, demand.shares(), bounds)
+        if (plan.before - plan.after < LEAST_GAIN) return true
+        return change(plan)
+    }
+
+    /** The counts only grow, so ranks that are read in turn miss nothing; each read stops the group for a moment. */
+    private fun nextRanks(): List<Int> {
+        val ranks = group.ranks.keys.sorted()
+        val asked = List(minOf(RANKS_READ, ranks.size)) { ranks[(turn + it) % ranks.size] }
+        turn = (turn + asked.size) % ranks.size
+        return asked
+    }
+
+    private suspend fun change(plan: PlacementPlan): Boolean {
+        val next = orders.switch(plan.map, version, plan.mostCopies) ?: return false
+        logger.info("experts: {} uses map {}: skew {} to {}", group.name, next, plan.before, plan.after)
+        map = plan.map
+        version = next
+        return true
+    }
+
+    private companion object {
+        val logger = LogManager.getLogger(GroupWork::class.java)
+
+        /** Ranks whose counts are read in one cycle; reads from another machine are priced. */
+        const val RANKS_READ = 4
+
+        /** Gain in skew below which the copies and orders cost more than the faster passes bring. */
+        const val LEAST_GAIN = 0.06
+    }
+}
+
+/** Calls [call] for each of [endpoints] at once and returns what answered. */
+internal suspend fun <T : Any> gather(
+    endpoints: List<LiveEndpoint>,
+    call: suspend (LiveEndpoint) -> T?,
+): Map<LiveEndpoint, T> =
+    coroutineScope {
+        endpoints
+            .map { endpoint -> async { call(endpoint)?.let { endpoint to it } } }
+            .awaitAll()
+            .filterNotNull()
+            .toMap()
+    }
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/CallerConnection.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/CallerConnection.kt
@@ -1,5 +1,6 @@
 package org.cicadaturn.tasks.gateway
 
+import kotlinx.coroutines.Job
 import kotlinx.coroutines.async
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.selects.select
@@ -24,8 +25,20 @@
     private val limits: () -> CallerLimits,
     private val load: ConnectionLoad,
 ) {
+    private var isIdle = true
+
     suspend fun serve() {
-        while (true) {
+        // A connection that stays open would bring a request that there is no time left to finish.
+        val onDrain = load.drained.invokeOnCompletion { if (isIdle) link.close() }
+        try {
+            serveAll()
+        } finally {
+            onDrain.dispose()
+        }
+    }
+
+    private suspend fun serveAll() {
+        while (!load.drained.isCompleted) {
             val part = awaitRequest() ?: return
             val head =
                 when (part) {
@@ -34,9 +47,11 @@
                     else -> return
                 }
             load.busy(+1)
+            isIdle = false
             try {
                 if (!serveOne(head)) return
             } finally {
+                isIdle = true
                 load.busy(-1)
             }
         }
@@ -111,7 +126,11 @@
 
 /** Counts the requests in progress of a process and tells whether it stops. */
 internal interface ConnectionLoad {
+    /** True once no new work is wanted; answers then ask the caller to open a new connection. */
     fun isStopping(): Boolean
 
+    /** Completes when idle connections are to be closed. */
+    val drained: Job
+
     fun busy(change: Int)
 }
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/FleetStore.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/FleetStore.kt
@@ -4,6 +4,7 @@
 import org.cicadaturn.decisions.gateway.FleetChanges
 import org.cicadaturn.decisions.gateway.FleetPart
 import org.cicadaturn.schema.generated.GatewayPeer
+import org.cicadaturn.schema.generated.LeaseRecord
 import org.cicadaturn.tasks.store.StoreError
 import kotlin.time.Duration
 
@@ -25,4 +26,23 @@
 
     /** Makes [peer] known to the other gateway processes. */
     public suspend fun register(peer: GatewayPeer): Either<StoreError, Unit>
+
+    /** Returns the lease [name] with its revision, null if there is none; seconds old unless [isFresh], but cheaper. */
+    public suspend fun readLease(
+        name: String,
+        isFresh: Boolean,
+    ): Either<StoreError, StoredLease?>
+
+    /** Writes the lease [name] if it still has revision [expected], null if it must not exist; returns the new one. */
+    public suspend fun writeLease(
+        name: String,
+        record: LeaseRecord,
+        expected: Long?,
+    ): Either<StoreError, Long>
 }
+
+/** A lease with the store revision of its last change. */
+public data class StoredLease(
+    val record: LeaseRecord,
+    val revision: Long,
+)
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/GatewayNode.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/GatewayNode.kt
@@ -1,12 +1,15 @@
 package org.cicadaturn.tasks.gateway
 
+import kotlinx.coroutines.CoroutineExceptionHandler
 import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Job
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.cancel
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withContext
 import org.apache.logging.log4j.LogManager
+import org.cicadaturn.decisions.experts.placementLease
 import org.cicadaturn.decisions.gateway.BalancerOptions
 import org.cicadaturn.decisions.gateway.RouteTable
 import org.cicadaturn.decisions.gateway.endpointBalancer
@@ -19,6 +22,10 @@
 import org.cicadaturn.schema.generated.NetworkAddress
 import org.cicadaturn.schema.generated.ProcessId
 import org.cicadaturn.tasks.Node
+import org.cicadaturn.tasks.experts.RankCalls
+import org.cicadaturn.tasks.experts.startConductor
+import org.cicadaturn.tasks.experts.startLease
+import org.cicadaturn.tasks.http.HttpConnector
 import org.cicadaturn.tasks.http.HttpLink
 import org.cicadaturn.tasks.http.HttpListener
 import org.cicadaturn.tasks.http.HttpPart
@@ -34,13 +41,17 @@
 /**
  * Parts of a gateway process that its environment gives.
  *
+ * @property ranks returns the calls to ranks of groups, given the process's connections
  * @property clock steady clock; its origin does not matter
+ * @property cautiousClock clock that also counts the time for which the machine was suspended
  */
 public class GatewayParts(
     public val runtime: HttpRuntime,
     public val store: FleetStore,
+    public val ranks: (HttpConnector, ConnectionPool) -> RankCalls,
     public val dialect: GatewayDialect,
     public val clock: Clock,
+    public val cautiousClock: Clock,
     public val random: Random,
 )
 
@@ -60,7 +71,8 @@
 ) : Node,
     ConnectionLoad {
     private val settings = file.gateway
-    private val scope = CoroutineScope(parts.runtime.dispatcher + SupervisorJob())
+    private val defects = CoroutineExceptionHandler { _, cause -> logger.error("gateway: a task ended", cause) }
+    private val scope = CoroutineScope(parts.runtime.dispatcher + SupervisorJob() + defects)
     private val connector = httpConnector(parts.runtime)
     private val peer =
         GatewayPeer(ProcessId(file.process.id), settings.peerListen, FailureDomainId(file.process.failureDomain))
@@ -86,6 +98,7 @@
     private var routes: RouteTable? = null
     private var stopping = false
     private var inProgress = 0
+    override val drained = Job()
     private lateinit var callers: HttpListener
     private lateinit var ready: HttpListener
     private lateinit var peers: HttpListener
@@ -107,9 +120,18 @@
         callers = listen(parts.runtime, scope, settings.listen, HEADER_BYTES) { serveCaller(it) }
         ready = listen(parts.runtime, scope, settings.readyListen, HEADER_BYTES) { serveReady(it) }
         peers = listen(parts.runtime, scope, settings.peerListen, HEADER_BYTES) { servePeer(it, fleet::ownView) }
+        conductGroups()
         logger.info("gateway: {} listens on {}", file.process.id, settings.listen)
     }
 
+    /** One process of the fleet balances the experts; the others wait for its lease to expire. */
+    private fun conductGroups() {
+        val delay = LEASE_SPREAD * parts.random.nextDouble()
+        val lease = placementLease(peer.id, delay)
+        val kept = startLease(scope, parts.store, PLACEMENT_LEASE, lease, parts.clock, parts.cautiousClock)
+        startConductor(scope, fleet, kept, parts.ranks(connector, pool), parts.clock)
+    }
+
     /** The index is made once for each configuration. */
     private fun table(): RouteTable? {
         val configuration = fleet.state.value.view.configuration ?: return null
@@ -153,9 +175,8 @@
             val start = parts.clock.now()
             val latest = start + file.process.stopTimeout - STOP_RESERVE
             delay(UNREADY_TIME)
-            while (inProgress > 0 && parts.clock.now() < latest) delay(STOP_POLL)
             callers.close()
-            // Requests that were read while the listener closed.
+            drained.complete()
             while (inProgress > 0 && parts.clock.now() < latest) delay(STOP_POLL)
             val cut = inProgress
             logger.info("gateway: ends with {} requests cut", cut)
@@ -176,6 +197,10 @@
         /** Time to end by itself before the platform kills the process. */
         val STOP_RESERVE = 700.milliseconds
 
+        /** Spreads the takeovers of the lease over the candidates. */
+        val LEASE_SPREAD = 2.seconds
+        const val PLACEMENT_LEASE = "placement"
+
         const val HEADER_BYTES = 65_536
         const val PERCENT = 100.0
         const val OK = 200
