--- /dev/null
+++ b/decisions/src/test/kotlin/org/cicadaturn/decisions/experts/PlacementLeaseTest.kt
@@ -0,0 +1,65 @@
+package org.cicadaturn.decisions.experts
+
+import org.cicadaturn.schema.generated.LeaseRecord
+import org.cicadaturn.schema.generated.ProcessId
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertNull
+import org.junit.jupiter.api.Test
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.Instant
+
+class PlacementLeaseTest {
+    private val start = Instant.fromEpochSeconds(1_000)
+    private val lease = placementLease(ProcessId("me"), Duration.ZERO)
+    private val other = LeaseRecord(ProcessId("other"), token = 4, renewals = 7)
+
+    /** Guards against two holders: a record that still changes is not taken over. */
+    @Test
+    fun `a renewed record is left to its holder`() {
+        lease.seen(other, 10, start)
+        lease.seen(other.copy(renewals = 8), 12, start + 5.seconds)
+        assertEquals(LeaseStep.Look, lease.next(start + 9.seconds))
+    }
+
+    /** Guards against a lease that nobody takes after its holder has died, and against a token that is used twice. */
+    @Test
+    fun `a record that stands still is taken over with a higher token`() {
+        lease.seen(other, 10, start)
+        lease.seen(other, 10, start + 5.seconds)
+        val write = lease.next(start + 6.5.seconds) as LeaseStep.Write
+        assertEquals(5L, write.record.token)
+        assertEquals(10L, write.expected)
+    }
+
+    /** Guards against a holder that acts on after its right has expired, for example when it was suspended. */
+    @Test
+    fun `the right ends without a renewal, by the cautious clock`() {
+        lease.seen(null, 0, start)
+        val write = lease.next(start) as LeaseStep.Write
+        assertNull(write.expected)
+        lease.written(write.record, 11, start, actingSince = start)
+        assertEquals(1L, lease.token(start + 3.seconds))
+        assertNull(lease.token(start + 4.seconds))
+    }
+
+    /** Guards against a holder that goes on although another process has taken the lease over. */
+    @Test
+    fun `a record of another holder ends the right`() {
+        lease.seen(null, 0, start)
+        val write = lease.next(start) as LeaseStep.Write
+        lease.written(write.record, 11, start, start)
+        lease.seen(other, 15, start + 1.seconds)
+        assertNull(lease.token(start + 1.seconds))
+    }
+
+    /** Guards against a stale read that hides a newer record. */
+    @Test
+    fun `an older read changes nothing`() {
+        lease.seen(null, 0, start)
+        val write = lease.next(start) as LeaseStep.Write
+        lease.written(write.record, 11, start, start)
+        lease.seen(other, 9, start + 1.seconds)
+        assertEquals(1L, lease.token(start + 1.seconds))
+    }
+}
--- /dev/null
+++ b/decisions/src/test/kotlin/org/cicadaturn/decisions/gateway/AttemptPolicyTest.kt
@@ -0,0 +1,67 @@
+package org.cicadaturn.decisions.gateway
+
+import org.cicadaturn.schema.generated.RouteKind
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.DynamicTest
+import org.junit.jupiter.api.Test
+import org.junit.jupiter.api.TestFactory
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+class AttemptPolicyTest {
+    private fun history(
+        kind: RouteKind,
+        sent: Int = 1,
+        attempts: Int = 2,
+        mayHaveRun: Boolean = false,
+        isAnswerBegun: Boolean = false,
+        isResumable: Boolean = false,
+    ) = AttemptHistory(kind, isResumable, sent, attempts, 0, mayHaveRun, isAnswerBegun, 1.seconds)
+
+    private data class Case(
+        val end: AttemptEnd,
+        val history: AttemptHistory,
+        val step: NextStep,
+    )
+
+    private val once = RouteKind.AT_MOST_ONCE
+    private val idempotent = RouteKind.IDEMPOTENT
+    private val stream = RouteKind.STREAM
+
+    private val cases =
+        listOf(
+            Case(AttemptEnd.NOT_SENT, history(once, sent = 0, attempts = 1), NextStep.REPEAT),
+            Case(AttemptEnd.NOT_EXECUTED, history(once, attempts = 1), NextStep.REFUSE),
+            Case(AttemptEnd.NOT_EXECUTED, history(once), NextStep.REPEAT),
+            Case(AttemptEnd.FAILED, history(once, mayHaveRun = true), NextStep.PASS_FAILURE),
+            Case(AttemptEnd.BROKEN, history(once, mayHaveRun = true), NextStep.FAIL),
+            Case(AttemptEnd.STALLED, history(once, mayHaveRun = true), NextStep.FAIL),
+            Case(AttemptEnd.BROKEN, history(idempotent, mayHaveRun = true), NextStep.REPEAT),
+            Case(AttemptEnd.FAILED, history(idempotent, sent = 2, mayHaveRun = true), NextStep.PASS_FAILURE),
+            Case(AttemptEnd.NOT_EXECUTED, history(idempotent, sent = 2, mayHaveRun = true), NextStep.FAIL),
+            Case(AttemptEnd.NOT_EXECUTED, history(idempotent, sent = 2), NextStep.REFUSE),
+            Case(AttemptEnd.BROKEN, history(stream, mayHaveRun = true), NextStep.FAIL),
+            Case(AttemptEnd.BROKEN, history(stream, mayHaveRun = true, isAnswerBegun = true), NextStep.CUT),
+            Case(
+                AttemptEnd.BROKEN,
+                history(stream, mayHaveRun = true, isAnswerBegun = true, isResumable = true),
+                NextStep.REPEAT,
+            ),
+        )
+
+    /** Guards against a repetition that runs a request twice, and against a refusal that claims "not run" falsely. */
+    @TestFactory
+    fun `each end leads to a safe step`() =
+        cases.map {
+            DynamicTest.dynamicTest(
+                "${it.end} of ${it.history}",
+            ) { assertEquals(it.step, nextStep(it.end, it.history)) }
+        }
+
+    /** Guards against repetitions that come too late to be answered. */
+    @Test
+    fun `nothing is repeated without time`() {
+        val late = history(idempotent).copy(remaining = 5.milliseconds)
+        assertEquals(NextStep.REFUSE, nextStep(AttemptEnd.NOT_EXECUTED, late))
+    }
+}
--- /dev/null
+++ b/decisions/src/test/kotlin/org/cicadaturn/decisions/gateway/EndpointBalancerTest.kt
@@ -0,0 +1,120 @@
+package org.cicadaturn.decisions.gateway
+
+import net.jqwik.api.ForAll
+import net.jqwik.api.Property
+import net.jqwik.api.constraints.IntRange
+import org.cicadaturn.schema.generated.AdmissionState
+import org.cicadaturn.schema.generated.CallerLimits
+import org.cicadaturn.schema.generated.EndpointId
+import org.cicadaturn.schema.generated.FailureDomainId
+import org.cicadaturn.schema.generated.FleetView
+import org.cicadaturn.schema.generated.GatewayPeer
+import org.cicadaturn.schema.generated.LiveEndpoint
+import org.cicadaturn.schema.generated.NetworkAddress
+import org.cicadaturn.schema.generated.ProcessId
+import org.cicadaturn.schema.generated.RoutedService
+import org.cicadaturn.schema.generated.RoutingConfiguration
+import org.cicadaturn.schema.generated.ServiceId
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertInstanceOf
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+import kotlin.random.Random
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.Instant
+
+class EndpointBalancerTest {
+    private val start = Instant.fromEpochSeconds(1_000)
+    private val service = ServiceId("s")
+    private val home = FailureDomainId("a")
+
+    private fun endpoint(
+        id: String,
+        domain: String = "a",
+        state: AdmissionState = AdmissionState.IN_SERVICE,
+    ) = LiveEndpoint(
+        EndpointId(id),
+        service,
+        NetworkAddress("10.0.0.1", 80),
+        FailureDomainId(domain),
+        state,
+        8,
+        Duration.ZERO,
+    )
+
+    private fun view(
+        endpoints: List<LiveEndpoint>,
+        gateways: Int = 8,
+        coldRate: Double = 36.0,
+        drained: List<String> = emptyList(),
+    ) = FleetView(
+        configuration =
+            RoutingConfiguration(1, emptyList(), listOf(RoutedService(service, 400, coldRate)), null, CallerLimits()),
+        endpoints = endpoints,
+        drainedDomains = drained.map { FailureDomainId(it) },
+        peers = List(gateways) { GatewayPeer(ProcessId("p$it"), NetworkAddress("10.0.0.2", 80), home) },
+    )
+
+    private fun balancer(seed: Int = 1) =
+        endpointBalancer(BalancerOptions(home, 1.5, 5, 20, 92, 10.seconds), Random(seed))
+
+    private fun request(tried: Set<String> = emptySet()) =
+        EndpointRequest(service, tried.map { EndpointId(it) }.toSet(), isRepeat = tried.isNotEmpty())
+
+    /** Guards against a cold endpoint that all gateways together overload, whatever each of them knows of the others. */
+    @Property
+    fun `all gateways together stay within the bound of a cold endpoint`(
+        @ForAll @IntRange(min = 1, max = 60) gateways: Int,
+        @ForAll @IntRange(min = 5, max = 200) rate: Int,
+    ) {
+        val bound = rate * 1.5 + 5
+        val share = coldShare(rate.toDouble(), 1.5, 5, gateways)
+        assertTrue(share * gateways <= bound || share == 1, "$share for each of $gateways against $bound")
+    }
+
+    /** Guards against a herd of requests to the only endpoint that is left. */
+    @Test
+    fun `one gateway sends its share in any second and no more`() {
+        val balancer = balancer()
+        balancer.update(view(listOf(endpoint("e"))), start)
+        val times = (0 until 400).map { start + (it * 10).milliseconds }
+        val sent = times.filter { balancer.choose(request(), it) is EndpointChoice.Chosen }
+        val most = sent.maxOf { first -> sent.count { it >= first && it - first < 1.seconds } }
+        assertTrue(most <= 59 / 8, "$most requests in a second")
+    }
+
+    /** Guards against work for endpoints that leave or whose failure domain is taken out. */
+    @Test
+    fun `draining endpoints and drained domains get nothing`() {
+        val balancer = balancer()
+        val endpoints =
+            listOf(endpoint("leaves", state = AdmissionState.DRAINED), endpoint("out", domain = "b"), endpoint("in"))
+        balancer.update(view(endpoints, drained = listOf("b")), start)
+        repeat(6) {
+            val choice = balancer.choose(request(), start + (it * 300).milliseconds)
+            assertEquals("in", assertInstanceOf(EndpointChoice.Chosen::class.java, choice).endpoint.id.text)
+        }
+    }
+
+    /** Guards against repeats that multiply an overload. */
+    @Test
+    fun `repeats stay within this gateway's share of the budget`() {
+        val balancer = balancer()
+        balancer.update(view(List(50) { endpoint("e$it") }), start)
+        repeat(10) { balancer.arrived(service, start) }
+        val granted = (0 until 100).count { balancer.choose(request(setOf("other")), start) is EndpointChoice.Chosen }
+        assertTrue(granted in 1..(92 / 8), "$granted repeats")
+    }
+
+    /** Guards against an endpoint that fails each request and goes on to get its part of them. */
+    @Test
+    fun `an endpoint that fails is left out`() {
+        val balancer = balancer()
+        balancer.update(view(List(4) { endpoint("e$it") }, coldRate = 0.0), start)
+        repeat(3) { balancer.finished(EndpointId("e0"), EndpointUse.Failed, start) }
+        val chosen = (0 until 40).map { (balancer.choose(request(), start) as EndpointChoice.Chosen).endpoint.id.text }
+        assertTrue("e0" !in chosen)
+    }
+}
--- /dev/null
+++ b/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/FixedFleetStore.kt
@@ -0,0 +1,56 @@
+package org.cicadaturn.tasks.gateway
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
+import kotlinx.coroutines.delay
+import org.cicadaturn.decisions.gateway.FleetChange
+import org.cicadaturn.decisions.gateway.FleetChanges
+import org.cicadaturn.decisions.gateway.FleetPart
+import org.cicadaturn.schema.generated.GatewayPeer
+import org.cicadaturn.schema.generated.LeaseRecord
+import org.cicadaturn.tasks.store.StoreError
+import kotlin.time.Duration
+
+/** A store whose content does not change; without [content] it is out of reach. */
+internal class FixedFleetStore(
+    private val content: List<FleetChange>?,
+) : FleetStore {
+    private val away = StoreError.Unavailable("the test's store is away")
+
+    override suspend fun list(part: FleetPart): Either<StoreError, FleetChanges> {
+        val changes = content ?: return away.left()
+        return FleetChanges(1, changes.filter { partOf(it) == part }).right()
+    }
+
+    override suspend fun watch(
+        part: FleetPart,
+        revision: Long,
+        wait: Duration,
+    ): Either<StoreError, FleetChanges> {
+        delay(wait)
+        return FleetChanges(revision, emptyList()).right()
+    }
+
+    override suspend fun register(peer: GatewayPeer): Either<StoreError, Unit> =
+        if (content == null) away.left() else Unit.right()
+
+    override suspend fun readLease(
+        name: String,
+        isFresh: Boolean,
+    ): Either<StoreError, StoredLease?> = away.left()
+
+    override suspend fun writeLease(
+        name: String,
+        record: LeaseRecord,
+        expected: Long?,
+    ): Either<StoreError, Long> = away.left()
+}
+
+private fun partOf(change: FleetChange): FleetPart =
+    when (change) {
+        is FleetChange.Configured -> FleetPart.CONFIGURATION
+        is FleetChange.EndpointListed, is FleetChange.EndpointGone -> FleetPart.ENDPOINTS
+        is FleetChange.DomainDrained, is FleetChange.DomainReturned -> FleetPart.DRAINED_DOMAINS
+        is FleetChange.PeerListed, is FleetChange.PeerGone -> FleetPart.PEERS
+    }
--- /dev/null
+++ b/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/ScriptedEndpoint.kt
@@ -0,0 +1,93 @@
+package org.cicadaturn.tasks.gateway
+
+import java.io.InputStream
+import java.io.OutputStream
+import java.net.InetAddress
+import java.net.ServerSocket
+import java.net.Socket
+import java.util.concurrent.CopyOnWriteArrayList
+import kotlin.concurrent.thread
+
+/** A request as it arrived: head as text with its line ends, and the body. */
+internal class RawRequest(
+    val head: String,
+    val body: String,
+) {
+    val id: String? get() = header("X-Id")
+
+    fun header(name: String): String? =
+        head
+            .lines()
+            .firstOrNull { it.startsWith("$name:", ignoreCase = true) }
+            ?.substringAfter(':')
+            ?.trim()
+}
+
+/** An endpoint on loopback that answers each request as [script] says, byte for byte; false closes the connection. */
+internal class ScriptedEndpoint(
+    private val script: (RawRequest, OutputStream) -> Boolean,
+) : AutoCloseable {
+    private val server = ServerSocket(0, 50, InetAddress.getLoopbackAddress())
+    private val sockets = CopyOnWriteArrayList<Socket>()
+    val requests = CopyOnWriteArrayList<RawRequest>()
+    val port: Int get() = server.localPort
+
+    init {
+        thread(isDaemon = true) {
+            while (!server.isClosed) {
+                val socket = runCatching { server.accept() }.getOrNull() ?: break
+                sockets += socket
+                thread(isDaemon = true) { runCatching { serve(socket) } }
+            }
+        }
+    }
+
+    private fun serve(socket: Socket) {
+        socket.use {
+            while (true) {
+                val request = readRequest(it.getInputStream()) ?: return
+                requests += request
+                val out = it.getOutputStream()
+                val stays = script(request, out)
+                out.flush()
+                if (!stays) return
+            }
+        }
+    }
+
+    override fun close() {
+        server.close()
+        sockets.forEach { it.close() }
+    }
+}
+
+/** Returns the next request of [input], or null at its end. */
+internal fun readRequest(input: InputStream): RawRequest? {
+    val head = readHead(input) ?: return null
+    val length = lengthIn(head)
+    return RawRequest(head, input.readNBytes(length).decodeToString())
+}
+
+/** Returns the bytes up to the blank line, or null if the input ends before. */
+internal fun readHead(input: InputStream): String? {
+    val head = StringBuilder()
+    while (!head.endsWith("\r\n\r\n")) {
+        val next = input.read()
+        if (next < 0) return null
+        head.append(next.toChar())
+    }
+    return head.toString()
+}
+
+internal fun lengthIn(head: String): Int =
+    head
+        .lines()
+        .firstOrNull {
+            it.startsWith(
+                "content-length:",
+                ignoreCase = true,
+            )
+        }?.substringAfter(':')
+        ?.trim()
+        ?.toInt()
+        ?: 0
--- /dev/null
+++ b/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/TestGateway.kt
@@ -0,0 +1,208 @@
+package org.cicadaturn.tasks.gateway
+
+import kotlinx.coroutines.runBlocking
+import org.cicadaturn.decisions.gateway.FleetChange
+import org.cicadaturn.schema.generated.AdmissionState
+import org.cicadaturn.schema.generated.CallerLimits
+import org.cicadaturn.schema.generated.EndpointId
+import org.cicadaturn.schema.generated.FailureDomainId
+import org.cicadaturn.schema.generated.GatewayFile
+import org.cicadaturn.schema.generated.GatewaySettings
+import org.cicadaturn.schema.generated.LiveEndpoint
+import org.cicadaturn.schema.generated.NetworkAddress
+import org.cicadaturn.schema.generated.OrganisationId
+import org.cicadaturn.schema.generated.ProcessSettings
+import org.cicadaturn.schema.generated.Route
+import org.cicadaturn.schema.generated.RouteKind
+import org.cicadaturn.schema.generated.RoutedService
+import org.cicadaturn.schema.generated.RoutingConfiguration
+import org.cicadaturn.schema.generated.ServiceId
+import org.cicadaturn.schema.generated.ServiceShare
+import org.cicadaturn.schema.generated.StoreSettings
+import org.cicadaturn.schema.generated.Tenancy
+import org.cicadaturn.tasks.Node
+import org.cicadaturn.tasks.experts.RankCalls
+import org.cicadaturn.tasks.http.httpRuntime
+import java.net.Socket
+import kotlin.random.Random
+import kotlin.time.Clock
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** A gateway process on loopback in front of [endpoints]; without them its store is out of reach. */
+internal class TestGateway(
+    endpoints: List<ScriptedEndpoint>?,
+) : AutoCloseable {
+    private val runtime = httpRuntime()
+    private val parts =
+        GatewayParts(
+            runtime = runtime,
+            store = FixedFleetStore(endpoints?.let(::contentFor)),
+            ranks = { _, _ -> NoRanks },
+            dialect = testDialect,
+            clock = Clock.System,
+            cautiousClock = Clock.System,
+            random = Random(1),
+        )
+    private val node: Node = runBlocking { gatewayNode(testFile, parts) }
+    val port: Int get() = node.listeners.getValue("listen").port
+    val readyPort: Int get() = node.listeners.getValue("ready").port
+
+    init {
+        if (endpoints != null) awaitReady()
+    }
+
+    private fun awaitReady() {
+        val start = System.nanoTime()
+        while (exchange(readyPort, "GET /ready HTTP/1.1\r\nHost: x\r\n\r\n").status != 200) {
+            check(System.nanoTime() - start < READY_NANOS) { "the gateway was not ready in time" }
+        }
+    }
+
+    suspend fun stop() {
+        node.stop()
+    }
+
+    override fun close() {
+        runtime.close()
+    }
+
+    private companion object {
+        const val READY_NANOS = 10_000_000_000L
+    }
+}
+
+/** An answer as it arrived; [isComplete] is false if the connection ended within it. */
+internal class RawAnswer(
+    val status: Int,
+    val head: String,
+    val body: String,
+    val isComplete: Boolean,
+)
+
+/** Sends [bytes] on a new connection and returns the first answer. */
+internal fun exchange(
+    port: Int,
+    bytes: String,
+): RawAnswer =
+    Socket("127.0.0.1", port).use { socket ->
+        socket.soTimeout = 10_000
+        socket.getOutputStream().write(bytes.encodeToByteArray())
+        socket.getOutputStream().flush()
+        readAnswer(socket)
+    }
+
+internal fun readAnswer(socket: Socket): RawAnswer {
+    val input = socket.getInputStream()
+    val head = readHead(input) ?: return RawAnswer(0, "", "", false)
+    val status = head.substringAfter(' ').take(3).toInt()
+    if (!head.contains("chunked", ignoreCase = true)) {
+        val body = input.readNBytes(lengthIn(head))
+        return RawAnswer(status, head, body.decodeToString(), body.size == lengthIn(head))
+    }
+    val body = StringBuilder()
+    while (true) {
+        val size = readLine(input)?.toIntOrNull(16) ?: return RawAnswer(status, head, body.toString(), false)
+        val chunk = input.readNBytes(size)
+        readLine(input) ?: return RawAnswer(status, head, body.toString(), false)
+        if (size == 0) return RawAnswer(status, head, body.toString(), true)
+        body.append(chunk.decodeToString())
+    }
+}
+
+private fun readLine(input: java.io.InputStream): String? {
+    val line = StringBuilder()
+    while (!line.endsWith("\r\n")) {
+        val next = input.read()
+        if (next < 0) return null
+        line.append(next.toChar())
+    }
+    return line.dropLast(2).toString()
+}
+
+private object NoRanks : RankCalls {
+    override suspend fun report(endpoint: LiveEndpoint) = null
+
+    override suspend fun picked(endpoint: LiveEndpoint) = null
+
+    override suspend fun map(endpoint: LiveEndpoint) = null
+
+    override suspend fun order(
+        endpoint: LiveEndpoint,
+        order: org.cicadaturn.decisions.experts.RankOrder,
+        epoch: Long,
+        token: Long,
+    ) = org.cicadaturn.decisions.experts.OrderAnswer.LOST
+}
+
+private val testDialect =
+    GatewayDialect(
+        requestId = "X-Id",
+        deadlineMillis = "X-Deadline",
+        organisation = "X-Organisation",
+        expectedEndpoint = "X-Endpoint",
+        lastEventId = "Last-Event-Id",
+        signature = "X-Signature",
+        notExecuted = "X-Not-Executed",
+        keyScheme = "Bearer",
+        loadOf = { null },
+    )
+
+private val anyPort = NetworkAddress("127.0.0.1", 0)
+
+private val testFile =
+    GatewayFile(
+        process = ProcessSettings("g1", "h1", "a", anyPort, "text", "info", 8.seconds, null),
+        store = StoreSettings(anyPort, 1.seconds, 10.seconds, 5.seconds),
+        gateway = GatewaySettings(anyPort, anyPort, anyPort, emptyList(), 1.5, 5, 0.2, 100, 10.seconds),
+    )
+
+private fun contentFor(endpoints: List<ScriptedEndpoint>): List<FleetChange> {
+    val routes =
+        listOf(
+            route("safe", RouteKind.IDEMPOTENT, attempts = 2),
+            route("once", RouteKind.AT_MOST_ONCE, attempts = 1),
+            route("stream", RouteKind.STREAM, attempts = 2, resumable = true),
+        )
+    val configuration =
+        RoutingConfiguration(
+            version = 1,
+            routes = routes,
+            services = listOf(RoutedService(ServiceId("s"), 400)),
+            tenancies = listOf(Tenancy(OrganisationId("org"), listOf("key"))),
+            limits = CallerLimits(bodyBytes = 2_000),
+        )
+    return listOf(FleetChange.Configured(configuration)) +
+        endpoints.mapIndexed { i, e ->
+            FleetChange.EndpointListed(
+                LiveEndpoint(
+                    id = EndpointId("e$i"),
+                    service = ServiceId("s"),
+                    address = NetworkAddress("127.0.0.1", e.port),
+                    // The first endpoint is in the gateway's own failure domain and so is chosen first.
+                    failureDomain = FailureDomainId(if (i == 0) "a" else "b"),
+                    state = AdmissionState.IN_SERVICE,
+                    slots = 1,
+                    coldFor = Duration.ZERO,
+                ),
+            )
+        }
+}
+
+private fun route(
+    name: String,
+    kind: RouteKind,
+    attempts: Int,
+    resumable: Boolean = false,
+) = Route(
+    name = name,
+    host = "shop.example",
+    pathPrefix = "/$name/",
+    kind = kind,
+    resumable = resumable,
+    shares = listOf(ServiceShare(ServiceId("s"), 1)),
+    timeout = 3.seconds,
+    latencyTarget = 100.milliseconds,
+    attempts = attempts,
+)
