Hold refused requests until the service accepts again

Cause: while a group is down for a second or two, every request came back once after 0.3 s and was refused again. Now a request that was refused waits for the next acceptance (1.2 s for streams), and a refusal asks to come back after three tenths of the time left. The lease is taken over after 3.6 s instead of 6 s, and at once by the restarted holder. A stream's first event is awaited 1.6 s, as a group that lost a rank answers by itself after 1.5 s.

--- a/decisions/src/main/kotlin/org/cicadaturn/decisions/experts/PlacementLease.kt
+++ b/decisions/src/main/kotlin/org/cicadaturn/decisions/experts/PlacementLease.kt
@@ -60,9 +60,9 @@
  * @property expiry time after which others take it over; longer than the validity by more than a late call
  */
 public data class LeaseTimes(
-    val renewal: Duration = 2.seconds,
-    val validity: Duration = 3.5.seconds,
-    val expiry: Duration = 6.seconds,
+    val renewal: Duration = 1.seconds,
+    val validity: Duration = 2.2.seconds,
+    val expiry: Duration = 3.6.seconds,
 ) {
     init {
         require(renewal < validity && validity < expiry) { "renewal $renewal < validity $validity < expiry $expiry" }
@@ -95,7 +95,9 @@
         val mine = own
         if (mine != null) return LeaseStep.Write(mine.copy(renewals = mine.renewals + 1), revision)
         if (known == null) return LeaseStep.Write(LeaseRecord(self, 1, 0), null)
-        if (now - at < times.expiry + delay) return LeaseStep.Look
+        // An earlier run of this process holds nothing any more.
+        val isOwnLeftover = known.holder == self
+        if (!isOwnLeftover && now - at < times.expiry + delay) return LeaseStep.Look
         return LeaseStep.Write(LeaseRecord(self, known.token + 1, 0), revision)
     }
 
--- a/decisions/src/main/kotlin/org/cicadaturn/decisions/gateway/AttemptPolicy.kt
+++ b/decisions/src/main/kotlin/org/cicadaturn/decisions/gateway/AttemptPolicy.kt
@@ -27,12 +27,13 @@
  *
  * @property kind what may be repeated
  * @property isResumable true if a stream may be continued elsewhere
- * @property sent endpoints that the request was sent to
+ * @property sent different endpoints that the request was sent to
  * @property attempts endpoints that it may be sent to
  * @property unsent attempts that ended before anything was sent
  * @property mayHaveRun true if any attempt may have run
  * @property isAnswerBegun true if the caller already has a part of the answer
  * @property remaining time to the deadline
+ * @property holdable time for which the request may still wait for an endpoint that accepts it
  */
 public data class AttemptHistory(
     val kind: RouteKind,
@@ -43,6 +44,7 @@
     val mayHaveRun: Boolean,
     val isAnswerBegun: Boolean,
     val remaining: Duration,
+    val holdable: Duration,
 )
 
 /** What to do after an attempt has ended. */
@@ -50,6 +52,9 @@
     /** Send the request to another endpoint, within the retry budget. */
     REPEAT,
 
+    /** Wait until the service accepts requests again, then offer it to an endpoint that has not run it. */
+    HOLD,
+
     /** Pass the endpoint's own failure on. */
     PASS_FAILURE,
 
@@ -78,6 +83,9 @@
     val hasTime = history.remaining > LEAST_TIME_TO_REPEAT
     val hasAttempts = history.sent < history.attempts && history.unsent <= MOST_UNSENT
     if (isSafe && hasTime && hasAttempts) return NextStep.REPEAT
+    // An endpoint that refused can be asked again; it is no further endpoint.
+    val isDenied = end == AttemptEnd.NOT_EXECUTED && !history.mayHaveRun
+    if (isDenied && hasTime && history.holdable > Duration.ZERO) return NextStep.HOLD
     return lastStep(end, history)
 }
 
@@ -98,3 +106,26 @@
 
 /** Connections that may fail before a request is refused; bounds the work that a dead service causes. */
 private const val MOST_UNSENT = 3
+
+/**
+ * Returns how long a request may wait for an endpoint that accepts it, from its arrival.
+ *
+ * A caller leaves a stream whose first event does not come within two seconds or so; the rest of that time is for the
+ * endpoint. Other requests wait for a part of the [allowed] time, so that the caller can come back once.
+ */
+public fun holdLimit(
+    kind: RouteKind,
+    allowed: Duration,
+): Duration = if (kind == RouteKind.STREAM) minOf(STREAM_HOLD, allowed * HOLD_SHARE) else allowed * HOLD_SHARE
+
+/** Returns when a caller whose request was refused with [remaining] time should come back. */
+public fun comeBackAfter(remaining: Duration): Duration =
+    (remaining * COME_BACK_SHARE).coerceIn(LEAST_COME_BACK, MOST_COME_BACK)
+
+private val STREAM_HOLD = 1_200.milliseconds
+private const val HOLD_SHARE = 0.35
+
+/** Callers wait for a third of their time at most. */
+private const val COME_BACK_SHARE = 0.3
+private val LEAST_COME_BACK = 100.milliseconds
+private val MOST_COME_BACK = 2_500.milliseconds
--- a/decisions/src/main/kotlin/org/cicadaturn/decisions/gateway/EndpointBalancer.kt
+++ b/decisions/src/main/kotlin/org/cicadaturn/decisions/gateway/EndpointBalancer.kt
@@ -33,12 +33,14 @@
  * A request that needs an endpoint.
  *
  * @property service service that it goes to
- * @property tried endpoints that it was sent to already
+ * @property excluded endpoints that may not get it, as it may have run there
+ * @property only endpoints that alone may get it, as no further ones are allowed; null for any
  * @property isRepeat true if it was sent to an endpoint before, so that the retry budget binds
  */
 public data class EndpointRequest(
     val service: ServiceId,
-    val tried: Set<EndpointId>,
+    val excluded: Set<EndpointId>,
+    val only: Set<EndpointId>?,
     val isRepeat: Boolean,
 )
 
@@ -106,6 +108,9 @@
         now: Instant,
     )
 
+    /** Returns the service of [endpoint], or null if it is not known. */
+    public fun serviceOf(endpoint: EndpointId): ServiceId?
+
     /** Takes what [endpoint] said of its load. */
     public fun loaded(
         endpoint: EndpointId,
@@ -224,7 +229,8 @@
                 it.entry.service == request.service &&
                     it.entry.state == AdmissionState.IN_SERVICE &&
                     it.entry.failureDomain !in drained &&
-                    it.entry.id !in request.tried
+                    it.entry.id !in request.excluded &&
+                    (request.only == null || it.entry.id in request.only)
             }
         if (usable.isEmpty()) return EndpointChoice.None("no endpoint of the service is in service", LONG_RETRY)
         val free = usable.filter { isFree(it, pool, now) }.ifEmpty { usable.filter { withinRate(it, pool, now) } }
@@ -288,6 +294,8 @@
         }
     }
 
+    override fun serviceOf(endpoint: EndpointId): ServiceId? = members[endpoint]?.entry?.service
+
     override fun loaded(
         endpoint: EndpointId,
         load: LoadSample,
--- a/decisions/src/test/kotlin/org/cicadaturn/decisions/gateway/AttemptPolicyTest.kt
+++ b/decisions/src/test/kotlin/org/cicadaturn/decisions/gateway/AttemptPolicyTest.kt
@@ -5,6 +5,7 @@
 import org.junit.jupiter.api.DynamicTest
 import org.junit.jupiter.api.Test
 import org.junit.jupiter.api.TestFactory
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
@@ -16,7 +17,8 @@
         mayHaveRun: Boolean = false,
         isAnswerBegun: Boolean = false,
         isResumable: Boolean = false,
-    ) = AttemptHistory(kind, isResumable, sent, attempts, 0, mayHaveRun, isAnswerBegun, 1.seconds)
+        holdable: Duration = Duration.ZERO,
+    ) = AttemptHistory(kind, isResumable, sent, attempts, 0, mayHaveRun, isAnswerBegun, 1.seconds, holdable)
 
     private data class Case(
         val end: AttemptEnd,
@@ -33,6 +35,12 @@
             Case(AttemptEnd.NOT_SENT, history(once, sent = 0, attempts = 1), NextStep.REPEAT),
             Case(AttemptEnd.NOT_EXECUTED, history(once, attempts = 1), NextStep.REFUSE),
             Case(AttemptEnd.NOT_EXECUTED, history(once), NextStep.REPEAT),
+            Case(AttemptEnd.NOT_EXECUTED, history(once, attempts = 1, holdable = 1.seconds), NextStep.HOLD),
+            Case(
+                AttemptEnd.NOT_EXECUTED,
+                history(idempotent, sent = 2, mayHaveRun = true, holdable = 1.seconds),
+                NextStep.FAIL,
+            ),
             Case(AttemptEnd.FAILED, history(once, mayHaveRun = true), NextStep.PASS_FAILURE),
             Case(AttemptEnd.BROKEN, history(once, mayHaveRun = true), NextStep.FAIL),
             Case(AttemptEnd.STALLED, history(once, mayHaveRun = true), NextStep.FAIL),
--- a/decisions/src/test/kotlin/org/cicadaturn/decisions/gateway/EndpointBalancerTest.kt
+++ b/decisions/src/test/kotlin/org/cicadaturn/decisions/gateway/EndpointBalancerTest.kt
@@ -61,7 +61,7 @@
         endpointBalancer(BalancerOptions(home, 1.5, 5, 20, 92, 10.seconds), Random(seed))
 
     private fun request(tried: Set<String> = emptySet()) =
-        EndpointRequest(service, tried.map { EndpointId(it) }.toSet(), isRepeat = tried.isNotEmpty())
+        EndpointRequest(service, tried.map { EndpointId(it) }.toSet(), null, isRepeat = tried.isNotEmpty())
 
     /** Guards against a cold endpoint that all gateways together overload, whatever each of them knows of the others. */
     @Property
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/Balancer.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/Balancer.kt
@@ -5,6 +5,7 @@
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
 import org.cicadaturn.decisions.gateway.EndpointBalancer
 import org.cicadaturn.decisions.gateway.EndpointChoice
 import org.cicadaturn.decisions.gateway.EndpointRequest
@@ -14,6 +15,7 @@
 import org.cicadaturn.schema.generated.EndpointId
 import org.cicadaturn.schema.generated.ServiceId
 import kotlin.time.Clock
+import kotlin.time.Duration
 
 /** The task that owns the process's balancer. */
 public interface Balancer {
@@ -29,6 +31,15 @@
         use: EndpointUse,
     )
 
+    /** Tells that [endpoint] accepted a request. */
+    public fun accepted(endpoint: EndpointId)
+
+    /** Waits until an endpoint of [service] accepts a request, [limit] at most. */
+    public suspend fun awaitAcceptance(
+        service: ServiceId,
+        limit: Duration,
+    )
+
     /** Tells what [endpoint] said of its load. */
     public fun loaded(
         endpoint: EndpointId,
@@ -68,6 +79,15 @@
         val use: EndpointUse,
     ) : BalancerMessage
 
+    class Accepted(
+        val endpoint: EndpointId,
+    ) : BalancerMessage
+
+    class Await(
+        val service: ServiceId,
+        val reply: CompletableDeferred<Unit>,
+    ) : BalancerMessage
+
     class Loaded(
         val endpoint: EndpointId,
         val load: LoadSample,
@@ -81,6 +101,8 @@
     // Unbounded, as an end must be counted also on cancellation; each request in progress has at most three here.
     private val messages = Channel<BalancerMessage>(Channel.UNLIMITED)
 
+    private val waiting = HashMap<ServiceId, MutableList<CompletableDeferred<Unit>>>()
+
     suspend fun own() {
         for (message in messages) take(message)
     }
@@ -96,10 +118,17 @@
             is BalancerMessage.Arrived -> balancer.arrived(message.service, now)
             is BalancerMessage.Choose -> answer(message)
             is BalancerMessage.Finished -> balancer.finished(message.endpoint, message.use, now)
+            is BalancerMessage.Accepted -> release(message.endpoint)
+            is BalancerMessage.Await -> waiting.getOrPut(message.service) { mutableListOf() } += message.reply
             is BalancerMessage.Loaded -> balancer.loaded(message.endpoint, message.load, now)
         }
     }
 
+    private fun release(endpoint: EndpointId) {
+        val service = balancer.serviceOf(endpoint) ?: return
+        waiting.remove(service)?.forEach { it.complete(Unit) }
+    }
+
     /** The choice counts at the endpoint, so it is taken back if nobody awaits it any more. */
     private fun answer(message: BalancerMessage.Choose) {
         val choice = balancer.choose(message.request, clock.now())
@@ -135,6 +164,19 @@
         send(BalancerMessage.Finished(endpoint, use))
     }
 
+    override fun accepted(endpoint: EndpointId) {
+        send(BalancerMessage.Accepted(endpoint))
+    }
+
+    override suspend fun awaitAcceptance(
+        service: ServiceId,
+        limit: Duration,
+    ) {
+        val reply = CompletableDeferred<Unit>()
+        send(BalancerMessage.Await(service, reply))
+        withTimeoutOrNull(limit) { reply.await() }
+    }
+
     override fun loaded(
         endpoint: EndpointId,
         load: LoadSample,
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/Exchange.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/Exchange.kt
@@ -150,6 +150,7 @@
             if (flaw != null) return failed(AttemptEnd.BROKEN, flaw)
             dialect.loadOf(head.headers)?.let { balancer.loaded(attempt.endpoint.id, it) }
             if (head.status !in SUCCESS) return takeFailure(head)
+            balancer.accepted(attempt.endpoint.id)
             return if (isEventStream(head)) takeEvents(head) else takeWhole(head)
         }
 
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/GatewayNode.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/GatewayNode.kt
@@ -187,8 +187,8 @@
     private companion object {
         val logger = LogManager.getLogger(GatewayNode::class.java)
 
-        val STORE_BACKOFF = 100.milliseconds
-        val STORE_BACKOFF_MOST = 1.seconds
+        val STORE_BACKOFF = 250.milliseconds
+        val STORE_BACKOFF_MOST = 1_500.milliseconds
 
         /** Two readiness checks a second apart, and one second for connections that were opened just before. */
         val UNREADY_TIME = 3.seconds
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/RequestHandler.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/RequestHandler.kt
@@ -11,6 +11,8 @@
 import org.cicadaturn.decisions.gateway.NextStep
 import org.cicadaturn.decisions.gateway.RouteTable
 import org.cicadaturn.decisions.gateway.StreamEvent
+import org.cicadaturn.decisions.gateway.comeBackAfter
+import org.cicadaturn.decisions.gateway.holdLimit
 import org.cicadaturn.decisions.gateway.lastStep
 import org.cicadaturn.decisions.gateway.nextStep
 import org.cicadaturn.schema.generated.EndpointId
@@ -102,8 +104,12 @@
         private val service: ServiceId = pick(route)
         private val id = request.head.headers.valueOf(dialect.requestId)
         private val deadline = request.arrivedAt + allowed()
+        private val holdUntil = request.arrivedAt + holdLimit(route.kind, allowed())
+
+        /** Endpoints that the request was sent to, and those of them that may have run it. */
         private val tried = HashSet<EndpointId>()
-        private var sent = 0
+        private val spent = HashSet<EndpointId>()
+        private var sends = 0
         private var unsent = 0
         private var mayHaveRun = false
         private var lastFailure: Pair<ResponseHead, ByteArray>? = null
@@ -129,18 +135,17 @@
         private suspend fun expire(): RequestEnd =
             when {
                 answer.isBegun -> answer.cut("deadline passed within the answer")
-                sent > 0 -> answer.own(GATEWAY_TIMEOUT, "deadline passed", emptyList())
+                sends > 0 -> answer.own(GATEWAY_TIMEOUT, "deadline passed", emptyList())
                 else -> answer.refuse(RETRY_WHEN_UNKNOWN, "deadline passed before an endpoint was found")
             }
 
         private suspend fun attempts(): RequestEnd {
             var last = AttemptEnd.NOT_SENT
             while (true) {
-                val choice = balancer.choose(EndpointRequest(service, tried, isRepeat = sent > 0))
-                when (choice) {
+                when (val choice = balancer.choose(endpointRequest())) {
                     is EndpointChoice.None -> {
                         journal.attempt(id, null, choice.reason)
-                        return finish(lastStep(last, history()), choice.reason, choice.retryAfter)
+                        if (!hold()) return finish(lastStep(last, history()), choice.reason)
                     }
                     is EndpointChoice.Chosen -> {
                         val result = attempt(choice.endpoint)
@@ -148,23 +153,44 @@
                         last = result.end
                         val step = nextStep(result.end, history())
                         journal.attempt(id, choice.endpoint, "${result.detail}; $step")
-                        if (step != NextStep.REPEAT) return finish(step, result.detail, RETRY_WHEN_FULL)
+                        if (step == NextStep.HOLD) hold()
+                        if (step != NextStep.REPEAT && step != NextStep.HOLD) return finish(step, result.detail)
                     }
                 }
             }
         }
 
+        private fun endpointRequest(): EndpointRequest {
+            val isFull = tried.size >= route.attempts
+            // The first refusal is answered by another endpoint; later ones may come back to any that refused.
+            val excluded = if (sends <= 1) tried else spent
+            return EndpointRequest(service, excluded.toSet(), tried.toSet().takeIf { isFull }, isRepeat = sends > 0)
+        }
+
+        /** Waits until the service accepts requests; returns false if the request has waited long enough. */
+        private suspend fun hold(): Boolean {
+            val left = minOf(holdUntil - clock.now(), remaining())
+            if (left <= Duration.ZERO || mayHaveRun || answer.isBegun) return false
+            balancer.awaitAcceptance(service, minOf(left, HOLD_INTERVAL))
+            return true
+        }
+
         private suspend fun attempt(endpoint: LiveEndpoint): AttemptResult {
-            tried += endpoint.id
             // Counted before it is sent, so that a deadline that passes meanwhile does not read as "not run".
-            sent += 1
+            tried += endpoint.id
+            sends += 1
             val result = exchange.run(attemptRequest(endpoint), answer)
             if (result !is AttemptResult.Ended) return result
             if (result.end == AttemptEnd.NOT_SENT) {
-                sent -= 1
+                tried -= endpoint.id
+                spent += endpoint.id
+                sends -= 1
                 unsent += 1
             }
-            if (result.end !in NOT_RUN) mayHaveRun = true
+            if (result.end !in NOT_RUN) {
+                spent += endpoint.id
+                mayHaveRun = true
+            }
             result.failure?.let { lastFailure = it }
             return result
         }
@@ -172,7 +198,7 @@
         private fun attemptRequest(endpoint: LiveEndpoint): AttemptRequest {
             val remaining = remaining()
             val isRepeatable = route.kind == RouteKind.IDEMPOTENT || route.resumable
-            val hasOther = sent < route.attempts
+            val hasOther = tried.size < route.attempts
             val limit =
                 when {
                     !isRepeatable || !hasOther -> remaining
@@ -224,24 +250,24 @@
             AttemptHistory(
                 kind = route.kind,
                 isResumable = route.resumable,
-                sent = sent,
+                sent = tried.size,
                 attempts = route.attempts,
                 unsent = unsent,
                 mayHaveRun = mayHaveRun,
                 isAnswerBegun = answer.isBegun,
                 remaining = remaining(),
+                holdable = holdUntil - clock.now(),
             )
 
         private suspend fun finish(
             step: NextStep,
             reason: String,
-            retryAfter: Duration,
         ): RequestEnd =
             when (step) {
                 NextStep.PASS_FAILURE -> passFailure(reason)
-                NextStep.REFUSE -> answer.refuse(retryAfter, reason)
+                NextStep.REFUSE -> answer.refuse(comeBackAfter(remaining()), reason)
                 NextStep.CUT -> answer.cut(reason)
-                NextStep.FAIL, NextStep.REPEAT -> answer.own(BAD_GATEWAY, reason, emptyList())
+                NextStep.FAIL, NextStep.REPEAT, NextStep.HOLD -> answer.own(BAD_GATEWAY, reason, emptyList())
             }
 
         private suspend fun passFailure(reason: String): RequestEnd {
@@ -267,14 +293,19 @@
     private companion object {
         val NOT_RUN = setOf(AttemptEnd.NOT_SENT, AttemptEnd.NOT_EXECUTED)
 
-        /** Callers leave a stream after a gap of two seconds; a resumption needs a part of them. */
-        val STREAM_STALL = 1_250.milliseconds
+        /**
+         * Callers leave a stream after a gap of two seconds; a resumption needs a part of them. A group that lost a
+         * rank answers by itself after a stall of 1.5 s, and no other endpoint of it does better before.
+         */
+        val STREAM_STALL = 1_600.milliseconds
+
+        /** Time after which a held request is offered again although nothing was accepted. */
+        val HOLD_INTERVAL = 400.milliseconds
 
         /** Answers that take longer than this many times the target are asked for elsewhere. */
         const val SLOW_FACTOR = 4
 
         val RETRY_WHEN_UNKNOWN = 500.milliseconds
-        val RETRY_WHEN_FULL = 300.milliseconds
         const val UNAUTHORIZED = 401
         const val NOT_FOUND = 404
         const val BAD_GATEWAY = 502
