Confirm copies by a second order and find the next pass by trying

Cause: reports are 200 ms old, so a switch took 1.4 s, most of it waiting for them, and a shift of the demand comes every four seconds. The second order for a copied map is answered with 200, a hold for a pass that has begun is refused at once, and the counts tell when the pass of the switch has come. Changes with a gain below 0.3 are left out: they cost copies and delayed the next one.

--- a/decisions/src/main/kotlin/org/cicadaturn/decisions/experts/MapSwitch.kt
+++ b/decisions/src/main/kotlin/org/cicadaturn/decisions/experts/MapSwitch.kt
@@ -45,7 +45,10 @@
 
 /** How a rank answered an order. */
 public enum class OrderAnswer {
-    /** It holds or has begun. */
+    /** What was ordered holds already or is done. */
+    DONE,
+
+    /** It has begun. */
     ACCEPTED,
 
     /** It does not fit the rank's state. */
@@ -119,9 +122,12 @@
     answer: OrderAnswer,
 ): SwitchPhase {
     if (answer == OrderAnswer.FENCED) return SwitchPhase.Abandoned
+    val isTaken = answer == OrderAnswer.DONE || answer == OrderAnswer.ACCEPTED
     return when {
+        this is SwitchPhase.Preparing && order == RankOrder.Prepare(version, map) && answer == OrderAnswer.DONE ->
+            copy(missing = missing - rank)
         this is SwitchPhase.Holding && order == RankOrder.Hold(step) -> afterHold(answer)
-        this is SwitchPhase.Arming && order == RankOrder.Arm(version, step) && answer == OrderAnswer.ACCEPTED ->
+        this is SwitchPhase.Arming && order == RankOrder.Arm(version, step) && isTaken ->
             armed(rank)
         this is SwitchPhase.Releasing && order == RankOrder.Go(step) && answer != OrderAnswer.LOST -> SwitchPhase.Done
         else -> this
@@ -131,7 +137,7 @@
 /** A hold that came too late has held nothing, so the switch can be given up or begun again with a later pass. */
 private fun SwitchPhase.Holding.afterHold(answer: OrderAnswer): SwitchPhase =
     when (answer) {
-        OrderAnswer.ACCEPTED -> SwitchPhase.Arming(version, step, holder, ranks)
+        OrderAnswer.DONE, OrderAnswer.ACCEPTED -> SwitchPhase.Arming(version, step, holder, ranks)
         OrderAnswer.REFUSED -> SwitchPhase.Done
         OrderAnswer.LOST, OrderAnswer.FENCED -> this
     }
--- a/decisions/src/test/kotlin/org/cicadaturn/decisions/experts/MapSwitchWorld.kt
+++ b/decisions/src/test/kotlin/org/cicadaturn/decisions/experts/MapSwitchWorld.kt
@@ -181,7 +181,15 @@
         if (late.token < rank.fence) return this to OrderAnswer.FENCED
         val fenced = rank.copy(fence = late.token)
         val next = obey(fenced, late.order) ?: return this to OrderAnswer.REFUSED
-        return copy(ranks = ranks.mapIndexed { i, r -> if (i == late.rank) next else r }) to OrderAnswer.ACCEPTED
+        return copy(ranks = ranks.mapIndexed { i, r -> if (i == late.rank) next else r }) to answerFor(rank, late.order)
+    }
+
+    private fun answerFor(
+        before: ModelRank,
+        order: RankOrder,
+    ): OrderAnswer {
+        val isDone = order is RankOrder.Prepare && before.prepared == order.version
+        return if (isDone) OrderAnswer.DONE else OrderAnswer.ACCEPTED
     }
 
     private fun obey(
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/experts/Conductor.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/experts/Conductor.kt
@@ -139,6 +139,7 @@
     private val bounds =
         PlacementBounds(profile.experts, group.ranks.size, profile.places, minOf(NEW_PLACES, profile.newPlaces))
     private var turn = 0
+    private var settledFrom = 0L
     private var lacking = 0
 
     /** True while the group has no requests. */
@@ -153,9 +154,11 @@
         val hasGrown = demand.add(rank, picked.counts)
         if (!hasGrown) return true.also { lackOfDemand() }
         lacking = 0
+        // Until the pass of the last switch the ranks are armed and refuse copies.
+        if (picked.step < settledFrom) return true
         val plan = planPlacement(map, demand.choices(), bounds)
         if (plan.before - plan.after < LEAST_GAIN) return true
-        return change(plan)
+        return change(plan, picked.step)
     }
 
     /** The ranks of a group choose alike, so one is enough, unless it has no requests. */
@@ -164,11 +167,15 @@
         if (lacking % READS_BEFORE_NEXT_RANK == 0) turn += 1
     }
 
-    private suspend fun change(plan: PlacementPlan): Boolean {
-        val next = orders.switch(plan.map, version, plan.mostCopies) ?: return false
-        logger.info("experts: {} uses map {}: skew {} to {}", group.name, next, plan.before, plan.after)
+    private suspend fun change(
+        plan: PlacementPlan,
+        step: Long,
+    ): Boolean {
+        val next = orders.switch(plan.map, version, plan.mostCopies, step) ?: return false
+        logger.info("experts: {} uses map {}: skew {} to {}", group.name, next.version, plan.before, plan.after)
         map = plan.map
-        version = next
+        version = next.version
+        settledFrom = next.step
         return true
     }
 
@@ -179,7 +186,7 @@
         const val READS_BEFORE_NEXT_RANK = 4
 
         /** Gain in skew below which the copies and orders cost more than the faster passes bring. */
-        const val LEAST_GAIN = 0.2
+        const val LEAST_GAIN = 0.3
 
         /** New experts of a set for a rank in one change: one gives most of the gain in half of the time of two. */
         const val NEW_PLACES = 1
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/experts/GroupOrders.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/experts/GroupOrders.kt
@@ -16,8 +16,12 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
-import kotlin.time.DurationUnit
-import kotlin.time.Instant
+
+/** Version that a group uses from pass [step] on. */
+internal data class Switched(
+    val version: Long,
+    val step: Long,
+)
 
 /** Carries out the phases of switches at the ranks of [group]. */
 internal class GroupOrders(
@@ -29,95 +33,75 @@
     /** Token that the last order carried; a switch that is under way is finished with it. */
     private var token = 0L
     private var nextVersion = 0L
-    private var paceMark: PaceMark? = null
-
-    private class PaceMark(
-        val step: Long,
-        val at: Instant,
-    )
 
-    /** Switches the group from [version] to [map]; returns the new version, or null if that is not certain. */
+    /**
+     * Switches the group from [version] to [map] and returns the new version with the pass from which it is in use, or
+     * null if that is not certain.
+     *
+     * @param mostCopies experts that the rank with the most has to copy
+     * @param step last pass that is known to have begun
+     */
     suspend fun switch(
         map: ExpertMap,
         version: Long,
-        copies: Int,
-    ): Long? {
+        mostCopies: Int,
+        step: Long,
+    ): Switched? {
         token = lease.token() ?: return null
         nextVersion = maxOf(nextVersion + 1, version + 1, token * VERSIONS_PER_TOKEN)
         val new = nextVersion
-        val states = prepare(SwitchPhase.Preparing(new, map, group.ranks.keys.toSet()), copies) ?: return null
-        val ahead = stepsAhead(states)
-        repeat(HOLD_ATTEMPTS) { attempt ->
+        if (!prepare(SwitchPhase.Preparing(new, map, group.ranks.keys.toSet()), mostCopies)) return null
+        // A hold for a pass that has begun is refused at once, so the first pass that can be held is searched.
+        for (next in step + 1..step + MOST_STEPS_AHEAD) {
             if (lease.token() != token) return null
-            val step = states.values.maxOf { it.step } + ahead + attempt
-            val holding = SwitchPhase.Holding(new, step, HOLDER, group.ranks.keys.toSet())
+            val holding = SwitchPhase.Holding(new, next, HOLDER, group.ranks.keys.toSet())
             val held = run(holding, HOLD_TIME) { it is SwitchPhase.Holding }
             if (held is SwitchPhase.Arming) {
                 // Between the hold and here this process may have been suspended and replaced.
                 if (lease.token() != token) return null
-                return if (finish(held) && settle(new)) new else null
+                return if (finish(held)) Switched(new, next) else null
             }
-            if (held is SwitchPhase.Abandoned) return null
+            if (held != SwitchPhase.Done) return null
         }
         return null
     }
 
-    /** Waits until the pass of the switch has begun; all ranks switch at the same one, so one is asked. */
-    private suspend fun settle(version: Long): Boolean {
-        val latest = clock.now() + SETTLE_TIME
-        while (clock.now() < latest) {
-            delay(REPORT_INTERVAL)
-            val report = calls.report(group.ranks.getValue(HOLDER)) ?: return false
-            if (report.state.epoch != group.epoch) return false
-            if (report.state.map == version) return true
-        }
-        return false
-    }
-
-    /** Returns the passes that are likely to have begun since the reports, and the one that can still be held. */
-    private fun stepsAhead(states: Map<Int, RankState>): Long {
-        val step = states.values.maxOf { it.step }
-        val now = clock.now()
-        val before = paceMark
-        paceMark = PaceMark(step, now)
-        if (before == null || now - before.at < LEAST_PACE_TIME || step <= before.step) return 1
-        val perSecond = (step - before.step) / (now - before.at).toDouble(DurationUnit.SECONDS)
-        return (perSecond * group.profile.reportLag.toDouble(DurationUnit.SECONDS)).toLong() + 1
-    }
-
     /** Finishes what can only go forward; returns false if the group has a new epoch or another process leads. */
     suspend fun finish(phase: SwitchPhase): Boolean {
         if (token == 0L) token = lease.token() ?: return false
         return run(phase, Duration.INFINITE) { true } == SwitchPhase.Done
     }
 
-    /** Sends the copies and waits until every rank has them; returns the last reports, or null if given up. */
+    /** Sends the copies and returns true once every rank has confirmed them. */
     private suspend fun prepare(
         start: SwitchPhase.Preparing,
-        copies: Int,
-    ): Map<Int, RankState>? {
-        var phase = start
+        mostCopies: Int,
+    ): Boolean {
         val latest = clock.now() + PREPARE_TIME
-        val first = send(phase)
-        if (first.values.any { it == OrderAnswer.FENCED }) return null.also { lease.forfeit() }
-        if (first.values.any { it == OrderAnswer.REFUSED }) {
-            logger.info("experts: {} refused to copy version {} at {}", group.name, start.version, first)
-            return null
-        }
-        delay(group.profile.copyTime * copies)
-        while (clock.now() < latest) {
-            if (lease.token() != token) return null
-            val states = states() ?: return null
-            phase = phase.reported(states)
-            if (phase.missing.isEmpty()) return states
-            val lost = phase.missing.filter { first[it] == OrderAnswer.LOST }.toSet()
-            if (lost.isNotEmpty()) send(phase.copy(missing = lost))
-            delay(REPORT_INTERVAL)
+        var phase: SwitchPhase = start
+        var wait = group.profile.copyTime * mostCopies
+        while (phase is SwitchPhase.Preparing && phase.missing.isNotEmpty()) {
+            if (lease.token() != token || clock.now() >= latest) return false
+            val answers = send(phase)
+            answers.forEach { (rank, answer) -> phase = phase.after(rank, phase.orders().getValue(rank), answer) }
+            val current = phase as? SwitchPhase.Preparing ?: break
+            if (answers.values.any { it == OrderAnswer.REFUSED }) {
+                // A rank that has the copies may refuse the same version as no higher one; its report tells.
+                phase = current.reported(states() ?: return false)
+                if (isRefused(phase, answers)) return false.also { logger.info("experts: {} {}", group.name, answers) }
+            }
+            delay(wait)
+            wait = REPEAT_INTERVAL
         }
-        logger.info("experts: {} did not copy version {} in time", group.name, start.version)
-        return null
+        if (phase == SwitchPhase.Abandoned) lease.forfeit()
+        return phase is SwitchPhase.Preparing
     }
 
+    private fun isRefused(
+        phase: SwitchPhase.Preparing,
+        answers: Map<Int, OrderAnswer>,
+    ): Boolean = phase.missing.any { answers[it] == OrderAnswer.REFUSED }
+
     /** Returns the state of every rank, or null if one does not answer or the epoch has changed. */
     private suspend fun states(): Map<Int, RankState>? {
         val reports = gather(group.ranks.values.toList()) { calls.report(it) }
@@ -174,15 +158,12 @@
         /** Rank that holds the group; any would do. */
         const val HOLDER = 0
 
-        /** A hold for a pass that has begun is refused at once, so the next one is tried. */
-        const val HOLD_ATTEMPTS = 12
+        /** Passes that may have begun since the last known one. */
+        const val MOST_STEPS_AHEAD = 40
         const val CHECK_EVERY = 5
 
-        val LEAST_PACE_TIME = 300.milliseconds
-        val SETTLE_TIME = 4.seconds
         val HOLD_TIME = 2.seconds
         val PREPARE_TIME = 6.seconds
-        val REPORT_INTERVAL = 100.milliseconds
-        val REPEAT_INTERVAL = 60.milliseconds
+        val REPEAT_INTERVAL = 40.milliseconds
     }
 }
