--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/CallerConnection.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/CallerConnection.kt
@@ -6,6 +6,7 @@
 import kotlinx.coroutines.selects.select
 import kotlinx.coroutines.withTimeoutOrNull
 import org.cicadaturn.schema.generated.CallerLimits
+import org.cicadaturn.schema.generated.RequestLine
 import org.cicadaturn.tasks.http.HttpLink
 import org.cicadaturn.tasks.http.HttpPart
 import org.cicadaturn.tasks.http.RequestHead
@@ -13,6 +14,7 @@
 import org.cicadaturn.tasks.http.valueOf
 import java.io.ByteArrayOutputStream
 import kotlin.time.Clock
+import kotlin.time.Duration
 import kotlin.time.Instant
 
 /** Serves the requests of one caller connection, one after the other. */
@@ -21,6 +23,7 @@
     private val handler: RequestHandler,
     private val dialect: GatewayDialect,
     private val journal: RequestJournal,
+    private val metrics: GatewayMetrics,
     private val clock: Clock,
     private val limits: () -> CallerLimits,
     private val load: ConnectionLoad,
@@ -110,14 +113,29 @@
                     link.closed.onAwait { null }
                 }
             if (end == null) work.cancel()
-            journal.end(
-                request.head.headers.valueOf(dialect.requestId),
-                end ?: RequestEnd(0, "caller left", keepsConnection = false),
-                (clock.now() - arrivedAt).inWholeMilliseconds,
-            )
+            note(request, end ?: RequestEnd(0, "caller left", keepsConnection = false), clock.now() - arrivedAt)
             end?.keepsConnection == true
         }
 
+    private fun note(
+        request: CallerRequest,
+        end: RequestEnd,
+        time: Duration,
+    ) {
+        metrics.ended(end, time)
+        journal(
+            RequestLine(
+                event = "end",
+                request = request.head.headers.valueOf(dialect.requestId),
+                service = end.service?.text,
+                endpoint = end.endpoint?.text,
+                status = end.status,
+                detail = end.reason,
+                ms = time.inWholeMilliseconds,
+            ),
+        )
+    }
+
     private companion object {
         const val BAD_REQUEST = 400
         const val TOO_LARGE = 413
--- /dev/null
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/GatewayAdmin.kt
@@ -0,0 +1,66 @@
+package org.cicadaturn.tasks.gateway
+
+import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter
+import io.prometheus.metrics.model.registry.PrometheusRegistry
+import kotlinx.serialization.json.Json
+import org.cicadaturn.decisions.gateway.FleetState
+import org.cicadaturn.schema.generated.FleetView
+import org.cicadaturn.schema.generated.Header
+import org.cicadaturn.tasks.http.HttpLink
+import org.cicadaturn.tasks.http.HttpPart
+import org.cicadaturn.tasks.http.ResponseHead
+import java.io.ByteArrayOutputStream
+
+/** What a gateway process shows to its operators. */
+internal class GatewayAdmin(
+    private val registry: PrometheusRegistry,
+    private val isReady: () -> Boolean,
+    private val state: () -> FleetState,
+) {
+    /** Answers health, readiness, metrics and the state dump on [link] until it ends. */
+    suspend fun serve(link: HttpLink) {
+        while (true) {
+            val request = link.receive() ?: return
+            if (request is HttpPart.Malformed) return
+            if (request !is HttpPart.Request) continue
+            val (status, type, body) = answerTo(request.head.path)
+            val head = ResponseHead(status, listOf(Header("Content-Type", type)), request.head.isLast)
+            if (!link.sendResponse(head, body) || request.head.isLast) return
+        }
+    }
+
+    private fun answerTo(path: String): Triple<Int, String, ByteArray> =
+        when (path) {
+            "/healthz" -> Triple(OK, TEXT, "ok\n".encodeToByteArray())
+            "/readyz" ->
+                if (isReady()) {
+                    Triple(OK, TEXT, "ready\n".encodeToByteArray())
+                } else {
+                    Triple(UNAVAILABLE, TEXT, "not ready\n".encodeToByteArray())
+                }
+            "/metrics" -> Triple(OK, PrometheusTextFormatWriter.CONTENT_TYPE, scrape())
+            "/dump" -> Triple(OK, "application/json", dump())
+            else -> Triple(NOT_FOUND, TEXT, "use /healthz, /readyz, /metrics or /dump\n".encodeToByteArray())
+        }
+
+    private fun scrape(): ByteArray {
+        val out = ByteArrayOutputStream()
+        PrometheusTextFormatWriter.create().write(out, registry.scrape())
+        return out.toByteArray()
+    }
+
+    /** The keys of organisations are left out. */
+    private fun dump(): ByteArray {
+        val view = state().view
+        val tenancies = view.configuration?.tenancies?.map { it.copy(keys = emptyList()) }
+        val shown = view.copy(configuration = view.configuration?.copy(tenancies = tenancies))
+        return Json.encodeToString(FleetView.serializer(), shown).encodeToByteArray()
+    }
+
+    private companion object {
+        const val TEXT = "text/plain; charset=utf-8"
+        const val OK = 200
+        const val NOT_FOUND = 404
+        const val UNAVAILABLE = 503
+    }
+}
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/GatewayNode.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/GatewayNode.kt
@@ -1,5 +1,6 @@
 package org.cicadaturn.tasks.gateway
 
+import io.prometheus.metrics.model.registry.PrometheusRegistry
 import kotlinx.coroutines.CoroutineExceptionHandler
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Job
@@ -93,6 +94,9 @@
     private val pool = startConnectionPool(scope, fleet, parts.clock)
     private val exchange = Exchange(connector, pool, balancer, parts.dialect, parts.clock)
     private val journal = requestJournal()
+    private val registry = PrometheusRegistry()
+    private val metrics = GatewayMetrics(registry)
+    private val admin = GatewayAdmin(registry, ::isReady) { fleet.state.value }
     private val handler =
         RequestHandler(fleet.state, ::table, balancer, exchange, parts.dialect, parts.clock, parts.random, journal)
     private var routes: RouteTable? = null
@@ -102,9 +106,16 @@
     private lateinit var callers: HttpListener
     private lateinit var ready: HttpListener
     private lateinit var peers: HttpListener
+    private lateinit var admins: HttpListener
 
     override val listeners: Map<String, NetworkAddress>
-        get() = mapOf("listen" to callers.address, "ready" to ready.address, "peers" to peers.address)
+        get() =
+            mapOf(
+                "listen" to callers.address,
+                "ready" to ready.address,
+                "peers" to peers.address,
+                "admin" to admins.address,
+            )
 
     private fun balancerOptions(): BalancerOptions =
         BalancerOptions(
@@ -120,6 +131,7 @@
         callers = listen(parts.runtime, scope, settings.listen, HEADER_BYTES) { serveCaller(it) }
         ready = listen(parts.runtime, scope, settings.readyListen, HEADER_BYTES) { serveReady(it) }
         peers = listen(parts.runtime, scope, settings.peerListen, HEADER_BYTES) { servePeer(it, fleet::ownView) }
+        admins = listen(parts.runtime, scope, file.process.adminListen, HEADER_BYTES) { admin.serve(it) }
         conductGroups()
         logger.info("gateway: {} listens on {}", file.process.id, settings.listen)
     }
@@ -145,7 +157,7 @@
             ?.limits ?: CallerLimits()
 
     private suspend fun serveCaller(link: HttpLink) {
-        CallerConnection(link, handler, parts.dialect, journal, parts.clock, ::limits, this).serve()
+        CallerConnection(link, handler, parts.dialect, journal, metrics, parts.clock, ::limits, this).serve()
     }
 
     private suspend fun serveReady(link: HttpLink) {
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/RequestHandler.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/RequestHandler.kt
@@ -18,6 +18,7 @@
 import org.cicadaturn.schema.generated.EndpointId
 import org.cicadaturn.schema.generated.Header
 import org.cicadaturn.schema.generated.LiveEndpoint
+import org.cicadaturn.schema.generated.RequestLine
 import org.cicadaturn.schema.generated.Route
 import org.cicadaturn.schema.generated.RouteKind
 import org.cicadaturn.schema.generated.ServiceId
@@ -49,6 +50,8 @@
     val status: Int,
     val reason: String,
     val keepsConnection: Boolean,
+    val service: ServiceId? = null,
+    val endpoint: EndpointId? = null,
 )
 
 /** Serves requests: admission, choice of endpoints, attempts and the answer. */
@@ -129,7 +132,7 @@
         suspend fun run(): RequestEnd {
             balancer.arrived(service)
             val end = withTimeoutOrNull(remaining().coerceAtLeast(1.milliseconds)) { attempts() }
-            return end ?: expire()
+            return (end ?: expire()).copy(service = service)
         }
 
         private suspend fun expire(): RequestEnd =
@@ -144,15 +147,15 @@
             while (true) {
                 when (val choice = balancer.choose(endpointRequest())) {
                     is EndpointChoice.None -> {
-                        journal.attempt(id, null, choice.reason)
+                        note("wait", null, choice.reason, null)
                         if (!hold()) return finish(lastStep(last, history()), choice.reason)
                     }
                     is EndpointChoice.Chosen -> {
                         val result = attempt(choice.endpoint)
-                        if (result !is AttemptResult.Ended) return answer.end()
+                        if (result !is AttemptResult.Ended) return answer.end().copy(endpoint = choice.endpoint.id)
                         last = result.end
                         val step = nextStep(result.end, history())
-                        journal.attempt(id, choice.endpoint, "${result.detail}; $step")
+                        note("attempt", choice.endpoint, result.detail, step)
                         if (step == NextStep.HOLD) hold()
                         if (step != NextStep.REPEAT && step != NextStep.HOLD) return finish(step, result.detail)
                     }
@@ -160,6 +163,32 @@
             }
         }
 
+        private fun note(
+            event: String,
+            endpoint: LiveEndpoint?,
+            detail: String,
+            step: NextStep?,
+        ) {
+            val state = fleet.value
+            journal(
+                RequestLine(
+                    event = event,
+                    request = id,
+                    route = route.name,
+                    service = service.text,
+                    endpoint = endpoint?.id?.text,
+                    address = endpoint?.address?.let { "${it.ip}:${it.port}" },
+                    configuration = state.view.configuration?.version,
+                    endpointsRevision = state.view.endpointsRevision,
+                    current = state.isConfigurationCurrent,
+                    sends = sends,
+                    remainingMs = remaining().inWholeMilliseconds,
+                    detail = detail,
+                    step = step?.name,
+                ),
+            )
+        }
+
         private fun endpointRequest(): EndpointRequest {
             val isFull = tried.size >= route.attempts
             // The first refusal is answered by another endpoint; later ones may come back to any that refused.
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/RequestJournal.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/RequestJournal.kt
@@ -1,47 +1,26 @@
 package org.cicadaturn.tasks.gateway
 
+import kotlinx.serialization.json.Json
+import kotlinx.serialization.json.JsonPrimitive
+import kotlinx.serialization.json.jsonObject
 import org.apache.logging.log4j.LogManager
-import org.cicadaturn.schema.generated.LiveEndpoint
+import org.apache.logging.log4j.message.StringMapMessage
+import org.cicadaturn.schema.generated.RequestLine
 
-/** Writes a line for each decision that touches a request. */
-internal interface RequestJournal {
-    /** Notes the end of an attempt at [endpoint], or why there was none. */
-    fun attempt(
-        requestId: String?,
-        endpoint: LiveEndpoint?,
-        outcome: String,
-    )
+/** Takes a line for each decision that touches a request. */
+internal typealias RequestJournal = (RequestLine) -> Unit
 
-    /** Notes how a request ended. */
-    fun end(
-        requestId: String?,
-        end: RequestEnd,
-        millis: Long,
-    )
-}
-
-/** Returns a journal that writes to the log. */
-internal fun requestJournal(): RequestJournal = LogJournal
+/** Returns a journal that writes each line to the log, as fields. */
+internal fun requestJournal(): RequestJournal = { line -> logger.info(messageOf(line)) }
 
-private object LogJournal : RequestJournal {
-    private val logger = LogManager.getLogger(RequestJournal::class.java)
-
-    override fun attempt(
-        requestId: String?,
-        endpoint: LiveEndpoint?,
-        outcome: String,
-    ) {
-        logger.info("request: {} at {} {}: {}", requestId, endpoint?.id, endpoint?.address, outcome)
+private fun messageOf(line: RequestLine): StringMapMessage {
+    val message = StringMapMessage()
+    message.with("part", "request")
+    json.encodeToJsonElement(RequestLine.serializer(), line).jsonObject.forEach { (name, value) ->
+        if (value is JsonPrimitive) message.with(name, value.content)
     }
-
-    override fun end(
-        requestId: String?,
-        end: RequestEnd,
-        millis: Long,
-    ) {
-        if (end.status in SUCCESS && end.reason == "answered") return
-        logger.info("request: {} ended with {} after {} ms: {}", requestId, end.status, millis, end.reason)
-    }
-
-    private val SUCCESS = 200..299
+    return message
 }
+
+private val json = Json { encodeDefaults = false }
+private val logger = LogManager.getLogger("org.cicadaturn.tasks.gateway.RequestJournal")
