--- a/decisions/src/main/kotlin/org/cicadaturn/decisions/experts/PlacementPlan.kt
+++ b/decisions/src/main/kotlin/org/cicadaturn/decisions/experts/PlacementPlan.kt
@@ -67,7 +67,7 @@
 
     private fun best(): Move? {
         val hot = loads.indices.maxBy { loads[it] }
-        val peak = loads[hot]
+        val limit = loads[hot] * LEAST_GAIN
         val targets =
             loads.indices
                 .filter { it != hot }
@@ -77,17 +77,32 @@
         for (expert in held[hot]) {
             for (to in targets) {
                 if (expert in held[to] || !canTake(to, expert)) continue
-                for (replaced in replaceable(to)) {
-                    for (leaves in listOf(false, true)) {
-                        val move = consider(hot, to, expert, replaced, leaves) ?: continue
-                        if (move.peak < (best?.peak ?: (peak * LEAST_GAIN))) best = move
-                    }
-                }
+                best = bestOf(best, bestTo(hot, to, expert, limit))
             }
         }
         return best
     }
 
+    /** Returns the best way to take [expert] from [from] to [to] that leaves no rank above [limit], or null. */
+    private fun bestTo(
+        from: Int,
+        to: Int,
+        expert: Int,
+        limit: Double,
+    ): Move? {
+        var best: Move? = null
+        for (replaced in replaceable(to)) {
+            best = bestOf(best, consider(from, to, expert, replaced, leaves = false))
+            best = bestOf(best, consider(from, to, expert, replaced, leaves = true))
+        }
+        return best?.takeIf { it.peak < limit }
+    }
+
+    private fun bestOf(
+        a: Move?,
+        b: Move?,
+    ): Move? = if (a == null || (b != null && b.peak < a.peak)) b else a
+
     private fun canTake(
         rank: Int,
         expert: Int,
