List again after a watch that was cut

A call that may have missed changes is now followed by a list; one that was refused outright is not. Ruled out: a slow process (other parts of the same process were back after 0.2 s).

--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/FleetTask.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/FleetTask.kt
@@ -165,9 +165,9 @@
             val answer = if (from == null) parts.store.list(part) else parts.store.watch(part, from, parts.watchWait)
             answer.fold(
                 { error ->
-                    if (error is StoreError.Compacted) {
-                        revision = null
-                    } else {
+                    // A watch that was cut may have missed changes whose history is gone, so it is followed by a list.
+                    if (error !is StoreError.Unavailable) revision = null
+                    if (error !is StoreError.Compacted) {
                         failures += 1
                         messages.send(FleetMessage.Failed(part, error))
                         delay(parts.backoff.delayBefore(failures))
--- /dev/null
+++ b/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/FleetFollowTest.kt
@@ -0,0 +1,69 @@
+package org.cicadaturn.tasks.gateway
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.awaitCancellation
+import kotlinx.coroutines.flow.first
+import kotlinx.coroutines.test.runTest
+import org.cicadaturn.decisions.gateway.FleetChange
+import org.cicadaturn.decisions.gateway.FleetChanges
+import org.cicadaturn.decisions.gateway.FleetPart
+import org.cicadaturn.decisions.retry.Backoff
+import org.cicadaturn.schema.generated.CallerLimits
+import org.cicadaturn.schema.generated.FailureDomainId
+import org.cicadaturn.schema.generated.GatewayPeer
+import org.cicadaturn.schema.generated.NetworkAddress
+import org.cicadaturn.schema.generated.ProcessId
+import org.cicadaturn.schema.generated.RoutingConfiguration
+import org.cicadaturn.tasks.store.StoreError
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Test
+import kotlin.time.Clock
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+class FleetFollowTest {
+    private val away: FleetStore = FixedFleetStore(content = null)
+
+    private fun configured(version: Long) =
+        FleetChange.Configured(RoutingConfiguration(version, emptyList(), emptyList(), null, CallerLimits()))
+
+    /** A store whose first watch is cut after changes were made and their history was dropped. */
+    private inner class ForgetfulStore : FleetStore by away {
+        val cut = CompletableDeferred<Unit>()
+        private var lists = 0
+
+        override suspend fun list(part: FleetPart): Either<StoreError, FleetChanges> {
+            if (part != FleetPart.CONFIGURATION) return FleetChanges(1, emptyList()).right()
+            lists += 1
+            return FleetChanges(lists.toLong(), listOf(configured(lists.toLong()))).right()
+        }
+
+        override suspend fun watch(
+            part: FleetPart,
+            revision: Long,
+            wait: Duration,
+        ): Either<StoreError, FleetChanges> {
+            if (part == FleetPart.CONFIGURATION && revision == 1L && !cut.isCompleted) {
+                cut.complete(Unit)
+                return StoreError.Unanswered("the watch was cut").left()
+            }
+            awaitCancellation()
+        }
+    }
+
+    /** Guards against changes that a cut watch has missed: CONFIG on scale-2 of sfl-rosterhub, seed 502893116834. */
+    @Test
+    fun `a watch that is cut is followed by a list`() =
+        runTest {
+            val store = ForgetfulStore()
+            val peer = GatewayPeer(ProcessId("g"), NetworkAddress("127.0.0.1", 1), FailureDomainId("a"))
+            val parts = FleetParts(store, peer, { null }, 10.seconds, Backoff { 10.milliseconds }, Clock.System)
+            val fleet = startFleet(backgroundScope, parts)
+            val state = fleet.state.first { (it.view.configuration?.version ?: 0L) > 1L }
+            assertEquals(2L, state.view.configuration?.version)
+        }
+}
