--- a/decisions/src/main/kotlin/org/cicadaturn/decisions/gateway/FleetBelief.kt
+++ b/decisions/src/main/kotlin/org/cicadaturn/decisions/gateway/FleetBelief.kt
@@ -73,7 +73,6 @@
     private class Source {
         var isCurrent = false
         var failedSince: Instant? = null
-        var outageEndedAt = Instant.DISTANT_PAST
         var relayedAt = Instant.DISTANT_PAST
     }
 
@@ -87,16 +86,16 @@
         content: FleetChanges,
         now: Instant,
     ) {
-        answered(part, now)
+        val lapsedUntil = answered(part, now)
         if (content.revision < revisionOf(part)) return
         val gone = if (part == FleetPart.ENDPOINTS) missingFrom(content) else emptyList()
         when (part) {
             FleetPart.CONFIGURATION -> Unit
-            FleetPart.ENDPOINTS -> gone.forEach { remove(it, now) }
+            FleetPart.ENDPOINTS -> gone.forEach { remove(it, lapsedUntil) }
             FleetPart.DRAINED_DOMAINS -> view = view.copy(drainedDomains = emptyList())
             FleetPart.PEERS -> view = view.copy(peers = emptyList())
         }
-        apply(part, content, now)
+        apply(part, content, lapsedUntil)
     }
 
     private fun missingFrom(content: FleetChanges): List<EndpointId> {
@@ -109,20 +108,25 @@
         changes: FleetChanges,
         now: Instant,
     ) {
-        answered(part, now)
+        val lapsedUntil = answered(part, now)
         if (changes.revision < revisionOf(part)) return
-        apply(part, changes, now)
+        apply(part, changes, lapsedUntil)
     }
 
+    /**
+     * Returns until when what is missing in this answer may only have lapsed: after an outage, in its first answer.
+     *
+     * A removal in a later answer is one of an entry that was there after the outage, so it counts at once.
+     */
     private fun answered(
         part: FleetPart,
         now: Instant,
-    ) {
+    ): Instant? {
         val source = sources.getValue(part)
         val since = source.failedSince
-        if (since != null && now - since >= LEAST_OUTAGE) source.outageEndedAt = now
         source.failedSince = null
         source.isCurrent = true
+        return if (since != null && now - since >= LEAST_OUTAGE) now + RENEWAL_TIME else null
     }
 
     override fun failed(
@@ -137,9 +141,9 @@
     private fun apply(
         part: FleetPart,
         changes: FleetChanges,
-        now: Instant,
+        lapsedUntil: Instant?,
     ) {
-        changes.changes.forEach { apply(it, now) }
+        changes.changes.forEach { apply(it, lapsedUntil) }
         val revision = changes.revision
         view =
             when (part) {
@@ -153,7 +157,7 @@
 
     private fun apply(
         change: FleetChange,
-        now: Instant,
+        lapsedUntil: Instant?,
     ) {
         when (change) {
             is FleetChange.Configured -> {
@@ -163,7 +167,7 @@
                 }
             }
             is FleetChange.EndpointListed -> put(change.endpoint)
-            is FleetChange.EndpointGone -> remove(change.endpoint, now)
+            is FleetChange.EndpointGone -> remove(change.endpoint, lapsedUntil)
             is FleetChange.DomainDrained ->
                 view = view.copy(drainedDomains = (view.drainedDomains + change.domain).distinct())
             is FleetChange.DomainReturned -> view = view.copy(drainedDomains = view.drainedDomains - change.domain)
@@ -180,13 +184,11 @@
 
     private fun remove(
         id: EndpointId,
-        now: Instant,
+        lapsedUntil: Instant?,
     ) {
         val entry = view.endpoints.firstOrNull { it.id == id } ?: return
-        val ended = sources.getValue(FleetPart.ENDPOINTS).outageEndedAt
-        val mayHaveLapsed = entry.state == AdmissionState.IN_SERVICE && now - ended < RENEWAL_TIME
-        if (mayHaveLapsed) {
-            held[id] = ended + RENEWAL_TIME
+        if (lapsedUntil != null && entry.state == AdmissionState.IN_SERVICE) {
+            held[id] = lapsedUntil
             return
         }
         held.remove(id)
@@ -201,17 +203,13 @@
         val configuration = view.configuration
         if (configuration != null && view.configurationRevision >= mine.configurationRevision) {
             sources.getValue(FleetPart.CONFIGURATION).relayedAt = now
-            apply(
-                FleetPart.CONFIGURATION,
-                view.configurationRevision,
-                listOf(FleetChange.Configured(configuration)),
-                now,
-            )
+            val change = FleetChange.Configured(configuration)
+            apply(FleetPart.CONFIGURATION, FleetChanges(view.configurationRevision, listOf(change)), null)
         }
         if (view.endpointsRevision > mine.endpointsRevision) {
             val content = FleetChanges(view.endpointsRevision, view.endpoints.map { FleetChange.EndpointListed(it) })
-            missingFrom(content).forEach { remove(it, now) }
-            apply(FleetPart.ENDPOINTS, content, now)
+            missingFrom(content).forEach { remove(it, null) }
+            apply(FleetPart.ENDPOINTS, content, null)
         }
         if (view.domainsRevision > mine.domainsRevision) {
             this.view = this.view.copy(drainedDomains = view.drainedDomains, domainsRevision = view.domainsRevision)
@@ -221,13 +219,6 @@
         }
     }
 
-    private fun apply(
-        part: FleetPart,
-        revision: Long,
-        changes: List<FleetChange>,
-        now: Instant,
-    ) = apply(part, FleetChanges(revision, changes), now)
-
     override fun state(now: Instant): FleetState {
         val expired = held.filterValues { it <= now }.keys.toSet()
         if (expired.isNotEmpty()) {
--- a/decisions/src/test/kotlin/org/cicadaturn/decisions/gateway/FleetBeliefTest.kt
+++ b/decisions/src/test/kotlin/org/cicadaturn/decisions/gateway/FleetBeliefTest.kt
@@ -96,6 +96,17 @@
         assertEquals(emptySet<String>(), ids(5.seconds))
     }
 
+    /** Guards against work for one that left after an outage: DRAIN on premia-ne trouble-1, seed 135960541388. */
+    @Test
+    fun `an entry that goes after the first answer is gone at once`() {
+        belief.listed(FleetPart.ENDPOINTS, listed("a", "b"), start)
+        belief.failed(FleetPart.ENDPOINTS, start + 1.seconds)
+        belief.listed(FleetPart.ENDPOINTS, listed("a", "b"), start + 5.seconds)
+        val gone = FleetChanges(13, listOf(FleetChange.EndpointGone(EndpointId("a"))))
+        belief.changed(FleetPart.ENDPOINTS, gone, start + 6.seconds)
+        assertEquals(setOf("b"), ids(6.seconds))
+    }
+
     /** Guards against a short failure that delays the removal of an endpoint that left. */
     @Test
     fun `a short failure keeps nothing`() {
