--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/RequestHandler.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/RequestHandler.kt
@@ -192,7 +192,7 @@
         private fun endpointRequest(): EndpointRequest {
             val isFull = tried.size >= route.attempts
             // The first refusal is answered by another endpoint; later ones may come back to any that refused.
-            val excluded = if (sends <= 1) tried else spent
+            val excluded = if (sends <= 1) tried + spent else spent
             return EndpointRequest(service, excluded.toSet(), tried.toSet().takeIf { isFull }, isRepeat = sends > 0)
         }
 
@@ -240,8 +240,8 @@
                 head = headFor(endpoint, remaining),
                 body = request.body,
                 requestId = id,
-                firstByteLimit = minOf(limit, remaining).coerceAtLeast(1.milliseconds),
-                gapLimit = minOf(limit, remaining).coerceAtLeast(1.milliseconds),
+                firstByteLimit = minOf(limit, remaining - ANSWER_TIME).coerceAtLeast(1.milliseconds),
+                gapLimit = minOf(limit, remaining - ANSWER_TIME).coerceAtLeast(1.milliseconds),
                 remaining = remaining,
             )
         }
@@ -331,6 +331,9 @@
         /** Time after which a held request is offered again although nothing was accepted. */
         val HOLD_INTERVAL = 400.milliseconds
 
+        /** Time to answer the caller before its deadline. */
+        val ANSWER_TIME = 10.milliseconds
+
         /** Answers that take longer than this many times the target are asked for elsewhere. */
         const val SLOW_FACTOR = 4
 
--- a/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/EndpointFaultTest.kt
+++ b/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/EndpointFaultTest.kt
@@ -7,6 +7,8 @@
 import org.junit.jupiter.api.Test
 import org.junit.jupiter.api.TestFactory
 import java.io.OutputStream
+import java.util.concurrent.CountDownLatch
+import java.util.concurrent.TimeUnit
 
 /** What callers get while an endpoint misbehaves on the wire. */
 class EndpointFaultTest {
@@ -105,6 +107,32 @@
         }
     }
 
+    /** Guards against attempts that all go to the one endpoint that accepts no connection. */
+    @Test
+    fun `an endpoint without a connection is not tried again`() {
+        val gone = ScriptedEndpoint(::good)
+        ScriptedEndpoint(::good).use { sound ->
+            TestGateway(listOf(gone, sound)).use { gateway ->
+                gone.close()
+                assertEquals(200, exchange(gateway.port, request("/once/x")).status)
+            }
+        }
+    }
+
+    /** Guards against an answer at the deadline that the end of the deadline cuts. */
+    @Test
+    fun `a request that is not answered by its deadline gets a whole answer`() {
+        val silent: (RawRequest, OutputStream) -> Boolean = { _, _ -> CountDownLatch(1).await(2, TimeUnit.SECONDS) }
+        ScriptedEndpoint(silent).use { endpoint ->
+            TestGateway(listOf(endpoint)).use { gateway ->
+                repeat(5) {
+                    val answer = exchange(gateway.port, request("/once/x", "X-Deadline: 300\r\n"))
+                    assertTrue(answer.isComplete && answer.status in setOf(502, 504), "status ${answer.status}")
+                }
+            }
+        }
+    }
+
     /** Guards against an extra answer that is taken for the answer to the next request. */
     @Test
     fun `bytes after an answer belong to no request`() {
