--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/RequestHandler.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/RequestHandler.kt
@@ -10,7 +10,6 @@
 import org.cicadaturn.decisions.gateway.FleetState
 import org.cicadaturn.decisions.gateway.NextStep
 import org.cicadaturn.decisions.gateway.RouteTable
-import org.cicadaturn.decisions.gateway.StreamEvent
 import org.cicadaturn.decisions.gateway.comeBackAfter
 import org.cicadaturn.decisions.gateway.holdLimit
 import org.cicadaturn.decisions.gateway.lastStep
@@ -31,7 +30,6 @@
 import kotlin.time.Clock
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
-import kotlin.time.DurationUnit
 import kotlin.time.Instant
 
 /**
@@ -45,15 +43,6 @@
     val arrivedAt: Instant,
 )
 
-/** How a request ended, for logs and metrics. */
-internal data class RequestEnd(
-    val status: Int,
-    val reason: String,
-    val keepsConnection: Boolean,
-    val service: ServiceId? = null,
-    val endpoint: EndpointId? = null,
-)
-
 /** Serves requests: admission, choice of endpoints, attempts and the answer. */
 internal class RequestHandler(
     private val fleet: StateFlow<FleetState>,
@@ -344,106 +333,3 @@
         const val GATEWAY_TIMEOUT = 504
     }
 }
-
-/** The answer to one request, on the caller's connection. */
-internal class CallerAnswer(
-    private val caller: HttpLink,
-    private val isStopping: () -> Boolean,
-    private val callerCloses: Boolean,
-) : AnswerSink {
-    /** True once a part of the answer may have reached the caller. */
-    var isBegun = false
-        private set
-
-    /** Identifier of the last event that the caller was sent. */
-    var lastEventId: Long? = null
-        private set
-
-    private var isComplete = false
-    private var closes = callerCloses
-    private var status = 0
-
-    private fun closing(): Boolean {
-        closes = callerCloses || isStopping()
-        return closes
-    }
-
-    override suspend fun whole(
-        head: ResponseHead,
-        body: ByteArray,
-    ): Boolean {
-        isBegun = true
-        status = head.status
-        isComplete = caller.sendResponse(ResponseHead(head.status, head.headers.endToEnd(), closing()), body)
-        return isComplete
-    }
-
-    override suspend fun event(
-        head: ResponseHead,
-        event: StreamEvent,
-    ): Boolean {
-        val id = event.id
-        val last = lastEventId
-        // The endpoint that continues a stream may begin before the event that was asked for.
-        if (id != null && last != null && id <= last) return true
-        begin(head)
-        if (id != null) lastEventId = id
-        return caller.sendData(event.bytes)
-    }
-
-    override suspend fun piece(
-        head: ResponseHead,
-        bytes: ByteArray,
-    ): Boolean {
-        begin(head)
-        return caller.sendData(bytes)
-    }
-
-    private suspend fun begin(head: ResponseHead) {
-        if (isBegun) return
-        isBegun = true
-        status = head.status
-        caller.sendHead(ResponseHead(head.status, head.headers.endToEnd(), closing()))
-    }
-
-    override suspend fun end(head: ResponseHead): Boolean {
-        begin(head)
-        isComplete = caller.sendEnd()
-        return isComplete
-    }
-
-    fun end(): RequestEnd = RequestEnd(status, if (isComplete) "answered" else "caller gone", isComplete && !closes)
-
-    /** Ends an answer that was begun, so that it does not look complete. */
-    fun cut(reason: String): RequestEnd {
-        caller.close()
-        return RequestEnd(status, "cut: $reason", keepsConnection = false)
-    }
-
-    /** Says that the request has not run and when to come back. */
-    suspend fun refuse(
-        retryAfter: Duration,
-        reason: String,
-    ): RequestEnd {
-        val seconds = retryAfter.toDouble(DurationUnit.SECONDS).toString()
-        return own(UNAVAILABLE, reason, listOf(Header("Retry-After", seconds)))
-    }
-
-    /** Sends an answer of the gateway itself. */
-    suspend fun own(
-        status: Int,
-        reason: String,
-        headers: List<Header>,
-    ): RequestEnd {
-        isBegun = true
-        this.status = status
-        val text = "$reason\n".encodeToByteArray()
-        val head = ResponseHead(status, headers + Header("Content-Type", "text/plain; charset=utf-8"), closing())
-        isComplete = caller.sendResponse(head, text)
-        return RequestEnd(status, reason, isComplete && !closes)
-    }
-
-    private companion object {
-        const val UNAVAILABLE = 503
-    }
-}
