Release a hold that is carried out after its switch was given up

Cause: a hold order that got no answer within 2 s may be carried out later, after the group was looked at anew. Holds do not expire, a held group makes no passes, and the conductor only turned to another rank when counts stopped to grow. Remedy: after some reads without growth, the holder's report is read; a held group is looked at anew, which takes up what is left over.

Each group now has a task of its own, so a long switch of one does not stop the balancing of another, and a service may have several groups: a group is whole by the size that its ranks report.

ConductorTest fails without the check (no hold released in 60 s) and passes with it.

--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/experts/Conductor.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/experts/Conductor.kt
@@ -1,6 +1,7 @@
 package org.cicadaturn.tasks.experts
 
 import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Job
 import kotlinx.coroutines.async
 import kotlinx.coroutines.awaitAll
 import kotlinx.coroutines.coroutineScope
@@ -11,11 +12,11 @@
 import org.cicadaturn.decisions.experts.ExpertMap
 import org.cicadaturn.decisions.experts.PlacementBounds
 import org.cicadaturn.decisions.experts.PlacementPlan
-import org.cicadaturn.decisions.experts.RankState
 import org.cicadaturn.decisions.experts.demandEstimate
 import org.cicadaturn.decisions.experts.leftOver
 import org.cicadaturn.decisions.experts.mapVersions
 import org.cicadaturn.decisions.experts.planPlacement
+import org.cicadaturn.schema.generated.EndpointId
 import org.cicadaturn.schema.generated.ExpertProfile
 import org.cicadaturn.schema.generated.LiveEndpoint
 import org.cicadaturn.schema.generated.ServiceId
@@ -44,69 +45,91 @@
     val profile: ExpertProfile,
 )
 
+/** Finds the groups and starts a task for each; has one owner. */
 private class Conductor(
     private val fleet: Fleet,
     private val lease: Lease,
     private val calls: RankCalls,
     private val clock: Clock,
 ) {
-    private val groups = HashMap<String, GroupWork>()
+    private class Work(
+        val ids: Set<EndpointId>,
+        val job: Job,
+    )
+
+    private val works = mutableListOf<Work>()
     private val versions = mapVersions()
 
-    suspend fun run() {
-        while (true) {
-            if (lease.token() == null) {
-                groups.clear()
-                delay(IDLE_INTERVAL)
-                continue
+    suspend fun run() =
+        coroutineScope {
+            while (true) {
+                works.removeIf { !it.job.isActive }
+                if (lease.token() != null) discover(this)
+                delay(DISCOVERY_INTERVAL)
             }
-            if (groups.isEmpty()) discover()
-            groups.values.toList().forEach { work -> if (!work.cycle()) groups.remove(work.group.name) }
-            delay(if (groups.values.all { it.isIdle }) IDLE_INTERVAL else CYCLE_INTERVAL)
         }
-    }
 
-    /** Finds the groups by the reports of the endpoints; a group counts only if all its ranks report one epoch. */
-    private suspend fun discover() {
+    /** Starts the work for groups of endpoints that no task balances yet. */
+    private suspend fun discover(scope: CoroutineScope) {
         val view = fleet.state.value.view
+        val known = works.flatMapTo(HashSet()) { it.ids }
         val services =
             view.configuration
                 ?.services
                 .orEmpty()
-                .filter { it.experts != null }
         for (service in services) {
-            val endpoints = view.endpoints.filter { it.service == service.id }
+            val profile = service.experts ?: continue
+            val endpoints = view.endpoints.filter { it.service == service.id && it.id !in known }
+            if (endpoints.isEmpty()) continue
             // What another process ordered just before must be in the reports.
-            delay(service.experts!!.reportLag * 2)
+            delay(profile.reportLag * 2)
             val reports = gather(endpoints) { calls.report(it) }
-            reports.entries.groupBy { it.value.group }.forEach { (name, members) ->
-                val epochs = members.map { it.value.state.epoch }.toSet()
-                val ranks = members.associate { it.value.rank to it.key }
-                val isWhole = epochs.size == 1 && ranks.keys == (0 until ranks.size).toSet()
-                if (!isWhole || members.any { !it.value.isOpen } || members.size != endpoints.size) return@forEach
-                val group = Group(name, service.id, epochs.single(), ranks, service.experts!!)
-                val states = members.associate { it.value.rank to it.value.state }
-                open(group, GroupOrders(group, calls, lease, clock, versions), states)
+            reports.entries.groupBy { it.value.group }.values.forEach { members ->
+                if (!isWhole(members.map { it.value })) return@forEach
+                val ids = members.map { it.key.id }.toSet()
+                works += Work(ids, scope.launch { balance(service.id, profile, members.associate { it.toPair() }) })
             }
         }
     }
 
-    private suspend fun open(
-        group: Group,
-        orders: GroupOrders,
-        states: Map<Int, RankState>,
+    /** A group counts only if all its ranks report one epoch. */
+    private fun isWhole(reports: List<RankReport>): Boolean {
+        val epochs = reports.map { it.state.epoch }.toSet()
+        val ranks = reports.map { it.rank }.toSet()
+        val size = reports.first().size
+        return epochs.size == 1 && ranks == (0 until size).toSet() && reports.size == size && reports.all { it.isOpen }
+    }
+
+    /** Balances a group until the lease is lost or the group has to be looked at anew. */
+    private suspend fun balance(
+        service: ServiceId,
+        profile: ExpertProfile,
+        members: Map<LiveEndpoint, RankReport>,
     ) {
-        leftOver(states)?.let { phase ->
+        val first = members.values.first()
+        val ranks = members.entries.associate { it.value.rank to it.key }
+        val group = Group(first.group, service, first.state.epoch, ranks, profile)
+        val orders = GroupOrders(group, calls, lease, clock, versions)
+        leftOver(members.values.associate { it.rank to it.state })?.let { phase ->
             logger.info("experts: {} takes up {}", group.name, phase)
             if (!orders.finish(phase)) return
         }
+        val work = open(group, orders) ?: return
+        while (lease.token() != null && work.cycle()) delay(if (work.isIdle) IDLE_INTERVAL else CYCLE_INTERVAL)
+    }
+
+    /** Reads the map of every rank; returns null if they differ. */
+    private suspend fun open(
+        group: Group,
+        orders: GroupOrders,
+    ): GroupWork? {
         val maps = gather(group.ranks.values.toList()) { calls.map(it) }
         val byRank = group.ranks.mapValues { maps[it.value] }
-        val versions = byRank.values.map { it?.version }.toSet()
-        val version = versions.singleOrNull()
+        val inUse = byRank.values.map { it?.version }.toSet()
+        val version = inUse.singleOrNull()
         if (version == null || byRank.values.any { it!!.epoch != group.epoch }) {
-            logger.info("experts: {} has maps {}", group.name, versions)
-            return
+            logger.info("experts: {} has maps {}", group.name, inUse)
+            return null
         }
         val sets =
             (0 until group.profile.sets).map { s ->
@@ -115,13 +138,16 @@
                     .map { r -> byRank.getValue(r)!!.experts[s] }
             }
         logger.info("experts: {} epoch {} has {} ranks and map {}", group.name, group.epoch, group.ranks.size, version)
-        groups[group.name] = GroupWork(group, orders, calls, ExpertMap(sets), version)
+        return GroupWork(group, orders, calls, ExpertMap(sets), version)
     }
 
     private companion object {
         val logger = LogManager.getLogger(Conductor::class.java)
 
-        /** Time between looks for the lease, for a whole group or for requests. */
+        /** Time between looks for the lease and for groups. */
+        val DISCOVERY_INTERVAL = 250.milliseconds
+
+        /** Time between reads of the counts of a group without requests. */
         val IDLE_INTERVAL = 700.milliseconds
 
         /** Time between reads of the counts; demand shifts within seconds. */
@@ -154,7 +180,7 @@
         val picked = calls.picked(group.ranks.getValue(rank)) ?: return false
         if (picked.epoch != group.epoch) return false
         val hasGrown = demand.add(rank, picked.counts)
-        if (!hasGrown) return true.also { lackOfDemand() }
+        if (!hasGrown) return lackOfDemand()
         lacking = 0
         // Until the pass of the last switch the ranks are armed and refuse copies.
         if (picked.step < settledFrom) return true
@@ -163,10 +189,17 @@
         return change(plan, picked.step)
     }
 
-    /** The ranks of a group choose alike, so one is enough, unless it has no requests. */
-    private fun lackOfDemand() {
+    /**
+     * Turns to another rank from time to time, as a rank may have no requests; returns false if the group is held.
+     *
+     * A hold whose answer was lost may be carried out long after the switch was given up, and does not expire.
+     */
+    private suspend fun lackOfDemand(): Boolean {
         lacking += 1
-        if (lacking % READS_BEFORE_NEXT_RANK == 0) turn += 1
+        if (lacking % READS_BEFORE_NEXT_RANK != 0) return true
+        turn += 1
+        val holder = group.ranks.getValue(GroupOrders.HOLDER)
+        return calls.report(holder)?.state?.held == null
     }
 
     private suspend fun change(
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/experts/GroupOrders.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/experts/GroupOrders.kt
@@ -149,18 +149,18 @@
                 .toMap()
         }
 
-    private companion object {
-        val logger = LogManager.getLogger(GroupOrders::class.java)
+    companion object {
+        private val logger = LogManager.getLogger(GroupOrders::class.java)
 
         /** Rank that holds the group; any would do. */
         const val HOLDER = 0
 
         /** Passes that may have begun since the last known one. */
-        const val MOST_STEPS_AHEAD = 40
-        const val CHECK_EVERY = 5
+        private const val MOST_STEPS_AHEAD = 40
+        private const val CHECK_EVERY = 5
 
-        val HOLD_TIME = 2.seconds
-        val PREPARE_TIME = 6.seconds
-        val REPEAT_INTERVAL = 40.milliseconds
+        private val HOLD_TIME = 2.seconds
+        private val PREPARE_TIME = 6.seconds
+        private val REPEAT_INTERVAL = 40.milliseconds
     }
 }
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/experts/RankCalls.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/experts/RankCalls.kt
@@ -8,11 +8,13 @@
 /**
  * What an endpoint reports of itself as a rank.
  *
+ * @property size ranks of the group
  * @property isOpen false while the group cannot run
  */
 public data class RankReport(
     val group: String,
     val rank: Int,
+    val size: Int,
     val isOpen: Boolean,
     val state: RankState,
 )
--- a/tasks/src/test/kotlin/org/cicadaturn/tasks/experts/ConductorTest.kt
+++ b/tasks/src/test/kotlin/org/cicadaturn/tasks/experts/ConductorTest.kt
@@ -72,7 +72,7 @@
         private fun rankOf(endpoint: LiveEndpoint) = endpoints.indexOf(endpoint)
 
         override suspend fun report(endpoint: LiveEndpoint) =
-            RankReport("g", rankOf(endpoint), isOpen = true, RankState(1, 10, 0, null, null, null))
+            RankReport("g", rankOf(endpoint), RANKS, isOpen = true, RankState(1, 10, 0, null, null, null))
 
         override suspend fun picked(endpoint: LiveEndpoint): PickedExperts {
             reads += 1
@@ -98,6 +98,72 @@
         }
     }
 
+    /** A group whose rank 0 leaves all holds without an answer and carries one out when the demand is even again. */
+    private inner class LateHolder : RankCalls {
+        var held: Long? = null
+            private set
+        val released = mutableListOf<Long>()
+        private var readsSinceHold: Int? = null
+        private var step = 0L
+        private val counts = DoubleArray(EXPERTS)
+
+        private fun rankOf(endpoint: LiveEndpoint) = endpoints.indexOf(endpoint)
+
+        /** A held group neither begins passes nor chooses experts. */
+        private fun pass() {
+            if (held != null) return
+            step += 5
+            val reads = readsSinceHold
+            for (e in counts.indices) counts[e] += if (e == 0 && reads == null) 5_000.0 else 100.0
+            if (reads == null) return
+            readsSinceHold = reads + 1
+            if (reads == READS_BEFORE_LATE_HOLD) held = step + 1
+        }
+
+        override suspend fun report(endpoint: LiveEndpoint): RankReport {
+            val holder = held.takeIf { rankOf(endpoint) == 0 }
+            return RankReport("g", rankOf(endpoint), RANKS, isOpen = true, RankState(1, step, 0, null, null, holder))
+        }
+
+        override suspend fun picked(endpoint: LiveEndpoint): PickedExperts {
+            pass()
+            return PickedExperts(step, 1, counts.copyOf())
+        }
+
+        override suspend fun map(endpoint: LiveEndpoint) =
+            RankMap(0, 1, listOf((0 until EXPERTS).filter { it % RANKS == rankOf(endpoint) }))
+
+        override suspend fun order(
+            endpoint: LiveEndpoint,
+            order: RankOrder,
+            epoch: Long,
+            token: Long,
+        ): OrderAnswer =
+            when (order) {
+                is RankOrder.Hold -> {
+                    if (readsSinceHold == null) readsSinceHold = 0
+                    delay(120.milliseconds)
+                    OrderAnswer.LOST
+                }
+                is RankOrder.Go -> OrderAnswer.DONE.also { released += order.step }.also { held = null }
+                else -> OrderAnswer.DONE
+            }
+    }
+
+    /** Guards against a group that stands still for good, as holds do not expire. */
+    @Test
+    fun `a hold that is carried out after the switch was given up is released`() =
+        runTest {
+            val ranks = LateHolder()
+            val clock =
+                object : Clock {
+                    override fun now(): Instant = Instant.fromEpochMilliseconds(currentTime)
+                }
+            startConductor(backgroundScope, fleet, lease, ranks, clock)
+            delay(60.seconds)
+            assertTrue(ranks.released.isNotEmpty(), "no hold was released; held is ${ranks.held}")
+        }
+
     /** Guards against two maps under one version, which ranks cannot notice: MAP on premia-ne mix, seed 233767006289. */
     @Test
     fun `a version is never sent with two maps`() =
@@ -119,5 +185,8 @@
         const val RANKS = 3
         const val EXPERTS = 9
         const val READS_PER_SHIFT = 4
+
+        /** Reads of the counts between the first hold and the moment at which it is carried out. */
+        const val READS_BEFORE_LATE_HOLD = 5
     }
 }
