Choose the held pass by the pace of the passes, later where orders get lost

A prepare without an answer also kept all ranks waiting for its time-out before the copies were counted.

--- a/bench/src/main/kotlin/org/cicadaturn/bench/placement/PlacementRun.kt
+++ b/bench/src/main/kotlin/org/cicadaturn/bench/placement/PlacementRun.kt
@@ -98,12 +98,12 @@
             val plan = plan(choices)
             if (plan.before - plan.after < LEAST_GAIN) break
             changesLeft -= 1
-            left -= pass(options.copyTime * plan.mostCopies, left, choices, WHILE_COPYING)
+            left -= pass(options.copyTime * plan.newExperts.max(), left, choices, WHILE_COPYING)
             left -= pass(options.orderTime, left, choices, SOUND)
             if (left <= Duration.ZERO) break
             map = plan.map
             changes += 1
-            copies += plan.copies
+            copies += plan.newExperts.sum()
             left -= pass(options.readInterval / 2, left, choices, SOUND)
         }
         pass(left, left, choices, SOUND)
--- a/decisions/src/main/kotlin/org/cicadaturn/decisions/experts/PlacementPlan.kt
+++ b/decisions/src/main/kotlin/org/cicadaturn/decisions/experts/PlacementPlan.kt
@@ -5,15 +5,13 @@
  *
  * @property before mean over the sets of the most loaded rank's load, in parts of the mean, under the current map
  * @property after the same under [map]
- * @property copies experts that have to be copied
- * @property mostCopies experts that the rank with the most has to copy, which sets the time
+ * @property newExperts experts of all sets that each rank has to copy; the most of a rank set the time
  */
 public data class PlacementPlan(
     val map: ExpertMap,
     val before: Double,
     val after: Double,
-    val copies: Int,
-    val mostCopies: Int,
+    val newExperts: List<Int>,
 )
 
 /**
@@ -37,7 +35,7 @@
     }
     val map = ExpertMap(searches.map { it.ranks() })
     val before = skewOf(current, demand).average()
-    return PlacementPlan(map, before, skewOf(map, demand).average(), taken.sum(), taken.max())
+    return PlacementPlan(map, before, skewOf(map, demand).average(), taken.toList())
 }
 
 /** Search in one set; [taken] counts the new experts of each rank over all sets. */
--- a/decisions/src/test/kotlin/org/cicadaturn/decisions/experts/PlacementPlanTest.kt
+++ b/decisions/src/test/kotlin/org/cicadaturn/decisions/experts/PlacementPlanTest.kt
@@ -60,8 +60,7 @@
                     map.sets.indices.sumOf { s -> plan.map.sets[s][r].count { it !in map.sets[s][r] } }
                 }
             assertTrue(new.max() <= 1, "$new")
-            assertEquals(new.max(), plan.mostCopies)
-            assertEquals(new.sum(), plan.copies)
+            assertEquals(new, plan.newExperts)
             map = plan.map
         }
     }
@@ -70,6 +69,6 @@
     @Test
     fun `an even demand moves nothing`() {
         val plan = planPlacement(firstMap(), listOf(DoubleArray(72) { 10.0 }), bounds)
-        assertEquals(0, plan.copies)
+        assertEquals(0, plan.newExperts.sum())
     }
 }
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/experts/Conductor.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/experts/Conductor.kt
@@ -16,6 +16,7 @@
 import org.cicadaturn.decisions.experts.leftOver
 import org.cicadaturn.decisions.experts.mapVersions
 import org.cicadaturn.decisions.experts.planPlacement
+import org.cicadaturn.decisions.experts.stepEstimate
 import org.cicadaturn.schema.generated.EndpointId
 import org.cicadaturn.schema.generated.ExpertProfile
 import org.cicadaturn.schema.generated.LiveEndpoint
@@ -138,7 +139,7 @@
                     .map { r -> byRank.getValue(r)!!.experts[s] }
             }
         logger.info("experts: {} epoch {} has {} ranks and map {}", group.name, group.epoch, group.ranks.size, version)
-        return GroupWork(group, orders, calls, ExpertMap(sets), version)
+        return GroupWork(group, orders, calls, clock, ExpertMap(sets), version)
     }
 
     private companion object {
@@ -160,6 +161,7 @@
     val group: Group,
     private val orders: GroupOrders,
     private val calls: RankCalls,
+    private val clock: Clock,
     private var map: ExpertMap,
     private var version: Long,
 ) {
@@ -172,6 +174,7 @@
 
     /** True while the group has no requests. */
     val isIdle: Boolean get() = lacking > 0
+    private val steps = stepEstimate()
     private val demand: DemandEstimate = demandEstimate(profile.sets, profile.experts)
 
     /** Reads the counts of a rank and changes the map if that pays; returns false to look at the group anew. */
@@ -179,6 +182,7 @@
         val rank = group.ranks.keys.sorted()[turn % group.ranks.size]
         val picked = calls.picked(group.ranks.getValue(rank)) ?: return false
         if (picked.epoch != group.epoch) return false
+        steps.read(picked.step, clock.now())
         val hasGrown = demand.add(rank, picked.counts)
         if (!hasGrown) return lackOfDemand()
         lacking = 0
@@ -186,7 +190,7 @@
         if (picked.step < settledFrom) return true
         val plan = planPlacement(map, demand.choices(), bounds)
         if (plan.before - plan.after < LEAST_GAIN) return true
-        return change(plan, picked.step)
+        return change(plan)
     }
 
     /**
@@ -202,11 +206,8 @@
         return calls.report(holder)?.state?.held == null
     }
 
-    private suspend fun change(
-        plan: PlacementPlan,
-        step: Long,
-    ): Boolean {
-        val next = orders.switch(plan.map, version, plan.mostCopies, step) ?: return false
+    private suspend fun change(plan: PlacementPlan): Boolean {
+        val next = orders.switch(plan, version, steps) ?: return false
         logger.info("experts: {} uses map {}: skew {} to {}", group.name, next.version, plan.before, plan.after)
         map = plan.map
         version = next.version
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/experts/GroupOrders.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/experts/GroupOrders.kt
@@ -5,10 +5,12 @@
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
 import org.apache.logging.log4j.LogManager
-import org.cicadaturn.decisions.experts.ExpertMap
 import org.cicadaturn.decisions.experts.MapVersions
 import org.cicadaturn.decisions.experts.OrderAnswer
+import org.cicadaturn.decisions.experts.PlacementPlan
+import org.cicadaturn.decisions.experts.RankOrder
 import org.cicadaturn.decisions.experts.RankState
+import org.cicadaturn.decisions.experts.StepEstimate
 import org.cicadaturn.decisions.experts.SwitchPhase
 import org.cicadaturn.decisions.experts.after
 import org.cicadaturn.decisions.experts.orders
@@ -17,6 +19,7 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
+import kotlin.time.Instant
 
 /** Version that a group uses from pass [step] on. */
 internal data class Switched(
@@ -35,26 +38,29 @@
     /** Token that the last order carried; a switch that is under way is finished with it. */
     private var token = 0L
 
+    /** Time until which orders are taken to be lost now and then. */
+    private var lossyUntil = Instant.DISTANT_PAST
+
     /**
-     * Switches the group from [version] to [map] and returns the new version with the pass from which it is in use, or
-     * null if that is not certain.
-     *
-     * @param mostCopies experts that the rank with the most has to copy
-     * @param step last pass that is known to have begun
+     * Switches the group from [version] to the map of [plan] and returns the new version with the pass from which it
+     * is in use, or null if that is not certain; [steps] tells the passes.
      */
     suspend fun switch(
-        map: ExpertMap,
+        plan: PlacementPlan,
         version: Long,
-        mostCopies: Int,
-        step: Long,
+        steps: StepEstimate,
     ): Switched? {
         token = lease.token() ?: return null
         val new = versions.next(token, version)
-        if (!prepare(SwitchPhase.Preparing(new, map, group.ranks.keys.toSet()), mostCopies)) return null
+        val all = group.ranks.keys.toSet()
+        if (!prepare(SwitchPhase.Preparing(new, plan.map, all), plan.newExperts)) return null
+        // The group waits at the held pass for lost arms, so that pass comes later where orders are being lost.
+        val ahead = if (clock.now() < lossyUntil) STEPS_AHEAD_IF_LOSSY else 1
+        val first = steps.at(clock.now()) + ahead
         // A hold for a pass that has begun is refused at once, so the first pass that can be held is searched.
-        for (next in step + 1..step + MOST_STEPS_AHEAD) {
+        for (next in first..first + MOST_STEPS_AHEAD) {
             if (lease.token() != token) return null
-            val holding = SwitchPhase.Holding(new, next, HOLDER, group.ranks.keys.toSet())
+            val holding = SwitchPhase.Holding(new, next, HOLDER, all)
             val held = run(holding, HOLD_TIME) { it is SwitchPhase.Holding }
             if (held is SwitchPhase.Arming) {
                 // Between the hold and here this process may have been suspended and replaced.
@@ -72,35 +78,50 @@
         return run(phase, Duration.INFINITE) { true } == SwitchPhase.Done
     }
 
-    /** Sends the copies and returns true once every rank has confirmed them. */
+    /** Has [newExperts] copied by each rank and returns true once all have confirmed. */
     private suspend fun prepare(
         start: SwitchPhase.Preparing,
-        mostCopies: Int,
+        newExperts: List<Int>,
     ): Boolean {
         val latest = clock.now() + PREPARE_TIME
-        var phase: SwitchPhase = start
-        var wait = group.profile.copyTime * mostCopies
-        while (phase is SwitchPhase.Preparing && phase.missing.isNotEmpty()) {
-            if (lease.token() != token || clock.now() >= latest) return false
-            val answers = send(phase)
-            answers.forEach { (rank, answer) -> phase = phase.after(rank, phase.orders().getValue(rank), answer) }
-            val current = phase as? SwitchPhase.Preparing ?: break
-            if (answers.values.any { it == OrderAnswer.REFUSED }) {
-                // A rank that has the copies may refuse the same version as no higher one; its report tells.
-                phase = current.reported(states() ?: return false)
-                if (isRefused(phase, answers)) return false.also { logger.info("experts: {} {}", group.name, answers) }
+        val answers =
+            coroutineScope {
+                start
+                    .orders()
+                    .map { (rank, order) -> async { rank to prepareRank(rank, order, newExperts[rank], latest) } }
+                    .awaitAll()
+                    .toMap()
             }
-            delay(wait)
-            wait = REPEAT_INTERVAL
-        }
+        var phase: SwitchPhase = start
+        answers.forEach { (rank, answer) -> phase = phase.after(rank, start.orders().getValue(rank), answer) }
         if (phase == SwitchPhase.Abandoned) lease.forfeit()
-        return phase is SwitchPhase.Preparing
+        var left = phase as? SwitchPhase.Preparing ?: return false
+        // A rank that has the copies may refuse the same version as no higher one; its report tells.
+        if (answers.containsValue(OrderAnswer.REFUSED)) left = left.reported(states() ?: return false)
+        if (left.missing.isNotEmpty()) logger.info("experts: {} not prepared: {}", group.name, answers)
+        return left.missing.isEmpty()
     }
 
-    private fun isRefused(
-        phase: SwitchPhase.Preparing,
-        answers: Map<Int, OrderAnswer>,
-    ): Boolean = phase.missing.any { answers[it] == OrderAnswer.REFUSED }
+    /** Repeats [order] until [rank] has copied its new experts or refuses. */
+    private suspend fun prepareRank(
+        rank: Int,
+        order: RankOrder,
+        newExperts: Int,
+        latest: Instant,
+    ): OrderAnswer {
+        var wait = group.profile.copyTime * newExperts
+        while (true) {
+            val answer = send(rank, order)
+            val isOpen = answer == OrderAnswer.ACCEPTED || answer == OrderAnswer.LOST
+            if (!isOpen || lease.token() != token || clock.now() >= latest) return answer
+            if (answer == OrderAnswer.LOST) {
+                delay(LOST_INTERVAL)
+            } else {
+                delay(wait)
+                wait = REPEAT_INTERVAL
+            }
+        }
+    }
 
     /** Returns the state of every rank, or null if one does not answer or the epoch has changed. */
     private suspend fun states(): Map<Int, RankState>? {
@@ -143,12 +164,20 @@
         coroutineScope {
             phase
                 .orders()
-                .map { (rank, order) ->
-                    async { rank to calls.order(group.ranks.getValue(rank), order, group.epoch, token) }
-                }.awaitAll()
+                .map { (rank, order) -> async { rank to send(rank, order) } }
+                .awaitAll()
                 .toMap()
         }
 
+    private suspend fun send(
+        rank: Int,
+        order: RankOrder,
+    ): OrderAnswer {
+        val answer = calls.order(group.ranks.getValue(rank), order, group.epoch, token)
+        if (answer == OrderAnswer.LOST) lossyUntil = clock.now() + LOSSY_TIME
+        return answer
+    }
+
     companion object {
         private val logger = LogManager.getLogger(GroupOrders::class.java)
 
@@ -159,8 +188,17 @@
         private const val MOST_STEPS_AHEAD = 40
         private const val CHECK_EVERY = 5
 
+        /** Two passes more than without losses: a lost arm is sent again within the time of one. */
+        private const val STEPS_AHEAD_IF_LOSSY = 3
+
+        /** Losses come in spells of seconds. */
+        private val LOSSY_TIME = 5.seconds
+
         private val HOLD_TIME = 2.seconds
         private val PREPARE_TIME = 6.seconds
         private val REPEAT_INTERVAL = 40.milliseconds
+
+        /** A lost order has waited for its answer already; keeps one that fails at once from being sent in a loop. */
+        private val LOST_INTERVAL = 10.milliseconds
     }
 }
