--- a/decisions/src/main/kotlin/org/cicadaturn/decisions/gateway/EndpointBalancer.kt
+++ b/decisions/src/main/kotlin/org/cicadaturn/decisions/gateway/EndpointBalancer.kt
@@ -1,10 +1,8 @@
 package org.cicadaturn.decisions.gateway
 
 import org.cicadaturn.decisions.routing.OutlierDetector
-import org.cicadaturn.decisions.routing.RetryBudget
 import org.cicadaturn.decisions.routing.Standing
 import org.cicadaturn.decisions.routing.outlierDetector
-import org.cicadaturn.decisions.routing.retryBudget
 import org.cicadaturn.schema.generated.AdmissionState
 import org.cicadaturn.schema.generated.EndpointId
 import org.cicadaturn.schema.generated.FailureDomainId
@@ -14,6 +12,7 @@
 import kotlin.random.Random
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 import kotlin.time.Instant
 
 /**
@@ -36,12 +35,14 @@
  * @property excluded endpoints that may not get it, as it may have run there
  * @property only endpoints that alone may get it, as no further ones are allowed; null for any
  * @property isRepeat true if it was sent to an endpoint before, so that the retry budget binds
+ * @property canWait true if it may wait until the service accepts requests
  */
 public data class EndpointRequest(
     val service: ServiceId,
     val excluded: Set<EndpointId>,
     val only: Set<EndpointId>?,
     val isRepeat: Boolean,
+    val canWait: Boolean,
 )
 
 /** Result of [EndpointBalancer.choose]. */
@@ -108,6 +109,9 @@
         now: Instant,
     )
 
+    /** Tells that [endpoint] accepted a request. */
+    public fun accepted(endpoint: EndpointId)
+
     /** Returns the service of [endpoint], or null if it is not known. */
     public fun serviceOf(endpoint: EndpointId): ServiceId?
 
@@ -162,27 +166,31 @@
 
     private class Pool(
         val detector: OutlierDetector = outlierDetector(),
-        val budget: RetryBudget,
+        val budget: RepeatBudget,
         var maxConnections: Int = DEFAULT_CONNECTIONS,
         var coldRate: Double = 0.0,
-    )
+    ) {
+        /** Refusals and failures since the last request that was accepted. */
+        var refusals = 0
+        var offeredAt = Instant.DISTANT_PAST
+    }
 
     private val members = HashMap<EndpointId, Member>()
     private val pools = HashMap<ServiceId, Pool>()
-    private var gateways = UNKNOWN_GATEWAYS
+    private val gateways = GatewayCount()
     private var drained = emptySet<FailureDomainId>()
 
     override fun update(
         view: FleetView,
         now: Instant,
     ) {
-        if (view.peers.isNotEmpty()) gateways = view.peers.size
+        gateways.listed(view.peers.size, now)
         drained = view.drainedDomains.toSet()
         members.keys.retainAll(view.endpoints.mapTo(HashSet()) { it.id })
         view.endpoints.forEach { entry -> take(entry, now) }
         view.configuration?.services?.forEach { service ->
-            val pool = pool(service.id)
-            pool.maxConnections = maxOf(1, service.maxConnections / gateways)
+            val pool = pool(service.id, now)
+            pool.maxConnections = maxOf(1, service.maxConnections / gateways.at(now))
             pool.coldRate = service.coldRate
         }
         pools.forEach { (id, pool) ->
@@ -198,32 +206,36 @@
         val known = members[entry.id]
         if (known == null || known.entry.bornAt != entry.bornAt) {
             members[entry.id] = Member(entry).also { it.coldUntil = now + entry.coldFor }
-            pool(entry.service)
+            pool(entry.service, now)
             return
         }
         if (known.entry.coldFor != entry.coldFor) known.coldUntil = now + entry.coldFor
         known.entry = entry
     }
 
-    private fun pool(service: ServiceId): Pool =
+    private fun pool(
+        service: ServiceId,
+        now: Instant,
+    ): Pool =
         pools.getOrPut(service) {
-            // A fixed part of the slack, so that all processes together stay within it.
-            val constant = (options.retrySlack * USED_SLACK / gateways).toInt()
-            Pool(budget = retryBudget(options.retryPercent, constant, options.retryWindow))
+            Pool(budget = repeatBudget(options.retryPercent, options.retryWindow, now))
         }
 
+    /** This process's part of the repeats that are allowed beyond the share of the requests. */
+    private fun slack(now: Instant): Double = options.retrySlack * USED_SLACK / gateways.at(now)
+
     override fun arrived(
         service: ServiceId,
         now: Instant,
     ) {
-        pool(service).budget.request(now)
+        pool(service, now).budget.request(now)
     }
 
     override fun choose(
         request: EndpointRequest,
         now: Instant,
     ): EndpointChoice {
-        val pool = pool(request.service)
+        val pool = pool(request.service, now)
         val usable =
             members.values.filter {
                 it.entry.service == request.service &&
@@ -235,9 +247,14 @@
         if (usable.isEmpty()) return EndpointChoice.None("no endpoint of the service is in service", LONG_RETRY)
         val free = usable.filter { isFree(it, pool, now) }.ifEmpty { usable.filter { withinRate(it, pool, now) } }
         if (free.isEmpty()) return EndpointChoice.None("every endpoint is at its rate", SHORT_RETRY)
-        if (request.isRepeat && !pool.budget.tryRetry(now)) {
+        val isRefusing = pool.refusals >= REFUSALS_IN_A_ROW && now - pool.offeredAt < OFFER_INTERVAL
+        if (request.isRepeat && request.canWait && isRefusing) {
+            return EndpointChoice.None("the service refuses requests", LONG_RETRY)
+        }
+        if (request.isRepeat && !pool.budget.tryRepeat(now, slack(now))) {
             return EndpointChoice.None("the retry budget is used up", LONG_RETRY)
         }
+        pool.offeredAt = now
         val best = free.minBy { cost(it, now) }
         best.inFlight += 1
         best.sends.sent(now)
@@ -261,7 +278,7 @@
         now: Instant,
     ): Boolean {
         if (pool.coldRate <= 0.0) return true
-        val share = coldShare(pool.coldRate, options.coldOver, options.coldSlack, gateways)
+        val share = coldShare(pool.coldRate, options.coldOver, options.coldSlack, gateways.at(now))
         return member.sends.count(now) < share
     }
 
@@ -285,13 +302,18 @@
     ) {
         val member = members[endpoint] ?: return
         member.inFlight = maxOf(0, member.inFlight - 1)
-        val detector = pool(member.entry.service).detector
+        val pool = pool(member.entry.service, now)
         when (use) {
-            is EndpointUse.Answered -> detector.answered(endpoint, use.firstByte, now)
-            EndpointUse.Failed -> detector.failed(endpoint, now)
+            is EndpointUse.Answered -> pool.detector.answered(endpoint, use.firstByte, now)
+            EndpointUse.Failed -> pool.detector.failed(endpoint, now)
             EndpointUse.Refused -> member.refusedUntil = now + REFUSAL_PAUSE
             EndpointUse.Abandoned -> Unit
         }
+        if (use == EndpointUse.Failed || use == EndpointUse.Refused) pool.refusals += 1
+    }
+
+    override fun accepted(endpoint: EndpointId) {
+        pools[serviceOf(endpoint)]?.refusals = 0
     }
 
     override fun serviceOf(endpoint: EndpointId): ServiceId? = members[endpoint]?.entry?.service
@@ -308,14 +330,17 @@
     }
 
     private companion object {
-        /** Assumed until the list of gateways was read; more than today's sites have. */
-        const val UNKNOWN_GATEWAYS = 16
-
         /** Connections to one endpoint that are allowed before its service is known. */
         const val DEFAULT_CONNECTIONS = 8
 
         /** Rest of the slack is for processes that start during a window. */
-        const val USED_SLACK = 0.8
+        const val USED_SLACK = 0.65
+
+        /** Refusals without a request accepted between them after which the service as a whole is taken to refuse. */
+        const val REFUSALS_IN_A_ROW = 3
+
+        /** While the service refuses, requests that may wait are offered no more often than this. */
+        val OFFER_INTERVAL = 150.milliseconds
 
         /** Load, in parts of the slots, that an endpoint in another failure domain must be below. */
         const val REMOTE_COST = 0.05
@@ -336,3 +361,36 @@
         val LONG_RETRY = 500.milliseconds
     }
 }
+
+/** Number of gateways that bounds over all of them are split by. */
+private class GatewayCount {
+    private var count = UNKNOWN
+    private var listed = 0
+    private var fewerSince = Instant.DISTANT_PAST
+
+    /** Takes the number of gateways that are [listed]; 0 if the list is not known. */
+    fun listed(
+        listed: Int,
+        now: Instant,
+    ) {
+        if (listed == 0) return
+        val isFirst = this.listed == 0
+        if (isFirst || listed >= count) count = listed
+        if (this.listed >= count && listed < count) fewerSince = now
+        this.listed = listed
+    }
+
+    /** Gateways that are no longer listed may be cut off and go on sending, so they count for a while. */
+    fun at(now: Instant): Int {
+        if (listed in 1..<count && now - fewerSince >= MEMORY) count = listed
+        return count
+    }
+
+    private companion object {
+        /** Assumed until the list was read; more than today's sites have. */
+        const val UNKNOWN = 16
+
+        /** Longer than the users' cuts. */
+        val MEMORY = 30.seconds
+    }
+}
--- a/decisions/src/test/kotlin/org/cicadaturn/decisions/gateway/EndpointBalancerTest.kt
+++ b/decisions/src/test/kotlin/org/cicadaturn/decisions/gateway/EndpointBalancerTest.kt
@@ -61,7 +61,7 @@
         endpointBalancer(BalancerOptions(home, 1.5, 5, 20, 92, 10.seconds), Random(seed))
 
     private fun request(tried: Set<String> = emptySet()) =
-        EndpointRequest(service, tried.map { EndpointId(it) }.toSet(), null, isRepeat = tried.isNotEmpty())
+        EndpointRequest(service, tried.map { EndpointId(it) }.toSet(), null, tried.isNotEmpty(), canWait = true)
 
     /** Guards against a cold endpoint that all gateways together overload, whatever each of them knows of the others. */
     @Property
@@ -108,6 +108,35 @@
         assertTrue(granted in 1..(92 / 8), "$granted repeats")
     }
 
+    /** Guards against an outage of a whole group whose refusals use up the repeats that are needed after it. */
+    @Test
+    fun `repeats wait while the whole service refuses`() {
+        val balancer = balancer()
+        balancer.update(view(List(6) { endpoint("e$it") }, coldRate = 0.0), start)
+        val later = start + 20.seconds
+        repeat(3) { balancer.choose(request(), later) }
+        repeat(3) { balancer.finished(EndpointId("e$it"), EndpointUse.Refused, later) }
+        assertInstanceOf(EndpointChoice.None::class.java, balancer.choose(request(setOf("e0")), later))
+        assertInstanceOf(EndpointChoice.Chosen::class.java, balancer.choose(request(), later))
+        val probe = later + 200.milliseconds
+        assertInstanceOf(EndpointChoice.Chosen::class.java, balancer.choose(request(setOf("e0")), probe))
+        assertInstanceOf(EndpointChoice.None::class.java, balancer.choose(request(setOf("e1")), probe))
+        balancer.accepted(EndpointId("e2"))
+        assertInstanceOf(EndpointChoice.Chosen::class.java, balancer.choose(request(setOf("e1")), probe))
+    }
+
+    /** Guards against cut-off gateways whose share the others take over: FAILBACK and BUDGET hold over all of them. */
+    @Test
+    fun `gateways that are no longer listed count for a while`() {
+        val balancer = balancer()
+        balancer.update(view(listOf(endpoint("e")), gateways = 8), start)
+        balancer.update(view(listOf(endpoint("e")), gateways = 2), start + 90.seconds)
+        val sent = (0 until 100).count { balancer.choose(request(), start + 110.seconds) is EndpointChoice.Chosen }
+        assertTrue(sent <= 59 / 8, "$sent requests at once")
+        val after = (0 until 100).count { balancer.choose(request(), start + 125.seconds) is EndpointChoice.Chosen }
+        assertTrue(after > 59 / 8, "$after requests at once")
+    }
+
     /** Guards against an endpoint that fails each request and goes on to get its part of them. */
     @Test
     fun `an endpoint that fails is left out`() {
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/experts/Lease.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/experts/Lease.kt
@@ -57,12 +57,15 @@
 
     suspend fun keep() {
         while (true) {
-            when (val step = lease.next(clock.now())) {
+            val step = lease.next(clock.now())
+            when (step) {
                 // An old record only delays a takeover: the write is conditional.
                 LeaseStep.Look -> look(isFresh = false)
                 is LeaseStep.Write -> write(step)
             }
-            delay(times.renewal)
+            // What was read may allow a takeover now, as after a restart of the holder.
+            val isDue = step == LeaseStep.Look && lease.next(clock.now()) is LeaseStep.Write
+            if (!isDue) delay(times.renewal)
         }
     }
 
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/Balancer.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/Balancer.kt
@@ -125,6 +125,7 @@
     }
 
     private fun release(endpoint: EndpointId) {
+        balancer.accepted(endpoint)
         val service = balancer.serviceOf(endpoint) ?: return
         waiting.remove(service)?.forEach { it.complete(Unit) }
     }
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/RequestHandler.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/RequestHandler.kt
@@ -182,17 +182,29 @@
             val isFull = tried.size >= route.attempts
             // The first refusal is answered by another endpoint; later ones may come back to any that refused.
             val excluded = if (sends <= 1) tried + spent else spent
-            return EndpointRequest(service, excluded.toSet(), tried.toSet().takeIf { isFull }, isRepeat = sends > 0)
+            return EndpointRequest(
+                service,
+                excluded = excluded.toSet(),
+                only = tried.toSet().takeIf { isFull },
+                isRepeat = sends > 0,
+                canWait = holdTime() > Duration.ZERO,
+            )
         }
 
         /** Waits until the service accepts requests; returns false if the request has waited long enough. */
         private suspend fun hold(): Boolean {
-            val left = minOf(holdUntil - clock.now(), remaining())
-            if (left <= Duration.ZERO || mayHaveRun || answer.isBegun) return false
+            val left = holdTime()
+            if (left <= Duration.ZERO) return false
             balancer.awaitAcceptance(service, minOf(left, HOLD_INTERVAL))
             return true
         }
 
+        /** Returns for how long the request may still wait; one that may have run gets its end at once. */
+        private fun holdTime(): Duration {
+            if (mayHaveRun || answer.isBegun) return Duration.ZERO
+            return minOf(holdUntil - clock.now(), remaining())
+        }
+
         private suspend fun attempt(endpoint: LiveEndpoint): AttemptResult {
             // Counted before it is sent, so that a deadline that passes meanwhile does not read as "not run".
             tried += endpoint.id
