Keep the placement lease through an outage of the store, and move it sooner

The holder now renews each 0.5 s (before: 1 s) and others take over after 2.3 s (3.6 s). While the store is away the holder goes on if every other gateway it or they know pledges not to take over; a pledge outlasts what the holder may act on it. A process that stops releases the lease at once. Candidates look at the lease less often the later they would take it.

--- a/decisions/src/main/kotlin/org/cicadaturn/decisions/experts/PlacementLease.kt
+++ b/decisions/src/main/kotlin/org/cicadaturn/decisions/experts/PlacementLease.kt
@@ -3,6 +3,7 @@
 import org.cicadaturn.schema.generated.LeaseRecord
 import org.cicadaturn.schema.generated.ProcessId
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.Instant
 
@@ -48,6 +49,26 @@
         actingSince: Instant,
     )
 
+    /**
+     * Promises the holder of [token] not to take the lease over for [LeaseTimes.expiry]; returns false if this process
+     * holds it or knows of another token.
+     */
+    public fun pledge(
+        token: Long,
+        now: Instant,
+    ): Boolean
+
+    /**
+     * Goes on to act without a renewal, as every other process has pledged; the first was asked at [actingSince].
+     *
+     * Another process could only act after a write to the store, and none of those that can write does before its
+     * pledge ends.
+     */
+    public fun pledged(actingSince: Instant)
+
+    /** Stops to act for good, so that another process can take the lease over at once. */
+    public fun release()
+
     /** Stops to act, as another process has a higher token or the clock cannot be trusted. */
     public fun forfeit()
 }
@@ -60,9 +81,9 @@
  * @property expiry time after which others take it over; longer than the validity by more than a late call
  */
 public data class LeaseTimes(
-    val renewal: Duration = 1.seconds,
-    val validity: Duration = 2.2.seconds,
-    val expiry: Duration = 3.6.seconds,
+    val renewal: Duration = 500.milliseconds,
+    val validity: Duration = 1.5.seconds,
+    val expiry: Duration = 2.3.seconds,
 ) {
     init {
         require(renewal < validity && validity < expiry) { "renewal $renewal < validity $validity < expiry $expiry" }
@@ -86,18 +107,24 @@
     private var seenAt: Instant? = null
     private var validUntil = Instant.DISTANT_PAST
     private var own: LeaseRecord? = null
+    private var pledgedUntil = Instant.DISTANT_PAST
+    private var isReleased = false
 
-    override fun token(now: Instant): Long? = own?.takeIf { now < validUntil }?.token
+    override fun token(now: Instant): Long? = own?.takeIf { now < validUntil && !isReleased }?.token
 
     override fun next(now: Instant): LeaseStep {
         val known = record
         val at = seenAt ?: return LeaseStep.Look
         val mine = own
-        if (mine != null) return LeaseStep.Write(mine.copy(renewals = mine.renewals + 1), revision)
+        if (mine != null) {
+            return LeaseStep.Write(mine.copy(renewals = mine.renewals + 1, isReleased = isReleased), revision)
+        }
+        if (isReleased) return LeaseStep.Look
+        if (now < pledgedUntil) return LeaseStep.Look
         if (known == null) return LeaseStep.Write(LeaseRecord(self, 1, 0), null)
         // An earlier run of this process holds nothing any more.
-        val isOwnLeftover = known.holder == self
-        if (!isOwnLeftover && now - at < times.expiry + delay) return LeaseStep.Look
+        val isFree = known.holder == self || known.isReleased
+        if (!isFree && now - at < times.expiry + delay) return LeaseStep.Look
         return LeaseStep.Write(LeaseRecord(self, known.token + 1, 0), revision)
     }
 
@@ -122,11 +149,28 @@
     ) {
         this.record = record
         this.revision = revision
-        own = record
+        own = record.takeIf { !it.isReleased }
         seenAt = since
         validUntil = actingSince + times.validity
     }
 
+    override fun pledge(
+        token: Long,
+        now: Instant,
+    ): Boolean {
+        if (own != null || record?.token != token) return false
+        pledgedUntil = now + times.expiry
+        return true
+    }
+
+    override fun pledged(actingSince: Instant) {
+        if (own != null) validUntil = maxOf(validUntil, actingSince + times.validity)
+    }
+
+    override fun release() {
+        isReleased = true
+    }
+
     override fun forfeit() {
         own = null
         validUntil = Instant.DISTANT_PAST
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/experts/Lease.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/experts/Lease.kt
@@ -1,8 +1,10 @@
 package org.cicadaturn.tasks.experts
 
+import arrow.core.left
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
 import org.apache.logging.log4j.LogManager
 import org.cicadaturn.decisions.experts.LeaseStep
 import org.cicadaturn.decisions.experts.LeaseTimes
@@ -10,6 +12,8 @@
 import org.cicadaturn.tasks.gateway.FleetStore
 import org.cicadaturn.tasks.store.StoreError
 import kotlin.time.Clock
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 
 /** Right of this process to act alone. */
 public interface Lease {
@@ -18,36 +22,56 @@
 
     /** Gives the right up, as another process has a higher token. */
     public fun forfeit()
+
+    /** Promises the holder of [token] not to take the lease over for a while; returns whether it is promised. */
+    public fun pledge(token: Long): Boolean
+
+    /** Gives the right up for good, as this process ends. */
+    public fun release()
 }
 
 /**
- * Starts a task in [scope] that takes and renews the lease [name] in [store].
+ * Parts of the task that keeps a lease.
  *
- * @param clock steady clock
- * @param cautious clock that also counts the time for which a machine was suspended
+ * @property name name of the lease in the store
+ * @property lookInterval time between looks at a lease that another process holds
+ * @property pledges asks all other processes to pledge for a token; returns true if each of them has
+ * @property clock steady clock
+ * @property cautious clock that also counts the time for which a machine was suspended
  */
+public class LeaseParts(
+    public val store: FleetStore,
+    public val name: String,
+    public val lookInterval: Duration,
+    public val pledges: suspend (Long) -> Boolean,
+    public val clock: Clock,
+    public val cautious: Clock,
+    public val times: LeaseTimes = LeaseTimes(),
+)
+
+/** Starts a task in [scope] that takes and renews [lease]. */
 public fun startLease(
     scope: CoroutineScope,
-    store: FleetStore,
-    name: String,
     lease: PlacementLease,
-    clock: Clock,
-    cautious: Clock,
-    times: LeaseTimes = LeaseTimes(),
+    parts: LeaseParts,
 ): Lease {
-    val task = LeaseTask(store, name, lease, clock, cautious, times)
+    val task = LeaseTask(lease, parts)
     scope.launch { task.keep() }
     return task
 }
 
 private class LeaseTask(
-    private val store: FleetStore,
-    private val name: String,
     private val lease: PlacementLease,
-    private val clock: Clock,
-    private val cautious: Clock,
-    private val times: LeaseTimes,
+    private val parts: LeaseParts,
 ) : Lease {
+    private val store = parts.store
+    private val name = parts.name
+    private val clock = parts.clock
+    private val cautious = parts.cautious
+
+    /** True after a write without an answer; the others are then asked for pledges as well. */
+    private var isStoreAway = false
+
     override fun token(): Long? = lease.token(cautious.now())
 
     override fun forfeit() {
@@ -55,20 +79,47 @@
         lease.forfeit()
     }
 
+    override fun pledge(token: Long): Boolean = lease.pledge(token, clock.now())
+
+    override fun release() {
+        lease.release()
+    }
+
     suspend fun keep() {
         while (true) {
             val step = lease.next(clock.now())
             when (step) {
                 // An old record only delays a takeover: the write is conditional.
                 LeaseStep.Look -> look(isFresh = false)
-                is LeaseStep.Write -> write(step)
+                is LeaseStep.Write -> renew(step)
             }
             // What was read may allow a takeover now, as after a restart of the holder.
             val isDue = step == LeaseStep.Look && lease.next(clock.now()) is LeaseStep.Write
-            if (!isDue) delay(times.renewal)
+            if (!isDue) delay(interval(step))
         }
     }
 
+    private fun interval(step: LeaseStep): Duration =
+        when {
+            isStoreAway && token() != null -> RETRY_INTERVAL
+            step is LeaseStep.Write -> parts.times.renewal
+            else -> parts.lookInterval
+        }
+
+    /** Writes the lease; while the store is away, a holder goes on as long as every other process pledges. */
+    private suspend fun renew(step: LeaseStep.Write) {
+        if (isStoreAway) askForPledges(step)
+        write(step)
+        if (isStoreAway) askForPledges(step)
+    }
+
+    private suspend fun askForPledges(step: LeaseStep.Write) {
+        val since = cautious.now()
+        // A takeover that was not written is no right that could be pledged for.
+        if (lease.token(since) != step.record.token) return
+        if (parts.pledges(step.record.token)) lease.pledged(since)
+    }
+
     private suspend fun look(isFresh: Boolean) {
         store.readLease(name, isFresh).onRight { stored ->
             lease.seen(stored?.record, stored?.revision ?: 0L, clock.now())
@@ -79,13 +130,16 @@
         val since = clock.now()
         val actingSince = cautious.now()
         val isNew = lease.token(actingSince) == null
-        store.writeLease(name, step.record, step.expected).fold(
+        val answer = withTimeoutOrNull(WRITE_TIME) { store.writeLease(name, step.record, step.expected) }
+        (answer ?: StoreError.Unanswered("no answer within $WRITE_TIME").left()).fold(
             { error ->
                 logger.info("lease: {} not written: {}", name, error.message)
+                isStoreAway = error !is StoreError.Conflict
                 if (error is StoreError.Conflict) lease.forfeit()
-                look(isFresh = true)
+                if (!isStoreAway || isNew) look(isFresh = true)
             },
             { revision ->
+                isStoreAway = false
                 lease.written(step.record, revision, since, actingSince)
                 if (isNew) logger.info("lease: {} held with token {}", name, step.record.token)
             },
@@ -94,5 +148,11 @@
 
     private companion object {
         val logger = LogManager.getLogger(LeaseTask::class.java)
+
+        /** With the renewal interval, short enough that pledges can be asked for while the holder may still act. */
+        val WRITE_TIME = 700.milliseconds
+
+        /** With the longest call, less than the time for which a holder may act without a renewal or pledges. */
+        val RETRY_INTERVAL = 150.milliseconds
     }
 }
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/GatewayNode.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/GatewayNode.kt
@@ -21,8 +21,12 @@
 import org.cicadaturn.schema.generated.GatewayFile
 import org.cicadaturn.schema.generated.GatewayPeer
 import org.cicadaturn.schema.generated.NetworkAddress
+import org.cicadaturn.schema.generated.PledgeAnswer
+import org.cicadaturn.schema.generated.PledgeRequest
 import org.cicadaturn.schema.generated.ProcessId
 import org.cicadaturn.tasks.Node
+import org.cicadaturn.tasks.experts.Lease
+import org.cicadaturn.tasks.experts.LeaseParts
 import org.cicadaturn.tasks.experts.RankCalls
 import org.cicadaturn.tasks.experts.startConductor
 import org.cicadaturn.tasks.experts.startLease
@@ -93,6 +97,7 @@
         startBalancer(scope, endpointBalancer(balancerOptions(), parts.random), fleet, parts.clock)
     private val pool = startConnectionPool(scope, fleet, parts.clock)
     private val exchange = Exchange(connector, pool, balancer, parts.dialect, parts.clock)
+    private val lease = startPlacementLease()
     private val journal = requestJournal()
     private val registry = PrometheusRegistry()
     private val metrics = GatewayMetrics(registry)
@@ -130,20 +135,26 @@
     suspend fun start() {
         callers = listen(parts.runtime, scope, settings.listen, HEADER_BYTES) { serveCaller(it) }
         ready = listen(parts.runtime, scope, settings.readyListen, HEADER_BYTES) { serveReady(it) }
-        peers = listen(parts.runtime, scope, settings.peerListen, HEADER_BYTES) { servePeer(it, fleet::ownView) }
+        peers =
+            listen(parts.runtime, scope, settings.peerListen, HEADER_BYTES) { servePeer(it, fleet::ownView, ::pledge) }
         admins = listen(parts.runtime, scope, file.process.adminListen, HEADER_BYTES) { admin.serve(it) }
-        conductGroups()
+        startConductor(scope, fleet, lease, parts.ranks(connector, pool), parts.clock)
         logger.info("gateway: {} listens on {}", file.process.id, settings.listen)
     }
 
     /** One process of the fleet balances the experts; the others wait for its lease to expire. */
-    private fun conductGroups() {
+    private fun startPlacementLease(): Lease {
         val delay = LEASE_SPREAD * parts.random.nextDouble()
-        val lease = placementLease(peer.id, delay)
-        val kept = startLease(scope, parts.store, PLACEMENT_LEASE, lease, parts.clock, parts.cautiousClock)
-        startConductor(scope, fleet, kept, parts.ranks(connector, pool), parts.clock)
+        val pledges: suspend (Long) -> Boolean = { askForPledges(connector, peer, fleet.state.value.view.peers, it) }
+        // Those that would take it over last look least often.
+        val looks = LEASE_LOOKS + delay
+        val leaseParts = LeaseParts(parts.store, PLACEMENT_LEASE, looks, pledges, parts.clock, parts.cautiousClock)
+        return startLease(scope, placementLease(peer.id, delay), leaseParts)
     }
 
+    private fun pledge(request: PledgeRequest): PledgeAnswer =
+        PledgeAnswer(lease.pledge(request.token), fleet.state.value.view.peers)
+
     /** The index is made once for each configuration. */
     private fun table(): RouteTable? {
         val configuration = fleet.state.value.view.configuration ?: return null
@@ -184,6 +195,7 @@
         withContext(parts.runtime.dispatcher) {
             logger.info("gateway: stops with {} requests in progress", inProgress)
             stopping = true
+            lease.release()
             val start = parts.clock.now()
             val latest = start + file.process.stopTimeout - STOP_RESERVE
             delay(UNREADY_TIME)
@@ -211,6 +223,9 @@
 
         /** Spreads the takeovers of the lease over the candidates. */
         val LEASE_SPREAD = 2.seconds
+
+        /** Shortest time between two looks at the lease of another process. */
+        val LEASE_LOOKS = 500.milliseconds
         const val PLACEMENT_LEASE = "placement"
 
         const val HEADER_BYTES = 65_536
--- a/tasks/src/test/kotlin/org/cicadaturn/tasks/experts/ConductorTest.kt
+++ b/tasks/src/test/kotlin/org/cicadaturn/tasks/experts/ConductorTest.kt
@@ -61,6 +61,10 @@
             override fun token() = 1L
 
             override fun forfeit() = Unit
+
+            override fun pledge(token: Long) = false
+
+            override fun release() = Unit
         }
 
     /** Ranks whose demand shifts; the last one leaves every order without an answer. */
