--- a/decisions/src/main/kotlin/org/cicadaturn/decisions/experts/PlacementLease.kt
+++ b/decisions/src/main/kotlin/org/cicadaturn/decisions/experts/PlacementLease.kt
@@ -113,19 +113,20 @@
     override fun token(now: Instant): Long? = own?.takeIf { now < validUntil && !isReleased }?.token
 
     override fun next(now: Instant): LeaseStep {
-        val known = record
-        val at = seenAt ?: return LeaseStep.Look
         val mine = own
         if (mine != null) {
             return LeaseStep.Write(mine.copy(renewals = mine.renewals + 1, isReleased = isReleased), revision)
         }
-        if (isReleased) return LeaseStep.Look
-        if (now < pledgedUntil) return LeaseStep.Look
-        if (known == null) return LeaseStep.Write(LeaseRecord(self, 1, 0), null)
+        if (!mayTakeOver(now)) return LeaseStep.Look
+        return LeaseStep.Write(LeaseRecord(self, (record?.token ?: 0L) + 1, 0), revision)
+    }
+
+    private fun mayTakeOver(now: Instant): Boolean {
+        val at = seenAt ?: return false
+        if (isReleased || now < pledgedUntil) return false
+        val known = record ?: return true
         // An earlier run of this process holds nothing any more.
-        val isFree = known.holder == self || known.isReleased
-        if (!isFree && now - at < times.expiry + delay) return LeaseStep.Look
-        return LeaseStep.Write(LeaseRecord(self, known.token + 1, 0), revision)
+        return known.holder == self || known.isReleased || now - at >= times.expiry + delay
     }
 
     override fun seen(
