Wait for a late answer about the budget instead of refusing with 429

Cause: an entry refuses a request when no budget has come within 200 to 800 ms, also when the process that hands the budget out has not answered yet. Under load a caller was told that an organisation had used its 1,000,000,000 tokens a minute, which was not true. Ruled out: a limit in the test's configuration (it has none that could be reached).

A request that the allocator has not told to wait now waits 2 s more for the answer, its deadline permitting; a shortage is still refused after 200 to 800 ms. EntryBucketTest fails without the change.

--- a/decisions/src/main/kotlin/org/cicadaturn/decisions/limits/EntryBucket.kt
+++ b/decisions/src/main/kotlin/org/cicadaturn/decisions/limits/EntryBucket.kt
@@ -155,7 +155,9 @@
             val request = waiting.removeFirst()
             settled += SettledRequest(organisation, request.id, admit(request, now))
         }
-        val late = waiting.filter { now >= it.waitUntil }
+        // Without a wait from the allocator the budget is not used up; its answer is only late.
+        val isTold = now < notBefore
+        val late = waiting.filter { now >= if (isTold) it.waitUntil else it.answerUntil }
         if (late.isEmpty()) return settled
         waiting.removeAll(late.toSet())
         return settled + late.map { SettledRequest(organisation, it.id, refuse(it, now)) }
--- a/decisions/src/main/kotlin/org/cicadaturn/decisions/limits/LimitTypes.kt
+++ b/decisions/src/main/kotlin/org/cicadaturn/decisions/limits/LimitTypes.kt
@@ -60,12 +60,14 @@
  *
  * @property id identifies the request within the process
  * @property tokens estimated tokens: prompt plus the longest answer
- * @property waitUntil when the request is refused if no budget has come
+ * @property waitUntil when the request is refused if the allocator has no budget for it
+ * @property answerUntil when the request is refused if the allocator has not said whether there is budget
  */
 public data class LimitRequest(
     val id: Long,
     val tokens: Long,
     val waitUntil: Instant,
+    val answerUntil: Instant = waitUntil,
 )
 
 /** Names which limit stopped a request. */
--- a/decisions/src/test/kotlin/org/cicadaturn/decisions/limits/EntryBucketTest.kt
+++ b/decisions/src/test/kotlin/org/cicadaturn/decisions/limits/EntryBucketTest.kt
@@ -65,6 +65,21 @@
         assertTrue(bucket.settle(start + policy.lease).isEmpty())
     }
 
+    /** Guards against "has used its tokens" for a budget that is free, while the allocator's answer is late under load. */
+    @Test
+    fun lateAnswerIsNoShortage() {
+        val bucket = bucket()
+        bucket.request(LimitRequest(1, 100, start + 200.milliseconds, start + 2.seconds), start)
+        bucket.request(LimitRequest(2, 100, start + 200.milliseconds, start + 2.seconds), start)
+        val ask = bucket.nextAsk(start)
+        assertTrue(bucket.settle(start + 900.milliseconds).isEmpty())
+        bucket.granted(grant(ask, 100), start + 1.seconds)
+        assertInstanceOf(LimitDecision.Admitted::class.java, bucket.settle(start + 1.seconds).single().decision)
+        val next = bucket.nextAsk(start + 1.seconds)
+        bucket.granted(grant(next, 0, waitMs = 500), start + 1.1.seconds)
+        assertInstanceOf(LimitDecision.Refused::class.java, bucket.settle(start + 1.1.seconds).single().decision)
+    }
+
     /** Guards against an ask that is lost for good, and against a repetition that counts as another ask. */
     @Test
     fun unansweredAskIsRepeatedUnchanged() {
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/limits/LimitsTask.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/limits/LimitsTask.kt
@@ -28,6 +28,7 @@
 import kotlin.time.Clock
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 import kotlin.time.Instant
 
 /** Messages that wait for the task; a full queue suspends the sender, which slows the request or the link. */
@@ -45,6 +46,9 @@
 /** A request waits this long for budget before it is refused; the spread keeps callers from returning together. */
 private val WAIT_MS = 200..800
 
+/** A request waits this much longer for an allocator that is late to answer, as its machine is busy. */
+private val ANSWER_WAIT: Duration = 2.seconds
+
 private const val SEQUENCE_RANGE = 65_536L
 
 /** Keeps the limits of organisations together with the other entry processes. */
@@ -52,7 +56,8 @@
     /**
      * Decides on a request of [tokens], the estimate of prompt and answer.
      *
-     * Waits up to 800 ms, and not past [deadline], for budget of the other entry processes. After
+     * Waits up to 800 ms, and not past [deadline], for budget of the other entry processes, and up to 2.8 s where
+     * their answer is late. After
      * [LimitDecision.Admitted] the caller must call [finished].
      */
     suspend fun admit(
@@ -218,7 +223,9 @@
     private fun admit(event: Event.Admit) {
         val now = clock.now()
         val until = minOf(event.deadline, now + random.nextInt(WAIT_MS.first, WAIT_MS.last + 1).milliseconds)
-        val decision = node.request(event.organisation, LimitRequest(event.id, event.tokens, until), now)
+        val answerUntil = minOf(event.deadline, until + ANSWER_WAIT)
+        val request = LimitRequest(event.id, event.tokens, until, answerUntil)
+        val decision = node.request(event.organisation, request, now)
         if (decision is LimitDecision.Waiting) waiting[event.id] = event.reply else event.reply.complete(decision)
     }
 
