--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/GatewayNode.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/GatewayNode.kt
@@ -221,8 +221,8 @@
         /** Time to end by itself before the platform kills the process. */
         val STOP_RESERVE = 700.milliseconds
 
-        /** Spreads the takeovers of the lease over the candidates. */
-        val LEASE_SPREAD = 2.seconds
+        /** Spreads the takeovers of the lease over the candidates; a group may be held until one has it. */
+        val LEASE_SPREAD = 800.milliseconds
 
         /** Shortest time between two looks at the lease of another process. */
         val LEASE_LOOKS = 500.milliseconds
