--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/experts/Lease.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/experts/Lease.kt
@@ -136,7 +136,8 @@
         val answer = withTimeoutOrNull(WRITE_TIME) { store.writeLease(name, step.record, step.expected) }
         (answer ?: StoreError.Unanswered("no answer within $WRITE_TIME").left()).fold(
             { error ->
-                logger.info("lease: {} not written: {}", name, error.message)
+                val isNews = !isStoreAway || error is StoreError.Conflict
+                if (isNews) logger.info("lease: {} not written: {}", name, error.message)
                 isStoreAway = error !is StoreError.Conflict
                 if (error is StoreError.Conflict) lease.forfeit()
                 if (!isStoreAway || isNew) look(isFresh = true)
