--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/experts/Lease.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/experts/Lease.kt
@@ -109,7 +109,12 @@
             else -> parts.lookInterval
         }
 
-    /** Writes the lease; while the store is away, a holder goes on as long as every other process pledges. */
+    /**
+     * Writes the lease; while the store is away, a holder goes on as long as every other process pledges.
+     *
+     * Pledges are asked for before a write to a store that may be silent, as it leaves no time after it, and after a
+     * write that failed.
+     */
     private suspend fun renew(step: LeaseStep.Write) {
         if (isStoreAway) askForPledges(step)
         write(step)
