Share the ranks and the clock of the conductor's tests

Four test groups each had their own rank numbers, map, report and clock; they now differ only in what each test is about. The assertions are the same.

--- a/tasks/src/test/kotlin/org/cicadaturn/tasks/experts/ConductorTest.kt
+++ b/tasks/src/test/kotlin/org/cicadaturn/tasks/experts/ConductorTest.kt
@@ -3,6 +3,7 @@
 import kotlinx.coroutines.ExperimentalCoroutinesApi
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.flow.MutableStateFlow
+import kotlinx.coroutines.test.TestScope
 import kotlinx.coroutines.test.currentTime
 import kotlinx.coroutines.test.runTest
 import org.cicadaturn.decisions.experts.OrderAnswer
@@ -67,16 +68,40 @@
             override fun release() = Unit
         }
 
+    /** A group of [RANKS] ranks that use the first map as version [inUse]. */
+    private abstract inner class TestRanks(
+        private val inUse: Long = 0,
+    ) : RankCalls {
+        protected fun rankOf(endpoint: LiveEndpoint) = endpoints.indexOf(endpoint)
+
+        protected fun reportOf(
+            endpoint: LiveEndpoint,
+            state: RankState,
+        ) = RankReport("g", rankOf(endpoint), RANKS, isOpen = true, state)
+
+        override suspend fun map(endpoint: LiveEndpoint) =
+            RankMap(inUse, 1, listOf((0 until EXPERTS).filter { it % RANKS == rankOf(endpoint) }))
+    }
+
+    private suspend fun TestScope.conduct(
+        ranks: RankCalls,
+        time: Duration,
+    ) {
+        val clock =
+            object : Clock {
+                override fun now(): Instant = Instant.fromEpochMilliseconds(currentTime)
+            }
+        startConductor(backgroundScope, fleet, lease, ranks, clock)
+        delay(time)
+    }
+
     /** Ranks whose demand shifts; the last one leaves every order without an answer. */
-    private inner class MuteRanks : RankCalls {
+    private inner class MuteRanks : TestRanks() {
         val sent = mutableListOf<RankOrder.Prepare>()
         private var reads = 0
         private val counts = DoubleArray(EXPERTS)
 
-        private fun rankOf(endpoint: LiveEndpoint) = endpoints.indexOf(endpoint)
-
-        override suspend fun report(endpoint: LiveEndpoint) =
-            RankReport("g", rankOf(endpoint), RANKS, isOpen = true, RankState(1, 10, 0, null, null, null))
+        override suspend fun report(endpoint: LiveEndpoint) = reportOf(endpoint, RankState(1, 10, 0, null, null, null))
 
         override suspend fun picked(endpoint: LiveEndpoint): PickedExperts {
             reads += 1
@@ -86,9 +111,6 @@
             return PickedExperts(10, 1, counts.copyOf())
         }
 
-        override suspend fun map(endpoint: LiveEndpoint) =
-            RankMap(0, 1, listOf((0 until EXPERTS).filter { it % RANKS == rankOf(endpoint) }))
-
         override suspend fun order(
             endpoint: LiveEndpoint,
             order: RankOrder,
@@ -104,7 +126,7 @@
     }
 
     /** A group whose rank 0 leaves all holds without an answer and carries one out when the demand is even again. */
-    private inner class LateHolder : RankCalls {
+    private inner class LateHolder : TestRanks() {
         var held: Long? = null
             private set
         val released = mutableListOf<Long>()
@@ -112,8 +134,6 @@
         private var step = 0L
         private val counts = DoubleArray(EXPERTS)
 
-        private fun rankOf(endpoint: LiveEndpoint) = endpoints.indexOf(endpoint)
-
         /** A held group neither begins passes nor chooses experts. */
         private fun pass() {
             if (held != null) return
@@ -127,7 +147,7 @@
 
         override suspend fun report(endpoint: LiveEndpoint): RankReport {
             val holder = held.takeIf { rankOf(endpoint) == 0 }
-            return RankReport("g", rankOf(endpoint), RANKS, isOpen = true, RankState(1, step, 0, null, null, holder))
+            return reportOf(endpoint, RankState(1, step, 0, null, null, holder))
         }
 
         override suspend fun picked(endpoint: LiveEndpoint): PickedExperts {
@@ -135,9 +155,6 @@
             return PickedExperts(step, 1, counts.copyOf())
         }
 
-        override suspend fun map(endpoint: LiveEndpoint) =
-            RankMap(0, 1, listOf((0 until EXPERTS).filter { it % RANKS == rankOf(endpoint) }))
-
         override suspend fun order(
             endpoint: LiveEndpoint,
             order: RankOrder,
@@ -161,31 +178,24 @@
     fun `a hold that is carried out after the switch was given up is released`() =
         runTest {
             val ranks = LateHolder()
-            val clock =
-                object : Clock {
-                    override fun now(): Instant = Instant.fromEpochMilliseconds(currentTime)
-                }
-            startConductor(backgroundScope, fleet, lease, ranks, clock)
-            delay(60.seconds)
+            conduct(ranks, 60.seconds)
             assertTrue(ranks.released.isNotEmpty(), "no hold was released; held is ${ranks.held}")
         }
 
     /** A group whose switch is finished by another process just after the first reports. */
-    private inner class FinishedElsewhere : RankCalls {
+    private inner class FinishedElsewhere : TestRanks(inUse = 7) {
         var arms = 0
             private set
         var reads = 0
             private set
         private var reports = 0
 
-        private fun rankOf(endpoint: LiveEndpoint) = endpoints.indexOf(endpoint)
-
         override suspend fun report(endpoint: LiveEndpoint): RankReport {
             reports += 1
             val isOld = reports <= RANKS
             val held = if (isOld && rankOf(endpoint) == 0) 11L else null
             val state = if (isOld) RankState(1, 10, 0, 7, null, held) else RankState(1, 14, 7, null, null, null)
-            return RankReport("g", rankOf(endpoint), RANKS, isOpen = true, state)
+            return reportOf(endpoint, state)
         }
 
         override suspend fun picked(endpoint: LiveEndpoint): PickedExperts {
@@ -193,9 +203,6 @@
             return PickedExperts(14L + reads, 1, DoubleArray(EXPERTS) { 1_000.0 * reads })
         }
 
-        override suspend fun map(endpoint: LiveEndpoint) =
-            RankMap(7, 1, listOf((0 until EXPERTS).filter { it % RANKS == rankOf(endpoint) }))
-
         override suspend fun order(
             endpoint: LiveEndpoint,
             order: RankOrder,
@@ -214,26 +221,19 @@
     fun `a switch that another process has finished is given up`() =
         runTest {
             val ranks = FinishedElsewhere()
-            val clock =
-                object : Clock {
-                    override fun now(): Instant = Instant.fromEpochMilliseconds(currentTime)
-                }
-            startConductor(backgroundScope, fleet, lease, ranks, clock)
-            delay(10.seconds)
+            conduct(ranks, 10.seconds)
             assertTrue(ranks.reads > 5, "the counts were read ${ranks.reads} times")
             assertTrue(ranks.arms < 10 * RANKS, "${ranks.arms} arms were sent")
         }
 
     /** A group with a rank that takes long to answer. */
-    private inner class SlowRank : RankCalls {
+    private inner class SlowRank : TestRanks() {
         val switched = mutableListOf<Long>()
         private var reads = 0
         private var step = 0L
 
-        private fun rankOf(endpoint: LiveEndpoint) = endpoints.indexOf(endpoint)
-
         override suspend fun report(endpoint: LiveEndpoint) =
-            RankReport("g", rankOf(endpoint), RANKS, isOpen = true, RankState(1, step, 0, null, null, null))
+            reportOf(endpoint, RankState(1, step, 0, null, null, null))
 
         override suspend fun picked(endpoint: LiveEndpoint): PickedExperts {
             reads += 1
@@ -241,9 +241,6 @@
             return PickedExperts(step, 1, DoubleArray(EXPERTS) { if (it == 0) 5_000.0 * reads else 100.0 * reads })
         }
 
-        override suspend fun map(endpoint: LiveEndpoint) =
-            RankMap(0, 1, listOf((0 until EXPERTS).filter { it % RANKS == rankOf(endpoint) }))
-
         override suspend fun order(
             endpoint: LiveEndpoint,
             order: RankOrder,
@@ -263,12 +260,7 @@
     fun `a slow rank does not hold the group up`() =
         runTest {
             val ranks = SlowRank()
-            val clock =
-                object : Clock {
-                    override fun now(): Instant = Instant.fromEpochMilliseconds(currentTime)
-                }
-            startConductor(backgroundScope, fleet, lease, ranks, clock)
-            delay(4.seconds)
+            conduct(ranks, 4.seconds)
             assertTrue(ranks.switched.isNotEmpty(), "no switch within 4 s")
         }
 
@@ -277,12 +269,7 @@
     fun `a version is never sent with two maps`() =
         runTest {
             val ranks = MuteRanks()
-            val clock =
-                object : Clock {
-                    override fun now(): Instant = Instant.fromEpochMilliseconds(currentTime)
-                }
-            startConductor(backgroundScope, fleet, lease, ranks, clock)
-            delay(90.seconds)
+            conduct(ranks, 90.seconds)
             val maps = ranks.sent.map { it.map }.toSet()
             assertTrue(maps.size > 2, "only ${maps.size} maps were tried")
             val byVersion = ranks.sent.groupBy({ it.version }, { it.map }).mapValues { it.value.toSet().size }
