--- /dev/null
+++ b/decisions/src/main/kotlin/org/cicadaturn/decisions/dispatch/Dispatcher.kt
@@ -0,0 +1,250 @@
+package org.cicadaturn.decisions.dispatch
+
+import org.cicadaturn.decisions.gateway.EndpointBalancer
+import org.cicadaturn.decisions.gateway.EndpointChoice
+import org.cicadaturn.decisions.gateway.EndpointRequest
+import org.cicadaturn.decisions.gateway.Unavailability
+import org.cicadaturn.schema.generated.OrganisationId
+import org.cicadaturn.schema.generated.ServiceId
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.Instant
+
+/** Identifier of a request at one dispatcher; assigned by its owner and never reused. */
+@JvmInline
+public value class DispatchTicket(
+    public val number: Long,
+)
+
+/**
+ * Request that is to be placed at an endpoint.
+ *
+ * @property organisation organisation that it counts for; null if the route is public
+ * @property priority priority under overload; 0 is served first
+ * @property bytes memory that it holds while it waits
+ * @property aimUntil latest time at which its placement still leads to an answer within the latency target
+ * @property waitUntil latest time until which it may wait
+ * @property hasReturned true if its caller has come back after a refusal and would probably not come again
+ */
+public data class DispatchRequest(
+    val endpoint: EndpointRequest,
+    val organisation: OrganisationId?,
+    val priority: Int,
+    val bytes: Int,
+    val aimUntil: Instant,
+    val waitUntil: Instant,
+    val hasReturned: Boolean = false,
+)
+
+/** Decision on one request. */
+public sealed interface DispatchDecision {
+    /** Identifier of the request. */
+    public val ticket: DispatchTicket
+
+    /** The request goes to an endpoint now and counts as in flight there. */
+    public data class Place(
+        override val ticket: DispatchTicket,
+        val choice: EndpointChoice.Chosen,
+    ) : DispatchDecision
+
+    /** The request waits because of [cause]; a later decision places or rejects it. */
+    public data class Wait(
+        override val ticket: DispatchTicket,
+        val cause: Unavailability,
+    ) : DispatchDecision
+
+    /** The request is not placed because of [cause]; a place is likely after [retryAfter]. */
+    public data class Reject(
+        override val ticket: DispatchTicket,
+        val cause: Unavailability,
+        val retryAfter: Duration,
+    ) : DispatchDecision
+}
+
+/**
+ * Decides which requests are placed, which wait and which are rejected. Has one owner and is not safe for concurrent
+ * use.
+ *
+ * Requests that can still be answered within their latency target are placed before those that cannot: under overload,
+ * first come first served would make all of them late. Among equals the order is by priority, then by the requests
+ * that were placed lately for their organisation, then by the time left.
+ */
+public interface Dispatcher {
+    /** Decides on a new request. */
+    public fun submit(
+        ticket: DispatchTicket,
+        request: DispatchRequest,
+        now: Instant,
+    ): DispatchDecision
+
+    /** Removes a waiting request; an unknown ticket is ignored. */
+    public fun cancel(ticket: DispatchTicket)
+
+    /** Returns the requests that no longer wait, after an endpoint or the time has changed. */
+    public fun advance(now: Instant): List<DispatchDecision>
+
+    /** Returns when [advance] has to be called at the latest, or null if no request waits. */
+    public fun nextEvent(now: Instant): Instant?
+
+    /** Number of waiting requests. */
+    public val waiting: Int
+}
+
+/** Returns a dispatcher that places requests with [balancer]; [random] returns numbers from 0 to 1. */
+public fun dispatcher(
+    balancer: EndpointBalancer,
+    random: () -> Double,
+): Dispatcher = QueueingDispatcher(balancer, outageForecast(random))
+
+private class QueueingDispatcher(
+    private val balancer: EndpointBalancer,
+    private val forecast: OutageForecast,
+) : Dispatcher {
+    private class Waiting(
+        val ticket: DispatchTicket,
+        val request: DispatchRequest,
+    ) {
+        /** Reason why the last attempt to place the request found no endpoint. */
+        var cause = Unavailability.NO_ENDPOINT
+    }
+
+    private val shares = DecayingCounts<OrganisationId>()
+    private val rates = DecayingCounts<ServiceId>()
+    private val queue = LinkedHashMap<DispatchTicket, Waiting>()
+    private var queuedBytes = 0L
+
+    override val waiting: Int get() = queue.size
+
+    override fun submit(
+        ticket: DispatchTicket,
+        request: DispatchRequest,
+        now: Instant,
+    ): DispatchDecision {
+        val candidate = Waiting(ticket, request)
+        place(candidate, now)?.let { return it }
+        val isFull = queue.size >= MAX_WAITING || queuedBytes + request.bytes > MAX_WAITING_BYTES
+        if (isFull || !canBePlaced(candidate, now)) return reject(candidate, now)
+        queue[ticket] = candidate
+        queuedBytes += request.bytes
+        return DispatchDecision.Wait(ticket, candidate.cause)
+    }
+
+    /** Places [candidate] and returns the decision, or returns null if it finds no endpoint. */
+    private fun place(
+        candidate: Waiting,
+        now: Instant,
+    ): DispatchDecision.Place? =
+        when (val choice = balancer.choose(candidate.request.endpoint, now)) {
+            is EndpointChoice.Chosen -> {
+                candidate.request.organisation?.let { shares.placed(it, now) }
+                rates.placed(candidate.request.endpoint.service, now)
+                DispatchDecision.Place(candidate.ticket, choice)
+            }
+            is EndpointChoice.None -> null.also { candidate.cause = choice.cause }
+        }
+
+    /** Returns false if the service is not expected back within the time that the request may wait. */
+    private fun canBePlaced(
+        candidate: Waiting,
+        now: Instant,
+    ): Boolean {
+        val request = candidate.request
+        if (now >= request.waitUntil) return false
+        // Another refusal would be the last answer to a caller that has come back, so the slightest chance is worth it.
+        if (candidate.cause == Unavailability.DOWN && request.hasReturned) return true
+        return now + expectedWait(candidate, now) <= request.waitUntil
+    }
+
+    /** Returns the time until [candidate] is placed, as expected from the outage or the requests ahead of it. */
+    private fun expectedWait(
+        candidate: Waiting,
+        now: Instant,
+    ): Duration =
+        when (candidate.cause) {
+            Unavailability.DOWN -> forecast.remaining(downTime(candidate.request.endpoint.service, now))
+            Unavailability.AT_LIMIT -> queueTime(candidate, now)
+            else -> Duration.ZERO
+        }
+
+    private fun queueTime(
+        candidate: Waiting,
+        now: Instant,
+    ): Duration {
+        val service = candidate.request.endpoint.service
+        val order = order(now)
+        val ahead = queue.values.count { it.request.endpoint.service == service && order.compare(it, candidate) < 0 }
+        return (ahead / rates.perSecond(service, now).coerceAtLeast(MIN_RATE)).seconds
+    }
+
+    private fun downTime(
+        service: ServiceId,
+        now: Instant,
+    ): Duration = balancer.downSince(service)?.let { now - it } ?: Duration.ZERO
+
+    private fun reject(
+        candidate: Waiting,
+        now: Instant,
+    ): DispatchDecision.Reject {
+        val service = candidate.request.endpoint.service
+        val delay =
+            if (candidate.cause == Unavailability.AT_LIMIT) {
+                forecast.spread(queueTime(candidate, now))
+            } else {
+                forecast.retryAfter(downTime(service, now))
+            }
+        return DispatchDecision.Reject(candidate.ticket, candidate.cause, delay)
+    }
+
+    override fun cancel(ticket: DispatchTicket) {
+        queue.remove(ticket)?.let { queuedBytes -= it.request.bytes }
+    }
+
+    override fun advance(now: Instant): List<DispatchDecision> {
+        if (queue.isEmpty()) return emptyList()
+        val decisions = mutableListOf<DispatchDecision>()
+        queue.values.filter { now >= it.request.waitUntil }.forEach { expired ->
+            cancel(expired.ticket)
+            decisions += reject(expired, now)
+        }
+        // A request without a restriction that finds no place tells that the others of its service find none either.
+        val exhausted = HashSet<ServiceId>()
+        for (candidate in inOrder(now)) {
+            val endpoint = candidate.request.endpoint
+            if (endpoint.service in exhausted) continue
+            val placed = place(candidate, now)
+            if (placed != null) {
+                cancel(candidate.ticket)
+                decisions += placed
+            } else if (!endpoint.isRetry && endpoint.excluded.isEmpty()) {
+                exhausted += endpoint.service
+            }
+        }
+        return decisions
+    }
+
+    private fun inOrder(now: Instant): List<Waiting> = queue.values.sortedWith(order(now))
+
+    private fun order(now: Instant): Comparator<Waiting> =
+        compareBy<Waiting> { now > it.request.aimUntil }
+            .thenBy { it.request.priority }
+            .thenBy { it.request.organisation?.let { id -> shares.recent(id, now) } ?: 0.0 }
+            .thenBy { it.request.waitUntil }
+
+    override fun nextEvent(now: Instant): Instant? {
+        val expiry = queue.values.minOfOrNull { it.request.waitUntil } ?: return null
+        return minOf(expiry, now + RETRY_INTERVAL)
+    }
+
+    private companion object {
+        /** Bounds the memory of waiting requests, and the time that one decision takes. */
+        const val MAX_WAITING = 512
+        const val MAX_WAITING_BYTES = 8L * 1024 * 1024
+
+        /** Requests per second that are assumed to be placed if none has been for a while. */
+        const val MIN_RATE = 1.0
+
+        /** Rates and ejections end without a message, so waiting requests are tried again at this interval. */
+        val RETRY_INTERVAL = 50.milliseconds
+    }
+}
--- a/decisions/src/main/kotlin/org/cicadaturn/decisions/experts/PlacementLease.kt
+++ b/decisions/src/main/kotlin/org/cicadaturn/decisions/experts/PlacementLease.kt
@@ -36,6 +36,9 @@
     /** Returns the call to the store that is due at [now]. */
     public fun next(now: Instant): LeaseStep
 
+    /** Returns when this process may take the lease over unless it is renewed, or null if it holds or never read it. */
+    public fun takeoverTime(): Instant?
+
     /** Records that [record], or null if there is none, was read with its store [revision]. */
     public fun seen(
         record: LeaseRecord?,
@@ -129,6 +132,12 @@
         return LeaseStep.Write(LeaseRecord(self, (record?.token ?: 0L) + 1, 0), revision)
     }
 
+    override fun takeoverTime(): Instant? {
+        val at = seenAt ?: return null
+        if (own != null || isReleased) return null
+        return maxOf(at + times.expiry + delay, pledgedUntil)
+    }
+
     private fun mayTakeOver(now: Instant): Boolean {
         val at = seenAt ?: return false
         if (isReleased || now < pledgedUntil) return false
--- a/decisions/src/main/kotlin/org/cicadaturn/decisions/gateway/AttemptPolicy.kt
+++ b/decisions/src/main/kotlin/org/cicadaturn/decisions/gateway/AttemptPolicy.kt
@@ -120,9 +120,14 @@
     timeLimit: Duration,
 ): Duration = if (kind == RouteKind.STREAM) minOf(MAX_STREAM_HOLD, timeLimit * HOLD_SHARE) else timeLimit * HOLD_SHARE
 
-/** Returns the delay after which a caller whose request was refused with [remaining] time left should retry. */
-public fun retryDelay(remaining: Duration): Duration =
-    (remaining * RETRY_DELAY_SHARE).coerceIn(MIN_RETRY_DELAY, MAX_RETRY_DELAY)
+/**
+ * Returns the delay after which a caller whose request was refused with [remaining] time left should retry: the
+ * [expected] time until it can be served, but at most the part of its time that leaves room for the retry.
+ */
+public fun retryDelay(
+    remaining: Duration,
+    expected: Duration = Duration.INFINITE,
+): Duration = minOf(remaining * RETRY_DELAY_SHARE, expected).coerceIn(MIN_RETRY_DELAY, MAX_RETRY_DELAY)
 
 private val MAX_STREAM_HOLD = 1_200.milliseconds
 private const val HOLD_SHARE = 0.35
--- /dev/null
+++ b/decisions/src/main/kotlin/org/cicadaturn/decisions/gateway/BalancerTypes.kt
@@ -0,0 +1,112 @@
+package org.cicadaturn.decisions.gateway
+
+import org.cicadaturn.schema.generated.EndpointId
+import org.cicadaturn.schema.generated.FailureDomainId
+import org.cicadaturn.schema.generated.LiveEndpoint
+import org.cicadaturn.schema.generated.ServiceId
+import kotlin.time.Duration
+
+/**
+ * Load that an endpoint reported of itself.
+ *
+ * @property running requests that it was working on
+ * @property waiting requests that were queued there
+ * @property slots requests that it can work on at once
+ */
+public data class LoadSample(
+    val running: Int,
+    val waiting: Int,
+    val slots: Int,
+)
+
+/**
+ * Request that needs an endpoint.
+ *
+ * @property service service that it is for
+ * @property excluded endpoints that must not get it, for example because it may have run there
+ * @property only endpoints that may get it once it was sent to the maximum number of endpoints; null for no
+ * restriction
+ * @property isRetry true if it was sent to an endpoint before, so that the retry budget applies
+ * @property canWait true if it may wait until the service accepts requests
+ */
+public data class EndpointRequest(
+    val service: ServiceId,
+    val excluded: Set<EndpointId>,
+    val only: Set<EndpointId>?,
+    val isRetry: Boolean,
+    val canWait: Boolean,
+)
+
+/** Result of [EndpointBalancer.choose]. */
+public sealed interface EndpointChoice {
+    /** The request goes to [endpoint] and counts as in flight there until [EndpointBalancer.finished]. */
+    public data class Chosen(
+        val endpoint: LiveEndpoint,
+    ) : EndpointChoice
+
+    /** No endpoint may get the request now. */
+    public data class None(
+        val cause: Unavailability,
+    ) : EndpointChoice
+}
+
+/**
+ * Reason why no endpoint may get a request.
+ *
+ * @property text description for logs and answers
+ */
+public enum class Unavailability(
+    public val text: String,
+) {
+    NO_ENDPOINT("no endpoint of the service is in service"),
+    DOWN("every group of the service is down"),
+    REFUSING("the service refuses requests"),
+    AT_LIMIT("every group of the service is at its limit"),
+    AT_RATE("every endpoint is at its rate"),
+    NO_RETRY("the retry budget is used up"),
+}
+
+/** Outcome of a request at an endpoint, as far as it affects the endpoint's health. */
+public sealed interface EndpointUse {
+    /** The endpoint answered; the head of the answer arrived after [firstByte]. */
+    public data class Answered(
+        val firstByte: Duration,
+    ) : EndpointUse
+
+    /**
+     * The endpoint refused the request.
+     *
+     * @property hadFreePlaces true if it reported free places, so that its group and not its load is the reason
+     */
+    public data class Refused(
+        val hadFreePlaces: Boolean,
+    ) : EndpointUse
+
+    /** The endpoint answered with a failure or with bytes that are no valid answer. */
+    public data object Failed : EndpointUse
+
+    /** The endpoint accepted no connection, ended it within the request or stopped sending. */
+    public data object Lost : EndpointUse
+
+    /** The request ended for a reason that says nothing about the endpoint, such as a caller that left. */
+    public data object Abandoned : EndpointUse
+}
+
+/**
+ * Parameters of the balancer; the bounds apply to all gateways together.
+ *
+ * @property localDomain failure domain of this process
+ * @property coldFactor factor on the request rate that a cold endpoint can sustain
+ * @property coldSlack requests per second that are allowed in addition to that product
+ * @property retryRatio retries per request
+ * @property retrySlack retries in a window that are allowed in addition to that ratio
+ * @property retryWindow window of the retry budget
+ */
+public data class BalancerOptions(
+    val localDomain: FailureDomainId,
+    val coldFactor: Double,
+    val coldSlack: Double,
+    val retryRatio: Double,
+    val retrySlack: Double,
+    val retryWindow: Duration,
+)
--- a/decisions/src/main/kotlin/org/cicadaturn/decisions/gateway/EndpointBalancer.kt
+++ b/decisions/src/main/kotlin/org/cicadaturn/decisions/gateway/EndpointBalancer.kt
@@ -1,87 +1,31 @@
 package org.cicadaturn.decisions.gateway
 
+import arrow.core.Either
+import arrow.core.flatMap
+import arrow.core.left
+import arrow.core.right
+import org.cicadaturn.decisions.dispatch.EngineProfile
+import org.cicadaturn.decisions.dispatch.GroupHealth
+import org.cicadaturn.decisions.dispatch.GroupLimit
+import org.cicadaturn.decisions.dispatch.GroupReport
+import org.cicadaturn.decisions.dispatch.groupLimit
+import org.cicadaturn.decisions.dispatch.groupTracker
 import org.cicadaturn.decisions.routing.EndpointHealth
 import org.cicadaturn.decisions.routing.OutlierDetector
 import org.cicadaturn.decisions.routing.outlierDetector
 import org.cicadaturn.schema.generated.AdmissionState
 import org.cicadaturn.schema.generated.EndpointId
+import org.cicadaturn.schema.generated.ExpertProfile
 import org.cicadaturn.schema.generated.FailureDomainId
 import org.cicadaturn.schema.generated.FleetView
 import org.cicadaturn.schema.generated.LiveEndpoint
+import org.cicadaturn.schema.generated.RoutingConfiguration
 import org.cicadaturn.schema.generated.ServiceId
 import kotlin.random.Random
-import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.Instant
 
-/**
- * Load that an endpoint reported of itself.
- *
- * @property running requests that it was working on
- * @property waiting requests that were queued there
- * @property slots requests that it can work on at once
- */
-public data class LoadSample(
-    val running: Int,
-    val waiting: Int,
-    val slots: Int,
-)
-
-/**
- * Request that needs an endpoint.
- *
- * @property service service that it is for
- * @property excluded endpoints that must not get it, for example because it may have run there
- * @property only endpoints that may get it once it was sent to the maximum number of endpoints; null for no
- * restriction
- * @property isRetry true if it was sent to an endpoint before, so that the retry budget applies
- * @property canWait true if it may wait until the service accepts requests
- */
-public data class EndpointRequest(
-    val service: ServiceId,
-    val excluded: Set<EndpointId>,
-    val only: Set<EndpointId>?,
-    val isRetry: Boolean,
-    val canWait: Boolean,
-)
-
-/** Result of [EndpointBalancer.choose]. */
-public sealed interface EndpointChoice {
-    /**
-     * The request goes to [endpoint] and counts as in flight there until [EndpointBalancer.finished].
-     *
-     * @property maxConnections connections that this process may have to the endpoint
-     */
-    public data class Chosen(
-        val endpoint: LiveEndpoint,
-        val maxConnections: Int,
-    ) : EndpointChoice
-
-    /** No endpoint may get the request now, because of [reason]; the caller should retry after [retryAfter]. */
-    public data class None(
-        val reason: String,
-        val retryAfter: Duration,
-    ) : EndpointChoice
-}
-
-/** Outcome of a request at an endpoint, as far as it affects the endpoint's health. */
-public sealed interface EndpointUse {
-    /** The endpoint answered; the head of the answer arrived after [firstByte]. */
-    public data class Answered(
-        val firstByte: Duration,
-    ) : EndpointUse
-
-    /** The endpoint refused the request because it was full, or because the request was meant for another endpoint. */
-    public data object Refused : EndpointUse
-
-    /** The endpoint failed, stalled or could not be reached. */
-    public data object Failed : EndpointUse
-
-    /** The request ended for a reason that says nothing about the endpoint, such as a caller that left. */
-    public data object Abandoned : EndpointUse
-}
-
 /**
  * Chooses endpoints for requests and keeps what this process knows about them. Has one owner and is not safe for
  * concurrent use.
@@ -116,10 +60,43 @@
     )
 
     /** Records that [endpoint] accepted a request. */
-    public fun accepted(endpoint: EndpointId)
+    public fun accepted(
+        endpoint: EndpointId,
+        now: Instant,
+    )
+
+    /**
+     * Returns true if a request that has got no data from [endpoint] for a while should be sent to another endpoint;
+     * [hasBegun] is true if it got data before.
+     *
+     * While the group makes progress, a full rank has the request queued, but a stream that has begun would get an event
+     * in each pass, so its connection is dead. While the group stands still, a repetition helps only if another group
+     * has room; elsewhere it would take the place of other requests, and the work done would be thrown away.
+     */
+    public fun shouldAbandon(
+        endpoint: EndpointId,
+        hasBegun: Boolean,
+        now: Instant,
+    ): Boolean
 
-    /** Returns the service of [endpoint], or null if it is not known. */
-    public fun serviceOf(endpoint: EndpointId): ServiceId?
+    /** Returns true if this process reaches no group of a service that other processes may reach. */
+    public fun isIsolated(now: Instant): Boolean
+
+    /** Records what [endpoint] reported about its group; null if it did not answer. */
+    public fun groupReported(
+        endpoint: EndpointId,
+        report: GroupReport?,
+        now: Instant,
+    )
+
+    /** Returns the endpoints whose report about their group is due, and counts them as asked. */
+    public fun endpointsToAsk(now: Instant): List<LiveEndpoint>
+
+    /** Returns when the next report will be due, or null if none is needed. */
+    public fun nextAsk(now: Instant): Instant?
+
+    /** Returns since when all groups of [service] have been down, or null if at least one is not. */
+    public fun downSince(service: ServiceId): Instant?
 
     /** Records the load that [endpoint] reported. */
     public fun loadReported(
@@ -127,26 +104,14 @@
         load: LoadSample,
         now: Instant,
     )
-}
 
-/**
- * Parameters of the balancer; the bounds apply to all gateways together.
- *
- * @property localDomain failure domain of this process
- * @property coldFactor factor on the request rate that a cold endpoint can sustain
- * @property coldSlack requests per second that are allowed in addition to that product
- * @property retryRatio retries per request
- * @property retrySlack retries in a window that are allowed in addition to that ratio
- * @property retryWindow window of the retry budget
- */
-public data class BalancerOptions(
-    val localDomain: FailureDomainId,
-    val coldFactor: Double,
-    val coldSlack: Double,
-    val retryRatio: Double,
-    val retrySlack: Double,
-    val retryWindow: Duration,
-)
+    /** Records a pause between two events of a stream from [endpoint], as a [ratio] of its target. */
+    public fun paced(
+        endpoint: EndpointId,
+        ratio: Double,
+        now: Instant,
+    )
+}
 
 /** Returns a balancer that knows no endpoints. */
 public fun endpointBalancer(
@@ -173,7 +138,6 @@
     private class Pool(
         val detector: OutlierDetector = outlierDetector(),
         val budget: GatewayRetryBudget,
-        var maxConnections: Int = DEFAULT_CONNECTIONS,
         var coldRate: Double = 0.0,
     ) {
         /** Refusals and failures since the last request that was accepted. */
@@ -184,6 +148,13 @@
     private val members = HashMap<EndpointId, Member>()
     private val pools = HashMap<ServiceId, Pool>()
     private val gateways = GatewayCount()
+    private val groups = groupTracker { ASK_INTERVAL * maxOf(1, gateways.listed / GATEWAYS_PER_ASK) }
+
+    /** Profiles of the services whose endpoints are ranks of groups. */
+    private var profiles = emptyMap<ServiceId, ExpertProfile>()
+
+    /** Limits by name of group. */
+    private val limits = HashMap<String, GroupLimit>()
     private var drained = emptySet<FailureDomainId>()
 
     override fun update(
@@ -192,13 +163,15 @@
     ) {
         gateways.update(view.peers.size, now)
         drained = view.drainedDomains.toSet()
-        members.keys.retainAll(view.endpoints.mapTo(HashSet()) { it.id })
+        val listed = view.endpoints.mapTo(HashSet()) { it.id }
+        members.keys.retainAll(listed)
+        groups.retain(listed)
+        val configuration = view.configuration
+        if (configuration != null) profiles = configuration.expertProfiles()
         view.endpoints.forEach { endpoint -> updateMember(endpoint, now) }
-        view.configuration?.services?.forEach { service ->
-            val pool = pool(service.id, now)
-            pool.maxConnections = maxOf(1, service.maxConnections / gateways.at(now))
-            pool.coldRate = service.coldRate
-        }
+        view.endpoints.filter { it.service in profiles }.forEach { groups.discover(it.id) }
+        limits.keys.retainAll(members.keys.mapTo(HashSet()) { groups.groupOf(it) })
+        configuration?.services?.forEach { pool(it.id, now).coldRate = it.coldRate }
         pools.forEach { (id, pool) ->
             val endpoints = members.values.map { it.endpoint }.filter { it.service == id }
             val inService = endpoints.filter { it.state == AdmissionState.IN_SERVICE }
@@ -213,6 +186,7 @@
         val known = members[endpoint.id]
         if (known == null || known.endpoint.startedAt != endpoint.startedAt) {
             members[endpoint.id] = Member(endpoint).also { it.coldUntil = now + endpoint.coldFor }
+            groups.forget(endpoint.id)
             pool(endpoint.service, now)
             return
         }
@@ -243,30 +217,62 @@
         now: Instant,
     ): EndpointChoice {
         val pool = pool(request.service, now)
+        val choice = candidates(request, pool, now).flatMap { found -> useRetry(request, pool, now).map { found } }
+        return choice.fold(
+            { EndpointChoice.None(it) },
+            { candidates ->
+                pool.lastSentAt = now
+                val best = candidates.minBy { cost(it, now) }
+                best.inFlight += 1
+                best.sends.sent(now)
+                EndpointChoice.Chosen(best.endpoint)
+            },
+        )
+    }
+
+    /** Returns the endpoints that may get [request], at least one, or why none may. */
+    private fun candidates(
+        request: EndpointRequest,
+        pool: Pool,
+        now: Instant,
+    ): Either<Unavailability, List<Member>> {
         val usable =
-            members.values.filter {
-                it.endpoint.service == request.service &&
-                    it.endpoint.state == AdmissionState.IN_SERVICE &&
-                    it.endpoint.failureDomain !in drained &&
-                    it.endpoint.id !in request.excluded &&
-                    (request.only == null || it.endpoint.id in request.only)
+            inService(request.service).filter {
+                it.endpoint.id !in request.excluded && (request.only == null || it.endpoint.id in request.only)
             }
-        if (usable.isEmpty()) return EndpointChoice.None("no endpoint of the service is in service", LONG_RETRY_DELAY)
-        val available = usable.filter { isAvailable(it, pool, now) }
-        val candidates = available.ifEmpty { usable.filter { isWithinRate(it, pool, now) } }
-        if (candidates.isEmpty()) return EndpointChoice.None("every endpoint is at its rate", SHORT_RETRY_DELAY)
+        if (usable.isEmpty()) return Unavailability.NO_ENDPOINT.left()
+        val running = usable.filter { groups.health(it.endpoint.id, now) in RUNNING }.ifEmpty { probe(usable, now) }
+        if (running.isEmpty()) return Unavailability.DOWN.left()
+        val withRoom = if (request.canWait) running.filter { hasRoom(it, now) } else running
+        if (withRoom.isEmpty()) return Unavailability.AT_LIMIT.left()
+        val available = withRoom.filter { isAvailable(it, pool, now) }
+        val trusted = available.filter { groups.health(it.endpoint.id, now) == GroupHealth.ACCEPTING }
+        val fallback = if (request.isRetry && request.canWait) emptyList() else withRoom
+        val candidates = trusted.ifEmpty { available }.ifEmpty { fallback.filter { isWithinRate(it, pool, now) } }
+        return if (candidates.isEmpty()) Unavailability.AT_RATE.left() else candidates.right()
+    }
+
+    /** Returns the first of [members] whose group may be probed by a request. */
+    private fun probe(
+        members: List<Member>,
+        now: Instant,
+    ): List<Member> = listOfNotNull(members.firstOrNull { groups.tryProbe(it.endpoint.id, now) })
+
+    /** Takes a retry from the budget if [request] is one, or returns why it must not be sent again now. */
+    private fun useRetry(
+        request: EndpointRequest,
+        pool: Pool,
+        now: Instant,
+    ): Either<Unavailability, Unit> {
+        if (!request.isRetry) return Unit.right()
+        // The health of groups tells more than a number of refusals, which may all come from one of several groups.
         val isRefusing = pool.refusals >= MIN_REFUSALS_IN_A_ROW && now - pool.lastSentAt < PROBE_INTERVAL
-        if (request.isRetry && request.canWait && isRefusing) {
-            return EndpointChoice.None("the service refuses requests", LONG_RETRY_DELAY)
-        }
-        if (request.isRetry && !pool.budget.tryRetry(now, slack(now))) {
-            return EndpointChoice.None("the retry budget is used up", LONG_RETRY_DELAY)
+        val mustWait = request.canWait && isRefusing && request.service !in profiles
+        return when {
+            mustWait -> Unavailability.REFUSING.left()
+            pool.budget.tryRetry(now, slack(now)) -> Unit.right()
+            else -> Unavailability.NO_RETRY.left()
         }
-        pool.lastSentAt = now
-        val best = candidates.minBy { cost(it, now) }
-        best.inFlight += 1
-        best.sends.sent(now)
-        return EndpointChoice.Chosen(best.endpoint, pool.maxConnections)
     }
 
     private fun isAvailable(
@@ -279,6 +285,23 @@
             member.inFlight < pool.detector.ownLimit(member.endpoint.id, now) &&
             isWithinRate(member, pool, now)
 
+    /** Returns true if the group of [member] may get another request of this process. */
+    private fun hasRoom(
+        member: Member,
+        now: Instant,
+    ): Boolean {
+        val profile = profiles[member.endpoint.service] ?: return true
+        val limit = limits[groups.groupOf(member.endpoint.id)] ?: return true
+        val engine = EngineProfile(member.endpoint.slots, profile.stepTime, profile.stepTimePerRequest)
+        return ownPerRank(member) < limit.ownPerRank(engine, now)
+    }
+
+    /** Returns the number of requests that this process has in flight at a rank of the group of [member], on average. */
+    private fun ownPerRank(member: Member): Double {
+        val ranks = groups.ranksOf(member.endpoint.id).mapNotNull { members[it] }
+        return ranks.ifEmpty { listOf(member) }.map { it.inFlight }.average()
+    }
+
     /** An endpoint may become cold without notice, so the bound for a cold endpoint always applies. */
     private fun isWithinRate(
         member: Member,
@@ -314,17 +337,92 @@
         when (use) {
             is EndpointUse.Answered -> pool.detector.answered(endpoint, use.firstByte, now)
             EndpointUse.Failed -> pool.detector.failed(endpoint, now)
-            EndpointUse.Refused -> member.refusedUntil = now + REFUSAL_PAUSE
+            EndpointUse.Lost -> recordLoss(member, pool, now)
+            is EndpointUse.Refused -> {
+                member.refusedUntil = now + REFUSAL_PAUSE
+                if (use.hadFreePlaces) groups.refused(endpoint, now)
+            }
             EndpointUse.Abandoned -> Unit
         }
-        if (use == EndpointUse.Failed || use == EndpointUse.Refused) pool.refusals += 1
+        if (use == EndpointUse.Failed || use == EndpointUse.Lost || use is EndpointUse.Refused) pool.refusals += 1
+    }
+
+    /** Records a loss; one of a rank says more about its group than about the rank, which therefore stays in use. */
+    private fun recordLoss(
+        member: Member,
+        pool: Pool,
+        now: Instant,
+    ) {
+        val endpoint = member.endpoint
+        if (endpoint.service !in profiles) return pool.detector.failed(endpoint.id, now)
+        member.refusedUntil = now + LOSS_PAUSE
+        groups.unreachable(endpoint.id, now)
+    }
+
+    override fun shouldAbandon(
+        endpoint: EndpointId,
+        hasBegun: Boolean,
+        now: Instant,
+    ): Boolean {
+        val member = members[endpoint] ?: return true
+        if (member.endpoint.service !in profiles) return true
+        if (now - groups.lastProgress(endpoint) < MAX_PROGRESS_AGE) return hasBegun || !isFull(member, now)
+        val group = groups.groupOf(endpoint)
+        return inService(member.endpoint.service).any {
+            groups.groupOf(it.endpoint.id) != group &&
+                groups.health(it.endpoint.id, now) == GroupHealth.ACCEPTING &&
+                hasRoom(it, now)
+        }
+    }
+
+    private fun isFull(
+        member: Member,
+        now: Instant,
+    ): Boolean {
+        val sample = member.sample?.takeIf { now - member.sampledAt < MAX_PROGRESS_AGE } ?: return true
+        return sample.waiting > 0 || sample.running >= sample.slots
+    }
+
+    override fun isIsolated(now: Instant): Boolean =
+        profiles.keys.any { service ->
+            val healths = inService(service).map { groups.health(it.endpoint.id, now) }
+            healths.any { it == GroupHealth.UNREACHABLE } &&
+                healths.all { it == GroupHealth.UNREACHABLE || it == GroupHealth.DOWN }
+        }
+
+    private fun inService(service: ServiceId): List<Member> =
+        members.values.filter {
+            it.endpoint.service == service &&
+                it.endpoint.state == AdmissionState.IN_SERVICE &&
+                it.endpoint.failureDomain !in drained
+        }
+
+    override fun accepted(
+        endpoint: EndpointId,
+        now: Instant,
+    ) {
+        groups.accepted(endpoint, now)
+        pools[members[endpoint]?.endpoint?.service]?.refusals = 0
     }
 
-    override fun accepted(endpoint: EndpointId) {
-        pools[serviceOf(endpoint)]?.refusals = 0
+    override fun groupReported(
+        endpoint: EndpointId,
+        report: GroupReport?,
+        now: Instant,
+    ) {
+        if (endpoint in members) groups.reported(endpoint, report, now)
     }
 
-    override fun serviceOf(endpoint: EndpointId): ServiceId? = members[endpoint]?.endpoint?.service
+    override fun endpointsToAsk(now: Instant): List<LiveEndpoint> =
+        groups.endpointsToAsk(now).mapNotNull { members[it]?.endpoint }
+
+    override fun nextAsk(now: Instant): Instant? = groups.nextAsk(now)
+
+    override fun downSince(service: ServiceId): Instant? {
+        val endpoints = members.values.map { it.endpoint }.filter { it.service == service }
+        val times = endpoints.map { groups.downSince(it.id) ?: return null }
+        return times.maxOrNull()
+    }
 
     override fun loadReported(
         endpoint: EndpointId,
@@ -332,15 +430,25 @@
         now: Instant,
     ) {
         val member = members[endpoint] ?: return
+        if (member.endpoint.service in profiles) {
+            val limit = limits.getOrPut(groups.groupOf(endpoint)) { groupLimit() }
+            limit.reported(load.running + load.waiting, ownPerRank(member), now)
+        }
         member.sample = load
         member.sampledAt = now
         member.inFlightAtSample = member.inFlight
     }
 
-    private companion object {
-        /** Connections that are allowed to one endpoint until its service is known. */
-        const val DEFAULT_CONNECTIONS = 8
+    override fun paced(
+        endpoint: EndpointId,
+        ratio: Double,
+        now: Instant,
+    ) {
+        groups.progressed(endpoint, now)
+        limits[groups.groupOf(endpoint)]?.paced(ratio, now)
+    }
 
+    private companion object {
         /** The rest of the slack is reserved for processes that start during a window. */
         const val USED_SLACK_SHARE = 0.65
 
@@ -365,7 +473,22 @@
         /** Time for which an endpoint that refused a request is avoided. */
         val REFUSAL_PAUSE = 100.milliseconds
 
-        val SHORT_RETRY_DELAY = 200.milliseconds
-        val LONG_RETRY_DELAY = 500.milliseconds
+        /** Health of groups to which requests are sent. */
+        val RUNNING = setOf(GroupHealth.ACCEPTING, GroupHealth.SUSPECT)
+
+        /** A group that has sent nothing for this long stands still; passes take a fraction of it. */
+        val MAX_PROGRESS_AGE = 1_500.milliseconds
+
+        /** Time for which a rank that was lost is avoided; longer than a group stalls without it. */
+        val LOSS_PAUSE = 1.seconds
+
+        /** Time between two questions to a group that is down, for each process at a small site. */
+        val ASK_INTERVAL = 150.milliseconds
+
+        /** Number of processes beyond which each asks less often, so that together they ask at a bounded rate. */
+        const val GATEWAYS_PER_ASK = 8
     }
 }
+
+private fun RoutingConfiguration.expertProfiles(): Map<ServiceId, ExpertProfile> =
+    services.mapNotNull { s -> s.experts?.let { s.id to it } }.toMap()
--- a/decisions/src/main/kotlin/org/cicadaturn/decisions/gateway/EventSplitter.kt
+++ b/decisions/src/main/kotlin/org/cicadaturn/decisions/gateway/EventSplitter.kt
@@ -20,6 +20,9 @@
     /** True while the last event is incomplete. */
     public val isInsideEvent: Boolean
 
+    /** Number of bytes of the incomplete event. */
+    public val pendingBytes: Int
+
     /** Returns the events that [bytes] complete, in order. */
     public fun add(bytes: ByteArray): List<StreamEvent>
 }
@@ -31,6 +34,7 @@
     private var pending = ByteArray(0)
 
     override val isInsideEvent: Boolean get() = pending.isNotEmpty()
+    override val pendingBytes: Int get() = pending.size
 
     override fun add(bytes: ByteArray): List<StreamEvent> {
         val all = if (pending.isEmpty()) bytes else pending + bytes
--- a/decisions/src/main/kotlin/org/cicadaturn/decisions/gateway/FleetTracker.kt
+++ b/decisions/src/main/kotlin/org/cicadaturn/decisions/gateway/FleetTracker.kt
@@ -67,8 +67,11 @@
     /** Returns the parts of the view that this process has from the store itself; the others have revision 0. */
     public fun ownView(): FleetView
 
-    /** Returns when the next entry that is kept after an outage expires, or null if there is none. */
-    public fun nextExpiry(): Instant?
+    /**
+     * Returns when the state changes without a call, as an entry that is kept after an outage or the confirmation of the
+     * configuration by a peer expires, or null if nothing expires after [now].
+     */
+    public fun nextExpiry(now: Instant): Instant?
 }
 
 /** Returns a tracker without any data. */
@@ -91,8 +94,9 @@
         content: FleetChanges,
         now: Instant,
     ) {
-        val keepUntil = recordAnswer(part, now)
+        // An older state says nothing about what has lapsed since, so the outage goes on.
         if (content.revision < revisionOf(part)) return
+        val keepUntil = recordAnswer(part, now)
         val gone = if (part == FleetPart.ENDPOINTS) missingFrom(content) else emptyList()
         when (part) {
             FleetPart.CONFIGURATION -> Unit
@@ -113,8 +117,8 @@
         changes: FleetChanges,
         now: Instant,
     ) {
-        val keepUntil = recordAnswer(part, now)
         if (changes.revision < revisionOf(part)) return
+        val keepUntil = recordAnswer(part, now)
         apply(part, changes, keepUntil)
     }
 
@@ -263,7 +267,10 @@
             FleetPart.PEERS -> view.peersRevision
         }
 
-    override fun nextExpiry(): Instant? = keptUntil.values.minOrNull()
+    override fun nextExpiry(now: Instant): Instant? {
+        val confirmedUntil = sources.getValue(FleetPart.CONFIGURATION).relayedAt + MAX_RELAY_AGE
+        return (keptUntil.values + listOf(confirmedUntil).filter { it > now }).minOrNull()
+    }
 
     private companion object {
         /** Endpoints renew their entries about once a second, so no entry expires during a shorter outage. */
--- a/decisions/src/main/kotlin/org/cicadaturn/decisions/gateway/GatewayCount.kt
+++ b/decisions/src/main/kotlin/org/cicadaturn/decisions/gateway/GatewayCount.kt
@@ -6,7 +6,10 @@
 /** Number of gateways among which the bounds that apply to all of them are divided. */
 internal class GatewayCount {
     private var count = INITIAL_COUNT
-    private var listed = 0
+
+    /** Number of gateways in the last list; 0 if none was read. */
+    var listed = 0
+        private set
     private var fewerSince = Instant.DISTANT_PAST
 
     /** Updates the count from a list of [listed] gateways; 0 means that the list is not known. */
--- a/decisions/src/main/kotlin/org/cicadaturn/decisions/gateway/RouteTable.kt
+++ b/decisions/src/main/kotlin/org/cicadaturn/decisions/gateway/RouteTable.kt
@@ -70,10 +70,20 @@
         key: String?,
     ): Admission {
         val route =
-            routes[host.substringBefore(':').lowercase()]?.firstOrNull { path.startsWith(it.pathPrefix) }
+            routes[host.substringBefore(':').lowercase()]?.firstOrNull { matches(it.pathPrefix, path) }
                 ?: return Admission.UnknownRoute
         val owner = key?.let { owners?.get(it) }
         if (owners != null && owner == null && !route.public) return Admission.UnknownKey
         return Admission.Admitted(route, owner?.organisation, owner?.priority ?: route.priority)
     }
 }
+
+/** Returns true if [path] begins with whole segments of [prefix]. */
+private fun matches(
+    prefix: String,
+    path: String,
+): Boolean =
+    path.startsWith(prefix) &&
+        (prefix.endsWith('/') || path.length == prefix.length || path[prefix.length] in SEGMENT_ENDS)
+
+private const val SEGMENT_ENDS = "/?"
--- a/decisions/src/test/kotlin/org/cicadaturn/decisions/gateway/EndpointBalancerTest.kt
+++ b/decisions/src/test/kotlin/org/cicadaturn/decisions/gateway/EndpointBalancerTest.kt
@@ -135,13 +135,13 @@
         balancer.update(view(List(6) { endpoint("e$it") }, coldRate = 0.0), start)
         val later = start + 20.seconds
         repeat(3) { balancer.choose(request(), later) }
-        repeat(3) { balancer.finished(EndpointId("e$it"), EndpointUse.Refused, later) }
+        repeat(3) { balancer.finished(EndpointId("e$it"), EndpointUse.Refused(hadFreePlaces = false), later) }
         assertInstanceOf(EndpointChoice.None::class.java, balancer.choose(request(setOf("e0")), later))
         assertInstanceOf(EndpointChoice.Chosen::class.java, balancer.choose(request(), later))
         val probe = later + 200.milliseconds
         assertInstanceOf(EndpointChoice.Chosen::class.java, balancer.choose(request(setOf("e0")), probe))
         assertInstanceOf(EndpointChoice.None::class.java, balancer.choose(request(setOf("e1")), probe))
-        balancer.accepted(EndpointId("e2"))
+        balancer.accepted(EndpointId("e2"), probe)
         assertInstanceOf(EndpointChoice.Chosen::class.java, balancer.choose(request(setOf("e1")), probe))
     }
 
--- a/decisions/src/test/kotlin/org/cicadaturn/decisions/gateway/FleetTrackerTest.kt
+++ b/decisions/src/test/kotlin/org/cicadaturn/decisions/gateway/FleetTrackerTest.kt
@@ -4,6 +4,7 @@
 import org.cicadaturn.schema.generated.CallerLimits
 import org.cicadaturn.schema.generated.EndpointId
 import org.cicadaturn.schema.generated.FailureDomainId
+import org.cicadaturn.schema.generated.FleetView
 import org.cicadaturn.schema.generated.LiveEndpoint
 import org.cicadaturn.schema.generated.NetworkAddress
 import org.cicadaturn.schema.generated.RoutingConfiguration
@@ -149,4 +150,28 @@
         assertEquals(0L, tracker.ownView().endpointsRevision)
         assertEquals(emptyList<LiveEndpoint>(), tracker.ownView().endpoints)
     }
+
+    /** Guards against an answer from a lagging store that ends the grace period of entries that lapsed in an outage. */
+    @Test
+    fun `an answer with an older revision does not end an outage`() {
+        tracker.listed(FleetPart.ENDPOINTS, listed("a", "b"), start)
+        tracker.failed(FleetPart.ENDPOINTS, start)
+        tracker.changed(FleetPart.ENDPOINTS, FleetChanges(9, emptyList()), start + 3.seconds)
+        val lapsed = FleetChanges(12, listOf(FleetChange.EndpointListed(endpoint("a"))))
+        tracker.listed(FleetPart.ENDPOINTS, lapsed, start + 4.seconds)
+        assertEquals(setOf("a", "b"), ids(5.seconds))
+        assertEquals(setOf("a"), ids(7.seconds))
+    }
+
+    /** Guards against a process that keeps answering 404 and 401 after the confirmation by a peer has expired. */
+    @Test
+    fun `the expiry of a peer's confirmation is announced`() {
+        val view = FleetView(configuration = configuration(3).configuration, configurationRevision = 5)
+        tracker.relayed(view, start)
+        assertTrue(tracker.state(start).isConfigurationCurrent)
+        val expiry = tracker.nextExpiry(start)!!
+        assertTrue(expiry > start)
+        assertFalse(tracker.state(expiry).isConfigurationCurrent)
+        assertEquals(null, tracker.nextExpiry(expiry))
+    }
 }
--- a/decisions/src/test/kotlin/org/cicadaturn/decisions/gateway/RouteTableTest.kt
+++ b/decisions/src/test/kotlin/org/cicadaturn/decisions/gateway/RouteTableTest.kt
@@ -34,7 +34,13 @@
         routeTable(
             RoutingConfiguration(
                 version = 1,
-                routes = listOf(route("short", "/a/"), route("long", "/a/b/"), route("open", "/open/", public = true)),
+                routes =
+                    listOf(
+                        route("short", "/a/"),
+                        route("long", "/a/b/"),
+                        route("open", "/open/", public = true),
+                        route("bare", "/bare"),
+                    ),
                 services = emptyList(),
                 tenancies = listOf(Tenancy(OrganisationId("org"), listOf("key"), priority = 1)),
                 limits = CallerLimits(),
@@ -55,6 +61,9 @@
     fun `a prefix matches whole segments only`() {
         assertEquals(Admission.UnknownRoute, table.admit("shop.example", "/ab/", "key"))
         assertEquals(Admission.UnknownRoute, table.admit("other.example", "/a/", "key"))
+        assertEquals(Admission.UnknownRoute, table.admit("shop.example", "/barefoot", "key"))
+        assertInstanceOf(Admission.Admitted::class.java, table.admit("shop.example", "/bare/foot", "key"))
+        assertInstanceOf(Admission.Admitted::class.java, table.admit("shop.example", "/bare", "key"))
     }
 
     /** Guards against a request that is served without a key of any organisation. */
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/Replies.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/Replies.kt
@@ -1,4 +1,4 @@
-package org.cicadaturn.tasks.gateway
+package org.cicadaturn.tasks
 
 import kotlinx.coroutines.Deferred
 import kotlinx.coroutines.ExperimentalCoroutinesApi
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/entry/RequestRegistry.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/entry/RequestRegistry.kt
@@ -1,14 +1,18 @@
 package org.cicadaturn.tasks.entry
 
+import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.NonCancellable
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.flow.MutableStateFlow
 import kotlinx.coroutines.flow.StateFlow
 import kotlinx.coroutines.flow.asStateFlow
+import kotlinx.coroutines.withContext
 import org.cicadaturn.decisions.request.RoutedRequest
 import org.cicadaturn.decisions.routing.RetryBudget
 import org.cicadaturn.schema.generated.EndpointId
 import org.cicadaturn.schema.generated.RequestView
+import org.cicadaturn.tasks.completedValueOrNull
 import kotlin.time.Clock
 import kotlin.time.Instant
 
@@ -91,7 +95,14 @@
     override suspend fun begin(request: RoutedRequest): RequestSlot? {
         val reply = CompletableDeferred<RequestSlot?>()
         messages.send(RegistryMessage.Begin(request, reply))
-        return reply.await()
+        try {
+            return reply.await()
+        } catch (e: CancellationException) {
+            reply.cancel()
+            // The task may have replied just before the cancellation.
+            reply.completedValueOrNull()?.let { slot -> withContext(NonCancellable) { end(slot) } }
+            throw e
+        }
     }
 
     override suspend fun tryRetry(): Boolean {
@@ -121,7 +132,10 @@
     suspend fun run() {
         for (message in messages) {
             when (message) {
-                is RegistryMessage.Begin -> message.reply.complete(begin(message))
+                is RegistryMessage.Begin -> {
+                    val slot = begin(message)
+                    if (!message.reply.complete(slot)) entries.remove(slot)
+                }
                 is RegistryMessage.Retry -> message.reply.complete(budget.tryRetry(clock.now()))
                 is RegistryMessage.AttemptStarted -> entries[message.slot]?.endpoint = message.endpoint
                 is RegistryMessage.End -> entries.remove(message.slot)
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/experts/ExpertBalancer.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/experts/ExpertBalancer.kt
@@ -139,6 +139,10 @@
             )
             return null
         }
+        if (byRank.values.any { it!!.experts.size != group.profile.sets }) {
+            logger.info("experts: {} not balanced: a rank lists other than {} sets", group.name, group.profile.sets)
+            return null
+        }
         val sets =
             (0 until group.profile.sets).map { s ->
                 group.ranks.keys
@@ -179,8 +183,8 @@
     private var switchStep = 0L
     private var readsWithoutSelections = 0
 
-    /** True if the last read showed no new selections. */
-    val isIdle: Boolean get() = readsWithoutSelections > 0
+    /** True if several reads showed no new selections; the first one of a rank only tells where its counts start. */
+    val isIdle: Boolean get() = readsWithoutSelections > 1
     private val steps = stepEstimate()
     private val demand: DemandEstimate = demandEstimate(profile.sets, profile.experts)
 
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/experts/Lease.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/experts/Lease.kt
@@ -106,9 +106,22 @@
         when {
             isStoreUnavailable && token() != null -> RETRY_INTERVAL
             step is LeaseStep.Write -> dependencies.times.renewal
-            else -> dependencies.pollInterval
+            else -> readInterval()
         }
 
+    /** A takeover that falls between two reads does not wait for the second one, as its write is conditional. */
+    private fun readInterval(): Duration {
+        val untilTakeover = lease.takeoverTime()?.let { it - clock.now() } ?: return dependencies.pollInterval
+        return if (untilTakeover.isPositive()) {
+            minOf(
+                dependencies.pollInterval,
+                untilTakeover,
+            )
+        } else {
+            dependencies.pollInterval
+        }
+    }
+
     /**
      * Writes the lease. While the store is unavailable, the holder continues as long as all other processes pledge.
      *
@@ -141,9 +154,9 @@
         val answer = withTimeoutOrNull(WRITE_TIMEOUT) { store.writeLease(name, step.record, step.expected) }
         (answer ?: StoreError.Unanswered("no answer within $WRITE_TIMEOUT").left()).fold(
             { error ->
-                val isNewFailure = !isStoreUnavailable || error is StoreError.Conflict
-                if (isNewFailure) logger.info("lease: {} not written: {}", name, error.message)
-                isStoreUnavailable = error !is StoreError.Conflict
+                val isOutage = error is StoreError.Unavailable || error is StoreError.Unanswered
+                if (!isStoreUnavailable || !isOutage) logger.info("lease: {} not written: {}", name, error.message)
+                isStoreUnavailable = isOutage
                 if (error is StoreError.Conflict) lease.forfeit()
                 if (!isStoreUnavailable || isNew) read(isFresh = true)
             },
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/Balancer.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/Balancer.kt
@@ -3,27 +3,61 @@
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.ExperimentalCoroutinesApi
 import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.flow.MutableStateFlow
+import kotlinx.coroutines.flow.StateFlow
 import kotlinx.coroutines.launch
-import kotlinx.coroutines.withTimeoutOrNull
+import kotlinx.coroutines.selects.onTimeout
+import kotlinx.coroutines.selects.select
+import org.cicadaturn.decisions.dispatch.DispatchDecision
+import org.cicadaturn.decisions.dispatch.DispatchRequest
+import org.cicadaturn.decisions.dispatch.DispatchTicket
+import org.cicadaturn.decisions.dispatch.Dispatcher
+import org.cicadaturn.decisions.dispatch.GroupReport
 import org.cicadaturn.decisions.gateway.EndpointBalancer
-import org.cicadaturn.decisions.gateway.EndpointChoice
-import org.cicadaturn.decisions.gateway.EndpointRequest
 import org.cicadaturn.decisions.gateway.EndpointUse
 import org.cicadaturn.decisions.gateway.FleetState
 import org.cicadaturn.decisions.gateway.LoadSample
+import org.cicadaturn.decisions.gateway.Unavailability
 import org.cicadaturn.schema.generated.EndpointId
+import org.cicadaturn.schema.generated.LiveEndpoint
 import org.cicadaturn.schema.generated.ServiceId
+import org.cicadaturn.tasks.completedValueOrNull
 import kotlin.time.Clock
 import kotlin.time.Duration
 
-/** Task that owns the endpoint balancer of this process. */
+/** Answer of the [Balancer] to a request for an endpoint. */
+public sealed interface Placement {
+    /** The request goes to [endpoint] and counts there until [Balancer.finished] is called. */
+    public class Placed(
+        public val endpoint: LiveEndpoint,
+    ) : Placement
+
+    /** The request waits because of [cause]; [Balancer.await] returns what follows. */
+    public class Waiting(
+        public val cause: Unavailability,
+        internal val ticket: DispatchTicket,
+        internal val outcome: CompletableDeferred<Placement>,
+    ) : Placement
+
+    /** The request gets no endpoint because of [cause]; the caller should retry after [retryAfter]. */
+    public class Rejected(
+        public val cause: Unavailability,
+        public val retryAfter: Duration,
+    ) : Placement
+}
+
+/** Task that owns the endpoint balancer and the waiting requests of this process. */
 public interface Balancer {
     /** Counts a request of a caller for [service]. */
     public suspend fun arrived(service: ServiceId)
 
-    /** Returns the endpoint chosen for [request], if any, and counts the request there until [finished] is called. */
-    public suspend fun choose(request: EndpointRequest): EndpointChoice
+    /** Returns the first decision on [request]. */
+    public suspend fun place(request: DispatchRequest): Placement
+
+    /** Returns the decision that ends the wait of a request; it is not [Placement.Waiting]. */
+    public suspend fun await(waiting: Placement.Waiting): Placement
 
     /** Stops counting a request at [endpoint]; never suspends, so that it can be called on cancellation. */
     public fun finished(
@@ -34,29 +68,53 @@
     /** Records that [endpoint] accepted a request. */
     public fun accepted(endpoint: EndpointId)
 
-    /** Waits until an endpoint of [service] accepts a request, but at most for [limit]. */
-    public suspend fun awaitAcceptance(
-        service: ServiceId,
-        limit: Duration,
-    )
-
     /** Records the [load] that [endpoint] reported. */
     public fun loadReported(
         endpoint: EndpointId,
         load: LoadSample,
     )
+
+    /** Records a pause between two events of a stream from [endpoint], as a [ratio] of its target. */
+    public fun paced(
+        endpoint: EndpointId,
+        ratio: Double,
+    )
+
+    /**
+     * Returns true if a request that has got no data from [endpoint] for a while should be sent to another one;
+     * [hasBegun] is true if it got data before.
+     */
+    public suspend fun shouldAbandon(
+        endpoint: EndpointId,
+        hasBegun: Boolean,
+    ): Boolean
+
+    /** True while this process reaches no group of a service that other processes may reach. */
+    public val isIsolated: StateFlow<Boolean>
 }
 
-/** Starts a task in [scope] that owns [balancer] and updates it on each change of [fleet]. */
+/**
+ * Dependencies of the balancer task.
+ *
+ * @property balancer chooses endpoints; [dispatcher] places requests with it
+ * @property askGroup returns what an endpoint reports about its group, or null if it does not answer
+ */
+public class BalancerDependencies(
+    public val balancer: EndpointBalancer,
+    public val dispatcher: Dispatcher,
+    public val fleet: Fleet,
+    public val askGroup: suspend (LiveEndpoint) -> GroupReport?,
+    public val clock: Clock,
+)
+
+/** Starts a task in [scope] that places requests and is updated on each change of the fleet. */
 public fun startBalancer(
     scope: CoroutineScope,
-    balancer: EndpointBalancer,
-    fleet: Fleet,
-    clock: Clock,
+    dependencies: BalancerDependencies,
 ): Balancer {
-    val task = BalancerTask(balancer, clock)
+    val task = BalancerTask(scope, dependencies)
     scope.launch { task.processMessages() }
-    scope.launch { fleet.state.collect { task.send(BalancerMessage.Updated(it)) } }
+    scope.launch { dependencies.fleet.state.collect { task.send(BalancerMessage.Updated(it)) } }
     return task
 }
 
@@ -69,9 +127,13 @@
         val service: ServiceId,
     ) : BalancerMessage
 
-    class Choose(
-        val request: EndpointRequest,
-        val reply: CompletableDeferred<EndpointChoice>,
+    class Place(
+        val request: DispatchRequest,
+        val reply: CompletableDeferred<Placement>,
+    ) : BalancerMessage
+
+    class Cancelled(
+        val ticket: DispatchTicket,
     ) : BalancerMessage
 
     class Finished(
@@ -83,29 +145,66 @@
         val endpoint: EndpointId,
     ) : BalancerMessage
 
-    class Await(
-        val service: ServiceId,
-        val reply: CompletableDeferred<Unit>,
-    ) : BalancerMessage
-
     class LoadReported(
         val endpoint: EndpointId,
         val load: LoadSample,
     ) : BalancerMessage
+
+    class Stalled(
+        val endpoint: EndpointId,
+        val hasBegun: Boolean,
+        val reply: CompletableDeferred<Boolean>,
+    ) : BalancerMessage
+
+    class Paced(
+        val endpoint: EndpointId,
+        val ratio: Double,
+    ) : BalancerMessage
+
+    class GroupReported(
+        val endpoint: EndpointId,
+        val report: GroupReport?,
+    ) : BalancerMessage
 }
 
 private class BalancerTask(
-    private val balancer: EndpointBalancer,
-    private val clock: Clock,
+    private val scope: CoroutineScope,
+    private val dependencies: BalancerDependencies,
 ) : Balancer {
+    private val balancer = dependencies.balancer
+    private val dispatcher = dependencies.dispatcher
+    private val clock = dependencies.clock
+
     // Unbounded, because the end of a request must be counted on cancellation too; each request in progress has at
     // most three messages here.
     private val messages = Channel<BalancerMessage>(Channel.UNLIMITED)
 
-    private val waiters = HashMap<ServiceId, MutableList<CompletableDeferred<Unit>>>()
+    private val waiting = HashMap<DispatchTicket, CompletableDeferred<Placement>>()
+    private val isolation = MutableStateFlow(false)
+    override val isIsolated: StateFlow<Boolean> = isolation
+    private var lastTicket = 0L
 
+    @OptIn(ExperimentalCoroutinesApi::class)
     suspend fun processMessages() {
-        for (message in messages) handle(message)
+        while (true) {
+            val now = clock.now()
+            val next = listOfNotNull(dispatcher.nextEvent(now), balancer.nextAsk(now)).minOrNull()
+            // A receive that is cancelled by a time-out may lose a message; the selection of one of both does not.
+            select {
+                messages.onReceive { handle(it) }
+                if (next != null) onTimeout(next - now) {}
+            }
+            while (true) handle(messages.tryReceive().getOrNull() ?: break)
+            dispatcher.advance(clock.now()).forEach { decide(it) }
+            askGroups()
+            isolation.value = balancer.isIsolated(clock.now())
+        }
+    }
+
+    private fun askGroups() {
+        for (endpoint in balancer.endpointsToAsk(clock.now())) {
+            scope.launch { send(BalancerMessage.GroupReported(endpoint.id, dependencies.askGroup(endpoint))) }
+        }
     }
 
     fun send(message: BalancerMessage) {
@@ -117,46 +216,88 @@
         when (message) {
             is BalancerMessage.Updated -> balancer.update(message.state.view, now)
             is BalancerMessage.Arrived -> balancer.arrived(message.service, now)
-            is BalancerMessage.Choose -> choose(message)
+            is BalancerMessage.Place -> place(message)
+            is BalancerMessage.Cancelled -> cancel(message.ticket)
             is BalancerMessage.Finished -> balancer.finished(message.endpoint, message.use, now)
-            is BalancerMessage.Accepted -> recordAcceptance(message.endpoint)
-            is BalancerMessage.Await -> waiters.getOrPut(message.service) { mutableListOf() } += message.reply
+            is BalancerMessage.Accepted -> balancer.accepted(message.endpoint, now)
+            is BalancerMessage.Stalled ->
+                message.reply.complete(
+                    balancer.shouldAbandon(message.endpoint, message.hasBegun, now),
+                )
             is BalancerMessage.LoadReported -> balancer.loadReported(message.endpoint, message.load, now)
+            is BalancerMessage.Paced -> balancer.paced(message.endpoint, message.ratio, now)
+            is BalancerMessage.GroupReported -> balancer.groupReported(message.endpoint, message.report, now)
         }
     }
 
-    private fun recordAcceptance(endpoint: EndpointId) {
-        balancer.accepted(endpoint)
-        val service = balancer.serviceOf(endpoint) ?: return
-        waiters.remove(service)?.forEach { it.complete(Unit) }
+    private fun cancel(ticket: DispatchTicket) {
+        dispatcher.cancel(ticket)
+        waiting.remove(ticket)
+    }
+
+    private fun place(message: BalancerMessage.Place) {
+        lastTicket += 1
+        val ticket = DispatchTicket(lastTicket)
+        val decision = dispatcher.submit(ticket, message.request, clock.now())
+        if (decision !is DispatchDecision.Wait) return reply(message.reply, decision)
+        val outcome = CompletableDeferred<Placement>()
+        waiting[ticket] = outcome
+        if (!message.reply.complete(Placement.Waiting(decision.cause, ticket, outcome))) cancel(ticket)
     }
 
-    /** Replies with the choice, or stops counting it at the endpoint if the requester no longer waits for it. */
-    private fun choose(message: BalancerMessage.Choose) {
-        val choice = balancer.choose(message.request, clock.now())
-        if (message.reply.complete(choice)) return
-        if (choice is EndpointChoice.Chosen) balancer.finished(choice.endpoint.id, EndpointUse.Abandoned, clock.now())
+    private fun decide(decision: DispatchDecision) {
+        waiting.remove(decision.ticket)?.let { reply(it, decision) }
+    }
+
+    /** Replies with [decision], or stops counting the request at the endpoint if nobody waits for the reply. */
+    private fun reply(
+        reply: CompletableDeferred<Placement>,
+        decision: DispatchDecision,
+    ) {
+        val placement =
+            when (decision) {
+                is DispatchDecision.Place -> Placement.Placed(decision.choice.endpoint)
+                is DispatchDecision.Reject -> Placement.Rejected(decision.cause, decision.retryAfter)
+                is DispatchDecision.Wait -> return
+            }
+        if (!reply.complete(placement)) undo(placement)
+    }
+
+    private fun undo(placement: Placement?) {
+        when (placement) {
+            is Placement.Placed -> finished(placement.endpoint.id, EndpointUse.Abandoned)
+            is Placement.Waiting -> send(BalancerMessage.Cancelled(placement.ticket))
+            is Placement.Rejected, null -> Unit
+        }
     }
 
     override suspend fun arrived(service: ServiceId) {
         send(BalancerMessage.Arrived(service))
     }
 
-    override suspend fun choose(request: EndpointRequest): EndpointChoice {
-        val reply = CompletableDeferred<EndpointChoice>()
-        send(BalancerMessage.Choose(request, reply))
+    override suspend fun place(request: DispatchRequest): Placement {
+        val reply = CompletableDeferred<Placement>()
+        send(BalancerMessage.Place(request, reply))
+        return awaitOrUndo(reply)
+    }
+
+    override suspend fun await(waiting: Placement.Waiting): Placement {
         try {
-            return reply.await()
+            return awaitOrUndo(waiting.outcome)
         } catch (e: CancellationException) {
-            reply.cancel()
-            undoChoice(reply)
+            send(BalancerMessage.Cancelled(waiting.ticket))
             throw e
         }
     }
 
-    private fun undoChoice(reply: CompletableDeferred<EndpointChoice>) {
-        val choice = reply.completedValueOrNull()
-        if (choice is EndpointChoice.Chosen) finished(choice.endpoint.id, EndpointUse.Abandoned)
+    private suspend fun awaitOrUndo(reply: CompletableDeferred<Placement>): Placement {
+        try {
+            return reply.await()
+        } catch (e: CancellationException) {
+            reply.cancel()
+            undo(reply.completedValueOrNull())
+            throw e
+        }
     }
 
     override fun finished(
@@ -170,19 +311,26 @@
         send(BalancerMessage.Accepted(endpoint))
     }
 
-    override suspend fun awaitAcceptance(
-        service: ServiceId,
-        limit: Duration,
-    ) {
-        val reply = CompletableDeferred<Unit>()
-        send(BalancerMessage.Await(service, reply))
-        withTimeoutOrNull(limit) { reply.await() }
-    }
-
     override fun loadReported(
         endpoint: EndpointId,
         load: LoadSample,
     ) {
         send(BalancerMessage.LoadReported(endpoint, load))
     }
+
+    override fun paced(
+        endpoint: EndpointId,
+        ratio: Double,
+    ) {
+        send(BalancerMessage.Paced(endpoint, ratio))
+    }
+
+    override suspend fun shouldAbandon(
+        endpoint: EndpointId,
+        hasBegun: Boolean,
+    ): Boolean {
+        val reply = CompletableDeferred<Boolean>()
+        send(BalancerMessage.Stalled(endpoint, hasBegun, reply))
+        return reply.await()
+    }
 }
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/CallerConnection.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/CallerConnection.kt
@@ -109,7 +109,7 @@
     ): Boolean =
         coroutineScope {
             link.readAhead()
-            val work = async { handler.handle(request, link, tracker::isStopping) }
+            val work = async { handler.handle(request, link, tracker::asksToReconnect) }
             val end =
                 select {
                     work.onAwait { it }
@@ -145,10 +145,10 @@
     }
 }
 
-/** Counts the requests in progress of a process and states whether the process is stopping. */
+/** Counts the requests in progress of a process and states whether callers should use another process. */
 internal interface RequestTracker {
-    /** Returns true once the process is stopping; answers then ask the caller to close the connection. */
-    fun isStopping(): Boolean
+    /** Returns true while answers ask the caller for a new connection, which leads to another process. */
+    fun asksToReconnect(): Boolean
 
     /** Completes when idle connections have to be closed. */
     val drainStarted: Job
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/ConnectionPool.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/ConnectionPool.kt
@@ -6,6 +6,7 @@
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.launch
 import org.cicadaturn.schema.generated.EndpointId
+import org.cicadaturn.tasks.completedValueOrNull
 import org.cicadaturn.tasks.http.HttpLink
 import kotlin.time.Clock
 import kotlin.time.Duration
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/Exchange.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/Exchange.kt
@@ -27,6 +27,8 @@
  * @property requestId identifier that the endpoint must echo; null if the caller sent none
  * @property firstByteLimit longest wait for the answer, or for the first event of a stream
  * @property gapLimit longest wait for the next event or piece
+ * @property canBeAbandoned true if the limits are there to try another endpoint, and not the deadline of the caller
+ * @property pauseTarget pause between events up to which callers value a stream fully; null if there is none
  * @property remaining time left until the deadline
  */
 internal class AttemptRequest(
@@ -37,6 +39,8 @@
     val requestId: String?,
     val firstByteLimit: Duration,
     val gapLimit: Duration,
+    val canBeAbandoned: Boolean,
+    val pauseTarget: Duration?,
     val remaining: Duration,
 )
 
@@ -97,7 +101,7 @@
         try {
             connection = open(attempt)
             if (connection == null) {
-                use = EndpointUse.Failed
+                use = EndpointUse.Lost
                 return AttemptResult.Failed(AttemptEnd.NOT_SENT, "no connection")
             }
             val sent = connection.link.sendRequest(attempt.head, attempt.body)
@@ -150,8 +154,8 @@
         suspend fun run(): AttemptResult =
             when (val received = awaitHead()) {
                 is WaitResult.Part -> handleHead(received.part)
-                WaitResult.Ended -> failed(AttemptEnd.BROKEN, "connection ended without an answer")
-                WaitResult.Stalled -> failed(AttemptEnd.STALLED, "no answer within ${attempt.firstByteLimit}")
+                WaitResult.Ended -> lost(AttemptEnd.BROKEN, "connection ended without an answer")
+                WaitResult.Stalled -> lost(AttemptEnd.STALLED, "no answer within ${attempt.firstByteLimit}")
             }
 
         private suspend fun handleHead(part: HttpPart): AttemptResult {
@@ -176,7 +180,7 @@
          */
         private suspend fun awaitHead(): WaitResult {
             while (true) {
-                val received = awaitPart((attempt.firstByteLimit - (clock.now() - start)).coerceAtLeast(MIN_WAIT))
+                val received = awaitPartOrStall(attempt.firstByteLimit - (clock.now() - start), hasBegun = false)
                 val part = (received as? WaitResult.Part)?.part
                 when {
                     part == null -> return received
@@ -215,7 +219,7 @@
             allowReuse(head)
             val isNotExecuted = head.headers.valueOf(dialect.notExecuted) != null || head.status == MISDIRECTED_REQUEST
             if (isNotExecuted) {
-                use = EndpointUse.Refused
+                use = EndpointUse.Refused(hadFreePlaces = hasFreePlaces(head))
                 return AttemptResult.Failed(AttemptEnd.NOT_EXECUTED, "refused with ${head.status}")
             }
             // The caller would take this status as proof that the request was not run, but the endpoint did not say so.
@@ -229,6 +233,12 @@
             return AttemptResult.Failed(AttemptEnd.FAILED, "failed with ${head.status}", head to body)
         }
 
+        /** A misdirected request says nothing about the load of the intended endpoint. */
+        private fun hasFreePlaces(head: ResponseHead): Boolean {
+            val load = dialect.loadOf(head.headers) ?: return false
+            return head.status != MISDIRECTED_REQUEST && load.waiting == 0 && load.running < load.slots
+        }
+
         private suspend fun deliver(
             head: ResponseHead,
             body: ByteArray,
@@ -268,20 +278,29 @@
         private suspend fun relayEvents(head: ResponseHead): AttemptResult {
             val splitter = eventSplitter()
             var hasEvents = false
+            var lastEventAt = start
             while (true) {
-                val limit = if (hasEvents) attempt.gapLimit else attempt.firstByteLimit - (clock.now() - start)
-                val received = awaitPart(limit.coerceAtLeast(1.milliseconds))
+                val limit = if (hasEvents) attempt.gapLimit else attempt.firstByteLimit
+                // Excludes the time in which the caller does not read.
+                val waitedSince = clock.now()
+                // Counted from the last event, as an endpoint may send a byte now and then without end.
+                val received = awaitPartOrStall(limit - (waitedSince - lastEventAt), hasEvents)
                 val part = (received as? WaitResult.Part)?.part
                 when {
-                    part is HttpPart.Data ->
-                        for (event in splitter.add(part.bytes)) {
+                    part is HttpPart.Data -> {
+                        val events = splitter.add(part.bytes)
+                        if (splitter.pendingBytes > BUFFER_LIMIT) return failed(AttemptEnd.BROKEN, "event without end")
+                        for ((i, event) in events.withIndex()) {
                             if (!hasEvents) use = EndpointUse.Answered(clock.now() - start)
+                            if (hasEvents && i == 0) recordPause(clock.now() - waitedSince)
                             hasEvents = true
                             if (!sink.sendEvent(head, event)) return AttemptResult.Delivered
                         }
+                        if (events.isNotEmpty()) lastEventAt = clock.now()
+                    }
                     part == HttpPart.End -> break
-                    received == WaitResult.Stalled -> return failed(AttemptEnd.STALLED, "stream paused for $limit")
-                    else -> return failed(AttemptEnd.BROKEN, "stream was cut")
+                    received == WaitResult.Stalled -> return lost(AttemptEnd.STALLED, "stream paused for $limit")
+                    else -> return lost(AttemptEnd.BROKEN, "stream was cut")
                 }
             }
             if (splitter.isInsideEvent) return failed(AttemptEnd.BROKEN, "stream ended inside an event")
@@ -290,6 +309,26 @@
             return AttemptResult.Delivered
         }
 
+        private fun recordPause(pause: Duration) {
+            attempt.pauseTarget?.let { balancer.paced(attempt.endpoint.id, pause / it) }
+        }
+
+        /**
+         * Waits for the next part for [limit], and longer while the attempt should not be given
+         * up for another endpoint.
+         */
+        private suspend fun awaitPartOrStall(
+            limit: Duration,
+            hasBegun: Boolean,
+        ): WaitResult {
+            var received = awaitPart(limit.coerceAtLeast(MIN_WAIT))
+            while (received == WaitResult.Stalled && attempt.canBeAbandoned) {
+                if (balancer.shouldAbandon(attempt.endpoint.id, hasBegun)) break
+                received = awaitPart(STALL_CHECK_INTERVAL)
+            }
+            return received
+        }
+
         private suspend fun awaitPart(limit: Duration): WaitResult =
             withTimeoutOrNull(limit) { link.receive()?.let { WaitResult.Part(it) } ?: WaitResult.Ended }
                 ?: WaitResult.Stalled
@@ -313,11 +352,17 @@
             keepAliveTime = if (isReusable) keepAliveTimeOf(head) else null
         }
 
+        private fun lost(
+            end: AttemptEnd,
+            detail: String,
+        ): AttemptResult = failed(end, detail, EndpointUse.Lost)
+
         private fun failed(
             end: AttemptEnd,
             detail: String,
+            use: EndpointUse = EndpointUse.Failed,
         ): AttemptResult {
-            use = EndpointUse.Failed
+            this.use = use
             keepAliveTime = null
             return AttemptResult.Failed(end, detail)
         }
@@ -354,6 +399,9 @@
         const val MAX_REQUESTS_PER_CONNECTION = 64
 
         val MIN_WAIT = 1.milliseconds
+
+        /** Time between two checks whether a request without data should be sent to another endpoint. */
+        val STALL_CHECK_INTERVAL = 200.milliseconds
         const val MISDIRECTED_REQUEST = 421
         const val SERVER_ERROR = 500
         val INTERIM_STATUSES = 100..199
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/FleetTask.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/FleetTask.kt
@@ -2,12 +2,14 @@
 
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.ExperimentalCoroutinesApi
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.flow.MutableStateFlow
 import kotlinx.coroutines.flow.StateFlow
 import kotlinx.coroutines.launch
-import kotlinx.coroutines.withTimeoutOrNull
+import kotlinx.coroutines.selects.onTimeout
+import kotlinx.coroutines.selects.select
 import org.apache.logging.log4j.LogManager
 import org.cicadaturn.decisions.gateway.FleetChange
 import org.cicadaturn.decisions.gateway.FleetChanges
@@ -105,13 +107,15 @@
         return reply.await()
     }
 
+    @OptIn(ExperimentalCoroutinesApi::class)
     private suspend fun processMessages() {
         while (true) {
-            val expiry = tracker.nextExpiry()
-            if (expiry == null) {
-                handle(messages.receive())
-            } else {
-                withTimeoutOrNull(expiry - dependencies.clock.now()) { messages.receive() }?.let { handle(it) }
+            val now = dependencies.clock.now()
+            val expiry = tracker.nextExpiry(now)
+            // A receive that is cancelled by a time-out may lose a message; the selection of one of both does not.
+            select {
+                messages.onReceive { handle(it) }
+                if (expiry != null) onTimeout(expiry - now) {}
             }
             published.value = tracker.state(dependencies.clock.now())
         }
@@ -224,6 +228,3 @@
         val RELAY_INTERVAL = 700.milliseconds
     }
 }
-
-/** Longest time for a list call, and for the answer to a watch call after its wait has ended. */
-public val STORE_CALL_TIMEOUT: Duration = 1.seconds
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/GatewayNode.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/GatewayNode.kt
@@ -10,6 +10,8 @@
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withContext
 import org.apache.logging.log4j.LogManager
+import org.cicadaturn.decisions.dispatch.GroupReport
+import org.cicadaturn.decisions.dispatch.dispatcher
 import org.cicadaturn.decisions.experts.placementLease
 import org.cicadaturn.decisions.gateway.BalancerOptions
 import org.cicadaturn.decisions.gateway.RouteTable
@@ -20,6 +22,7 @@
 import org.cicadaturn.schema.generated.FailureDomainId
 import org.cicadaturn.schema.generated.GatewayFile
 import org.cicadaturn.schema.generated.GatewayPeer
+import org.cicadaturn.schema.generated.LiveEndpoint
 import org.cicadaturn.schema.generated.NetworkAddress
 import org.cicadaturn.schema.generated.PledgeAnswer
 import org.cicadaturn.schema.generated.PledgeRequest
@@ -94,12 +97,12 @@
                 clock = dependencies.clock,
             ),
         )
-    private val balancer =
-        startBalancer(scope, endpointBalancer(balancerOptions(), dependencies.random), fleet, dependencies.clock)
     private val pool = startConnectionPool(scope, fleet, dependencies.clock)
 
-    // Separate, so that a surplus answer to a caller's request is never read as the answer of a rank.
-    private val rankPool = startConnectionPool(scope, fleet, dependencies.clock)
+    // Has a pool of its own, so that a surplus answer to a caller's request is never read as the answer of a rank.
+    private val rankClient =
+        dependencies.rankClient(connector, startConnectionPool(scope, fleet, dependencies.clock))
+    private val balancer = startRequestBalancer()
     private val exchange = Exchange(connector, pool, balancer, dependencies.dialect, dependencies.clock)
     private val lease = startPlacementLease()
     private val journal = requestJournal()
@@ -145,6 +148,18 @@
             retryWindow = settings.retryWindow,
         )
 
+    private fun startRequestBalancer(): Balancer {
+        val endpoints = endpointBalancer(balancerOptions(), dependencies.random)
+        val askGroup: suspend (LiveEndpoint) -> GroupReport? = { endpoint ->
+            rankClient.report(endpoint)?.let { GroupReport(it.group, it.state.epoch, it.isOpen) }
+        }
+        val dispatcher = dispatcher(endpoints, dependencies.random::nextDouble)
+        return startBalancer(
+            scope,
+            BalancerDependencies(endpoints, dispatcher, fleet, askGroup, dependencies.clock),
+        )
+    }
+
     suspend fun start() {
         callerListener = listen(dependencies.runtime, scope, settings.listen, HEADER_BYTES) { serveCaller(it) }
         readyListener = listen(dependencies.runtime, scope, settings.readyListen, HEADER_BYTES) { serveReady(it) }
@@ -156,7 +171,7 @@
                 HEADER_BYTES,
             ) { servePeer(it, fleet::ownView, ::pledge) }
         adminListener = listen(dependencies.runtime, scope, file.process.adminListen, HEADER_BYTES) { admin.serve(it) }
-        startExpertBalancer(scope, fleet, lease, dependencies.rankClient(connector, rankPool), dependencies.clock)
+        startExpertBalancer(scope, fleet, lease, rankClient, dependencies.clock)
         logger.info("gateway: {} listens on {}", file.process.id, settings.listen)
     }
 
@@ -225,9 +240,10 @@
         }
     }
 
-    private fun isReady(): Boolean = !stopping && fleet.state.value.isKnown
+    /** Callers are better served elsewhere while this process reaches no group that others may reach. */
+    private fun isReady(): Boolean = !stopping && fleet.state.value.isKnown && !balancer.isIsolated.value
 
-    override fun isStopping(): Boolean = stopping
+    override fun asksToReconnect(): Boolean = stopping || balancer.isIsolated.value
 
     override fun changeInProgress(change: Int) {
         inProgress += change
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/RequestHandler.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/RequestHandler.kt
@@ -1,11 +1,13 @@
 package org.cicadaturn.tasks.gateway
 
+import kotlinx.coroutines.delay
 import kotlinx.coroutines.flow.StateFlow
+import kotlinx.coroutines.flow.first
 import kotlinx.coroutines.withTimeoutOrNull
+import org.cicadaturn.decisions.dispatch.DispatchRequest
 import org.cicadaturn.decisions.gateway.Admission
 import org.cicadaturn.decisions.gateway.AttemptEnd
 import org.cicadaturn.decisions.gateway.AttemptHistory
-import org.cicadaturn.decisions.gateway.EndpointChoice
 import org.cicadaturn.decisions.gateway.EndpointRequest
 import org.cicadaturn.decisions.gateway.FleetState
 import org.cicadaturn.decisions.gateway.NextStep
@@ -61,19 +63,25 @@
         mustClose: () -> Boolean,
     ): RequestEnd {
         val answer = CallerAnswer(caller, mustClose, request.head.closesConnection)
-        val table = routes()
-        if (table == null ||
-            !fleet.value.isKnown
-        ) {
-            return answer.refuse(DEFAULT_RETRY_DELAY, "no configuration yet")
-        }
+        if (!awaitFleet()) return answer.refuse(DEFAULT_RETRY_DELAY, "no configuration yet")
+        val table = routes() ?: return answer.refuse(DEFAULT_RETRY_DELAY, "no configuration yet")
         val head = request.head
         val admission = table.admit(head.headers.valueOf("Host").orEmpty(), head.path, keyOf(head))
         if (admission !is Admission.Admitted) return deny(admission, answer)
-        val execution = RequestExecution(request, admission, answer)
-        return execution.run()
+        val service =
+            chooseService(admission.route)
+                ?: return answer.sendError(BAD_GATEWAY, "the route has no service", emptyList())
+        return RequestExecution(request, admission, service, answer).run()
     }
 
+    /**
+     * Waits until the fleet is known and returns true, or returns false if that takes too long.
+     *
+     * The store is read within a fraction of a second of the start, which is less than a caller takes to come back.
+     */
+    private suspend fun awaitFleet(): Boolean =
+        fleet.value.isKnown || withTimeoutOrNull(MAX_START_WAIT) { fleet.first { it.isKnown } } != null
+
     private fun keyOf(head: RequestHead): String? {
         val value = head.headers.valueOf("Authorization") ?: return null
         val scheme = value.substringBefore(' ')
@@ -102,10 +110,10 @@
     private inner class RequestExecution(
         private val request: CallerRequest,
         private val admission: Admission.Admitted,
+        private val service: ServiceId,
         private val answer: CallerAnswer,
     ) {
         private val route: Route = admission.route
-        private val service: ServiceId = chooseService(route)
         private val id = request.head.headers.valueOf(dialect.requestId)
         private val deadline = request.arrivedAt + timeLimit()
         private val holdUntil = request.arrivedAt + maxHoldTime(route.kind, timeLimit())
@@ -148,24 +156,50 @@
         private suspend fun attempts(): RequestEnd {
             var last = AttemptEnd.NOT_SENT
             while (true) {
-                when (val choice = balancer.choose(endpointRequest())) {
-                    is EndpointChoice.None -> {
-                        record("wait", null, choice.reason, null)
-                        if (!hold()) return finish(finalStep(last, history()), choice.reason)
-                    }
-                    is EndpointChoice.Chosen -> {
-                        val result = attempt(choice.endpoint)
-                        if (result !is AttemptResult.Failed) return answer.result().copy(endpoint = choice.endpoint.id)
+                when (val placement = place()) {
+                    is Placement.Placed -> {
+                        val result = attempt(placement.endpoint)
+                        if (result !is AttemptResult.Failed) {
+                            return answer.result().copy(endpoint = placement.endpoint.id)
+                        }
                         last = result.end
                         val step = nextStep(result.end, history())
-                        record("attempt", choice.endpoint, result.detail, step)
-                        if (step == NextStep.HOLD) hold()
-                        if (step != NextStep.REPEAT && step != NextStep.HOLD) return finish(step, result.detail)
+                        record("attempt", placement.endpoint, result.detail, step)
+                        if (step == NextStep.HOLD) delay(minOf(holdTime(), HOLD_PAUSE * sends))
+                        if (step != NextStep.REPEAT && step != NextStep.HOLD) {
+                            return finish(step, result.detail, retryDelay(remaining()))
+                        }
+                    }
+                    is Placement.Rejected -> {
+                        val step = finalStep(last, history())
+                        return finish(step, placement.cause.text, retryDelay(remaining(), placement.retryAfter))
                     }
+                    is Placement.Waiting -> error("a wait ends with another placement")
                 }
             }
         }
 
+        private suspend fun place(): Placement {
+            val placement = balancer.place(dispatchRequest())
+            if (placement !is Placement.Waiting) return placement
+            record("wait", null, placement.cause.text, null)
+            return balancer.await(placement)
+        }
+
+        private fun dispatchRequest(): DispatchRequest =
+            DispatchRequest(
+                endpoint = endpointRequest(),
+                organisation = admission.organisation,
+                priority = admission.priority,
+                bytes = request.body.size,
+                aimUntil = request.arrivedAt - timeSpent() + route.latencyTarget * START_SHARE,
+                waitUntil = clock.now() + holdTime(),
+                hasReturned = timeSpent() > MIN_RETURN_TIME,
+            )
+
+        /** Returns the time that the caller had spent on earlier attempts, as far as its deadline tells. */
+        private fun timeSpent(): Duration = (route.timeout - timeLimit()).coerceAtLeast(Duration.ZERO)
+
         private fun record(
             event: String,
             endpoint: LiveEndpoint?,
@@ -205,21 +239,10 @@
             )
         }
 
-        /**
-         * Waits until an endpoint of the service accepts a request, but at most for [HOLD_INTERVAL]; returns false
-         * without waiting if this request must not wait any longer.
-         */
-        private suspend fun hold(): Boolean {
-            val left = holdTime()
-            if (left <= Duration.ZERO) return false
-            balancer.awaitAcceptance(service, minOf(left, HOLD_INTERVAL))
-            return true
-        }
-
         /** Returns how long the request may still wait; a request that may have been run does not wait. */
         private fun holdTime(): Duration {
             if (mayHaveRun || answer.isBegun) return Duration.ZERO
-            return minOf(holdUntil - clock.now(), remaining())
+            return minOf(holdUntil - clock.now(), remaining()).coerceAtLeast(Duration.ZERO)
         }
 
         private suspend fun attempt(endpoint: LiveEndpoint): AttemptResult {
@@ -260,6 +283,8 @@
                 requestId = id,
                 firstByteLimit = minOf(limit, remaining - ANSWER_RESERVE).coerceAtLeast(1.milliseconds),
                 gapLimit = minOf(limit, remaining - ANSWER_RESERVE).coerceAtLeast(1.milliseconds),
+                canBeAbandoned = route.kind == RouteKind.STREAM && limit == STREAM_STALL_TIMEOUT,
+                pauseTarget = route.pauseTarget,
                 remaining = remaining,
             )
         }
@@ -309,10 +334,11 @@
         private suspend fun finish(
             step: NextStep,
             reason: String,
+            retryAfter: Duration,
         ): RequestEnd =
             when (step) {
                 NextStep.PASS_FAILURE -> passFailure(reason)
-                NextStep.REFUSE -> answer.refuse(retryDelay(remaining()), reason)
+                NextStep.REFUSE -> answer.refuse(retryAfter, reason)
                 NextStep.CUT -> answer.cut(reason)
                 NextStep.FAIL, NextStep.REPEAT, NextStep.HOLD -> answer.sendError(BAD_GATEWAY, reason, emptyList())
             }
@@ -324,17 +350,12 @@
         }
     }
 
-    private fun chooseService(route: Route): ServiceId {
+    /** Returns a service of [route], chosen by the weights of its shares, or null if it has none with a weight. */
+    private fun chooseService(route: Route): ServiceId? {
         val total = route.shares.sumOf { it.weight }
-        var draw = if (total > 0) random.nextInt(total) else 0
-        return route.shares
-            .first { share ->
-                draw < share.weight ||
-                    run {
-                        draw -= share.weight
-                        false
-                    }
-            }.service
+        if (total <= 0) return null
+        var draw = random.nextInt(total)
+        return route.shares.first { share -> draw < share.weight || run { draw -= share.weight }.let { false } }.service
     }
 
     private companion object {
@@ -347,8 +368,17 @@
          */
         val STREAM_STALL_TIMEOUT = 1_600.milliseconds
 
-        /** Time after which a held request is tried again even if no endpoint has accepted a request. */
-        val HOLD_INTERVAL = 400.milliseconds
+        /** Pause after a refusal, for each time that the request was sent, before it is sent to the same endpoints. */
+        val HOLD_PAUSE = 100.milliseconds
+
+        /** Share of the latency target that may pass before placement; the endpoint needs the rest. */
+        const val START_SHARE = 0.4
+
+        /** Time spent on earlier attempts from which a caller counts as having come back; it rules out network delays. */
+        val MIN_RETURN_TIME = 300.milliseconds
+
+        /** Longest wait of a request for the first read of the store. */
+        val MAX_START_WAIT = 700.milliseconds
 
         /** Time before the deadline that is left for the answer to the caller. */
         val ANSWER_RESERVE = 10.milliseconds
--- a/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/EndpointFaultTest.kt
+++ b/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/EndpointFaultTest.kt
@@ -172,7 +172,12 @@
             DynamicTest.dynamicTest(name) {
                 endpointWithSurplus(surplus).use { endpoint ->
                     TestGateway(listOf(endpoint)).use { gateway ->
-                        val bodies = listOf("r1", "r2", "r3").map { exchange(gateway.port, request("/once/x", id = it)) }
+                        val bodies =
+                            listOf(
+                                "r1",
+                                "r2",
+                                "r3",
+                            ).map { exchange(gateway.port, request("/once/x", id = it)) }
                         assertEquals(listOf("ok", "ok", "ok"), bodies.map { it.body })
                         assertEquals(3, endpoint.requests.size)
                     }
@@ -275,4 +280,94 @@
             }
         }
     }
+
+    /** Guards against memory that grows with an event that never ends. */
+    @Test
+    fun `a stream whose event does not end is given up`() {
+        val endless: (RawRequest, OutputStream) -> Boolean = { r, out ->
+            out.text(streamHead(r, "s") + event(1) + "id: 2\ndata: ")
+            while (true) out.write(ByteArray(8_192) { 'x'.code.toByte() })
+            @Suppress("UNREACHABLE_CODE")
+            false
+        }
+        ScriptedEndpoint(endless).use { endpoint ->
+            TestGateway(listOf(endpoint)).use { gateway ->
+                val answer = exchange(gateway.port, request("/stream/x"))
+                assertEquals(event(1), answer.body)
+                assertFalse(answer.isComplete)
+            }
+        }
+    }
+
+    /** Guards against memory that grows with the body of a failure, and a head, that never ends. */
+    @TestFactory
+    fun `bytes without end that are no answer are given up`() =
+        mapOf(
+            "head" to "HTTP/1.1 200 OK\r\nX-Id: r1\r\nX-Filler: ",
+            "status line" to "HTTP/1.1 200 ",
+            "body of a failure" to "HTTP/1.1 500 No\r\nX-Id: r1\r\n\r\n",
+            "no protocol" to "",
+        ).map { (name, start) ->
+            DynamicTest.dynamicTest(name) {
+                ScriptedEndpoint { _, out ->
+                    out.text(start)
+                    while (true) out.write(ByteArray(8_192) { 'x'.code.toByte() })
+                    @Suppress("UNREACHABLE_CODE")
+                    false
+                }.use { endpoint ->
+                    TestGateway(listOf(endpoint)).use { gateway ->
+                        val began = System.nanoTime()
+                        assertEquals(502, exchange(gateway.port, request("/once/x")).status)
+                        // The route's timeout is 3 s; the answer must not wait for it.
+                        assertTrue(System.nanoTime() - began < 2_000_000_000L)
+                    }
+                }
+            }
+        }
+
+    /** Guards against a stalled stream that never ends because a byte arrives now and then. */
+    @Test
+    fun `a stream that sends single bytes ends at the timeout of its route`() {
+        val trickling: (RawRequest, OutputStream) -> Boolean = { r, out ->
+            out.text(streamHead(r, "s") + event(1) + "id: 2\ndata: ")
+            repeat(50) {
+                Thread.sleep(100)
+                out.text("x")
+                out.flush()
+            }
+            false
+        }
+        ScriptedEndpoint(trickling).use { endpoint ->
+            TestGateway(listOf(endpoint)).use { gateway ->
+                val began = System.nanoTime()
+                val answer = exchange(gateway.port, request("/stream/x"))
+                assertEquals(event(1), answer.body)
+                assertFalse(answer.isComplete)
+                // The route's timeout is 3 s.
+                assertTrue(System.nanoTime() - began < 4_000_000_000L)
+            }
+        }
+    }
+
+    /** Guards against a sound stream that is cut because its events are further apart than usual. */
+    @Test
+    fun `a slow stream is passed on to its end`() {
+        val slow: (RawRequest, OutputStream) -> Boolean = { r, out ->
+            out.text(streamHead(r, "s").replace("\r\n\r\n", "\r\nContent-Length: ${3 * event(1).length}\r\n\r\n"))
+            for (i in 1..3) {
+                out.text(event(i))
+                out.flush()
+                Thread.sleep(700)
+            }
+            true
+        }
+        ScriptedEndpoint(slow).use { endpoint ->
+            TestGateway(listOf(endpoint)).use { gateway ->
+                val answer = exchange(gateway.port, request("/stream/x"))
+                assertEquals((1..3).joinToString("") { event(it) }, answer.body)
+                assertTrue(answer.isComplete)
+                assertEquals(1, endpoint.requests.size)
+            }
+        }
+    }
 }
