--- a/daemons/src/main/kotlin/org/cicadaturn/daemons/Benches.kt
+++ b/daemons/src/main/kotlin/org/cicadaturn/daemons/Benches.kt
@@ -13,6 +13,8 @@
 import org.cicadaturn.bench.confirmations.toText
 import org.cicadaturn.bench.limits.limitsBench
 import org.cicadaturn.bench.limits.limitsBenchText
+import org.cicadaturn.bench.overload.overloadBench
+import org.cicadaturn.bench.overload.renderOverload
 import org.cicadaturn.bench.path.pathBench
 import org.cicadaturn.bench.path.renderPathBench
 import org.cicadaturn.bench.placement.placementBench
@@ -31,6 +33,8 @@
 import org.cicadaturn.schema.generated.ConfirmationsBenchResult
 import org.cicadaturn.schema.generated.LimitsBenchOptions
 import org.cicadaturn.schema.generated.LimitsBenchResult
+import org.cicadaturn.schema.generated.OverloadBenchOptions
+import org.cicadaturn.schema.generated.OverloadBenchResult
 import org.cicadaturn.schema.generated.PathBenchOptions
 import org.cicadaturn.schema.generated.PathBenchResult
 import org.cicadaturn.schema.generated.PlacementBenchOptions
@@ -68,6 +72,14 @@
             val result = placementBench(decodeOptions(it, PlacementBenchOptions.serializer()))
             printResult(it, result, PlacementBenchResult.serializer(), ::renderPlacement)
         },
+        Bench(
+            "overload",
+            "Compares waiting and rejecting under load and faults with simpler policies.",
+            overloadOptions,
+        ) {
+            val result = overloadBench(decodeOptions(it, OverloadBenchOptions.serializer()))
+            printResult(it, result, OverloadBenchResult.serializer(), ::renderOverload)
+        },
     )
 
 /** Returns the options of a benchmark, including the seed from the command line. */
@@ -163,6 +175,20 @@
         integerOption("shifts", "Number of shifts of the demand.", default = 40, range = 1..10_000),
     )
 
+private val overloadOptions =
+    listOf(
+        integerOption("gateways", "Number of gateways.", default = 6, range = 1..1_000),
+        integerOption("groups", "Number of groups.", default = 2, range = 1..100),
+        integerOption("ranks", "Number of ranks in each group.", default = 8, range = 1..1_000),
+        integerOption(
+            "load-percent",
+            "Load in percent of the rate that all groups serve in time.",
+            default = 100,
+            range = 1..1_000,
+        ),
+        integerOption("seconds", "Virtual duration of a run, in seconds.", default = 30, range = 20..600),
+    )
+
 /** Returns the description of an integer option. */
 internal fun integerOption(
     name: String,
--- a/decisions/src/test/kotlin/org/cicadaturn/decisions/experts/PlacementLeaseTest.kt
+++ b/decisions/src/test/kotlin/org/cicadaturn/decisions/experts/PlacementLeaseTest.kt
@@ -6,6 +6,7 @@
 import org.junit.jupiter.api.Assertions.assertNull
 import org.junit.jupiter.api.Test
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.Instant
 
@@ -62,4 +63,14 @@
         lease.seen(other, 9, start + 1.seconds)
         assertEquals(1L, lease.token(start + 1.seconds))
     }
+
+    /** Guards against a takeover that waits for the next poll, and against one that is announced too early. */
+    @Test
+    fun `the takeover is announced for the time from which it is allowed`() {
+        assertNull(lease.takeoverTime())
+        lease.seen(other, 10, start)
+        val at = lease.takeoverTime()!!
+        assertEquals(LeaseStep.Read, lease.next(at - 1.milliseconds))
+        assertEquals(5L, (lease.next(at) as LeaseStep.Write).record.token)
+    }
 }
--- a/decisions/src/test/kotlin/org/cicadaturn/decisions/gateway/EndpointBalancerTest.kt
+++ b/decisions/src/test/kotlin/org/cicadaturn/decisions/gateway/EndpointBalancerTest.kt
@@ -3,9 +3,11 @@
 import net.jqwik.api.ForAll
 import net.jqwik.api.Property
 import net.jqwik.api.constraints.IntRange
+import org.cicadaturn.decisions.dispatch.GroupReport
 import org.cicadaturn.schema.generated.AdmissionState
 import org.cicadaturn.schema.generated.CallerLimits
 import org.cicadaturn.schema.generated.EndpointId
+import org.cicadaturn.schema.generated.ExpertProfile
 import org.cicadaturn.schema.generated.FailureDomainId
 import org.cicadaturn.schema.generated.FleetView
 import org.cicadaturn.schema.generated.GatewayPeer
@@ -169,4 +171,76 @@
         val chosen = (0 until 40).map { (balancer.choose(request(), start) as EndpointChoice.Chosen).endpoint.id.text }
         assertTrue("e0" !in chosen)
     }
+
+    /** Returns a balancer for the groups a and b, each with the ranks 0 and 1. */
+    private fun groupedBalancer(): EndpointBalancer {
+        val profile = ExpertProfile(1, 4, 2, 1, 100.milliseconds, 200.milliseconds, 5.milliseconds, 1.milliseconds)
+        val ids = listOf("a0", "a1", "b0", "b1")
+        val grouped = view(ids.map { endpoint(it) }, gateways = 1, coldRate = 0.0)
+        val services = listOf(RoutedService(service, 400, 0.0, profile))
+        return balancer().also { balancer ->
+            balancer.update(grouped.copy(configuration = grouped.configuration!!.copy(services = services)), start)
+            ids.forEach { balancer.groupReported(EndpointId(it), GroupReport(it.take(1), 1, isOpen = true), start) }
+        }
+    }
+
+    /** Guards against a sound stream that queues at a full rank and is begun again elsewhere, which adds to the load. */
+    @Test
+    fun `a request at a full rank of a running group is not given up`() {
+        val balancer = groupedBalancer()
+        balancer.loadReported(EndpointId("a0"), LoadSample(8, 3, 8), start)
+        balancer.accepted(EndpointId("a1"), start)
+        assertEquals(false, balancer.shouldAbandon(EndpointId("a0"), hasBegun = false, start + 1.seconds))
+        assertEquals(true, balancer.shouldAbandon(EndpointId("a0"), hasBegun = true, start + 1.seconds))
+    }
+
+    /** Guards against a stream that is lost in a group that stands still, and against one that displaces others. */
+    @Test
+    fun `a request in a group that stands still is given up if another group runs`() {
+        val balancer = groupedBalancer()
+        balancer.accepted(EndpointId("a0"), start)
+        val later = start + 3.seconds
+        assertEquals(true, balancer.shouldAbandon(EndpointId("a0"), hasBegun = true, later))
+        balancer.finished(EndpointId("b0"), EndpointUse.Refused(hadFreePlaces = true), later)
+        assertEquals(false, balancer.shouldAbandon(EndpointId("a0"), hasBegun = true, later))
+    }
+
+    /** Guards against a second attempt that goes to the group whose rank has just refused. */
+    @Test
+    fun `the attempt after a refusal with free places goes to another group`() {
+        val balancer = groupedBalancer()
+        val first = assertInstanceOf(EndpointChoice.Chosen::class.java, balancer.choose(request(), start)).endpoint.id
+        balancer.finished(first, EndpointUse.Refused(hadFreePlaces = true), start)
+        repeat(10) {
+            val next = assertInstanceOf(EndpointChoice.Chosen::class.java, balancer.choose(request(), start))
+            assertTrue(
+                next.endpoint.id.text
+                    .first() != first.text.first(),
+                "${next.endpoint.id}",
+            )
+        }
+    }
+
+    /** Guards against callers that stay with a process which cannot serve them while others can. */
+    @Test
+    fun `a process is isolated if it reaches no group and one of them may be reached by others`() {
+        val balancer = groupedBalancer()
+        balancer.finished(EndpointId("a0"), EndpointUse.Refused(hadFreePlaces = true), start)
+        balancer.finished(EndpointId("b0"), EndpointUse.Lost, start)
+        assertEquals(false, balancer.isIsolated(start))
+        repeat(3) { balancer.groupReported(EndpointId("b${it % 2}"), null, start) }
+        assertEquals(true, balancer.isIsolated(start))
+        balancer.groupReported(EndpointId("b1"), GroupReport("b", 1, isOpen = true), start + 1.seconds)
+        assertEquals(false, balancer.isIsolated(start + 1.seconds))
+    }
+
+    /** Guards against a service that is down for everyone, whose processes would all leave the rotation. */
+    @Test
+    fun `a process is not isolated while ranks of all groups answer it`() {
+        val balancer = groupedBalancer()
+        listOf("a0", "b0").forEach {
+            balancer.finished(EndpointId(it), EndpointUse.Refused(hadFreePlaces = true), start)
+        }
+        assertEquals(false, balancer.isIsolated(start))
+    }
 }
