--- a/decisions/src/main/kotlin/org/cicadaturn/decisions/dispatch/Dispatcher.kt
+++ b/decisions/src/main/kotlin/org/cicadaturn/decisions/dispatch/Dispatcher.kt
@@ -189,7 +189,7 @@
         val service = candidate.request.endpoint.service
         val delay =
             if (candidate.cause == Unavailability.AT_LIMIT) {
-                forecast.spread(queueTime(candidate, now))
+                forecast.spread(maxOf(queueTime(candidate, now), MIN_OVERLOAD_DELAY))
             } else {
                 forecast.retryAfter(downTime(service, now))
             }
@@ -241,6 +241,9 @@
         const val MAX_WAITING = 512
         const val MAX_WAITING_BYTES = 8L * 1024 * 1024
 
+        /** Shortest delay stated under overload; a caller that comes back sooner meets the same queue. */
+        val MIN_OVERLOAD_DELAY = 1.seconds
+
         /** Requests per second that are assumed to be placed if none has been for a while. */
         const val MIN_RATE = 1.0
 
--- a/decisions/src/main/kotlin/org/cicadaturn/decisions/dispatch/OutageForecast.kt
+++ b/decisions/src/main/kotlin/org/cicadaturn/decisions/dispatch/OutageForecast.kt
@@ -2,6 +2,7 @@
 
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 
 /** Estimates how long a service stays down, from how long it has been down. */
 public interface OutageForecast {
@@ -29,7 +30,7 @@
 ) : OutageForecast {
     override fun remaining(downTime: Duration): Duration = maxOf(SHORTEST_OUTAGE, downTime * REMAINING_SHARE)
 
-    override fun retryAfter(downTime: Duration): Duration = spread(remaining(downTime))
+    override fun retryAfter(downTime: Duration): Duration = spread(maxOf(remaining(downTime), MIN_RETRY_DELAY))
 
     override fun spread(earliest: Duration): Duration = earliest + maxOf(earliest, MIN_SPREAD) * random()
 
@@ -38,5 +39,8 @@
         val SHORTEST_OUTAGE = 300.milliseconds
         const val REMAINING_SHARE = 0.5
         val MIN_SPREAD = 500.milliseconds
+
+        /** Callers come back only once or twice, so they should not come back before most outages have ended. */
+        val MIN_RETRY_DELAY = 2.seconds
     }
 }
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/experts/Lease.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/experts/Lease.kt
@@ -111,15 +111,9 @@
 
     /** A takeover that falls between two reads does not wait for the second one, as its write is conditional. */
     private fun readInterval(): Duration {
-        val untilTakeover = lease.takeoverTime()?.let { it - clock.now() } ?: return dependencies.pollInterval
-        return if (untilTakeover.isPositive()) {
-            minOf(
-                dependencies.pollInterval,
-                untilTakeover,
-            )
-        } else {
-            dependencies.pollInterval
-        }
+        val untilTakeover = lease.takeoverTime()?.let { it - clock.now() } ?: Duration.ZERO
+        val poll = dependencies.pollInterval
+        return if (untilTakeover.isPositive()) minOf(poll, untilTakeover) else poll
     }
 
     /**
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/Exchange.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/Exchange.kt
@@ -314,8 +314,7 @@
         }
 
         /**
-         * Waits for the next part for [limit], and longer while the attempt should not be given
-         * up for another endpoint.
+         * Waits for the next part for [limit], and longer while the attempt should not be given up for another endpoint.
          */
         private suspend fun awaitPartOrStall(
             limit: Duration,
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/RequestHandler.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/RequestHandler.kt
@@ -354,8 +354,9 @@
     private fun chooseService(route: Route): ServiceId? {
         val total = route.shares.sumOf { it.weight }
         if (total <= 0) return null
-        var draw = random.nextInt(total)
-        return route.shares.first { share -> draw < share.weight || run { draw -= share.weight }.let { false } }.service
+        val draw = random.nextInt(total)
+        val sums = route.shares.runningFold(0) { sum, share -> sum + share.weight }.drop(1)
+        return route.shares[sums.indexOfFirst { draw < it }].service
     }
 
     private companion object {
