--- /dev/null
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/AttemptExecution.kt
@@ -0,0 +1,307 @@
+package org.cicadaturn.tasks.gateway
+
+import kotlinx.coroutines.Deferred
+import kotlinx.coroutines.withTimeoutOrNull
+import org.cicadaturn.decisions.gateway.AttemptEnd
+import org.cicadaturn.decisions.gateway.EndpointUse
+import org.cicadaturn.decisions.gateway.eventSplitter
+import org.cicadaturn.tasks.http.HttpPart
+import org.cicadaturn.tasks.http.ResponseHead
+import org.cicadaturn.tasks.http.valueOf
+import java.io.ByteArrayOutputStream
+import kotlin.time.Clock
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** Reads the answer to [attempt], which was sent on [connection], and passes it on to [sink]. */
+internal class AttemptExecution(
+    private val attempt: AttemptRequest,
+    private val connection: EndpointConnection,
+    private val sink: AnswerSink,
+    private val sent: Deferred<Boolean>,
+    private val balancer: Balancer,
+    private val dialect: GatewayDialect,
+    private val clock: Clock,
+) {
+    private val link = connection.link
+    private var surplusAnswers = 0
+
+    var use: EndpointUse = EndpointUse.Abandoned
+
+    /** Time for which the connection may be kept idle; null if it must be closed. */
+    var keepAliveTime: Duration? = null
+        private set
+    private val start = clock.now()
+
+    suspend fun run(): AttemptResult =
+        when (val received = awaitHead()) {
+            is WaitResult.Part -> handleHead(received.part)
+            WaitResult.Ended -> lost(AttemptEnd.BROKEN, "connection ended without an answer")
+            WaitResult.Stalled -> lost(AttemptEnd.STALLED, "no answer within ${attempt.firstByteLimit}")
+        }
+
+    private suspend fun handleHead(part: HttpPart): AttemptResult {
+        val head =
+            when (part) {
+                is HttpPart.Response -> part.head
+                is HttpPart.Malformed -> return failed(AttemptEnd.BROKEN, "unreadable answer: ${part.detail}")
+                else -> return failed(AttemptEnd.BROKEN, "unexpected bytes")
+            }
+        val defect = defectOf(head)
+        if (defect != null) return failed(AttemptEnd.BROKEN, defect)
+        dialect.loadOf(head.headers)?.let { balancer.loadReported(attempt.endpoint.id, it) }
+        if (head.status !in SUCCESS_STATUSES) return handleFailure(head)
+        balancer.accepted(attempt.endpoint.id)
+        return if (isEventStream(head)) relayEvents(head) else relayBody(head)
+    }
+
+    /**
+     * Returns the head of the final answer, skipping interim answers and surplus answers to earlier requests.
+     *
+     * The time limit and the number of surplus answers are bounded, as an endpoint may send them without end.
+     */
+    private suspend fun awaitHead(): WaitResult {
+        while (true) {
+            val received = awaitPartOrStall(attempt.firstByteLimit - (clock.now() - start), hasBegun = false)
+            val part = (received as? WaitResult.Part)?.part
+            when {
+                part == null -> return received
+                isInterim(part) -> continue
+                !isSurplus(part) || surplusAnswers == MAX_SURPLUS_ANSWERS -> return received
+            }
+            surplusAnswers += 1
+            if (readBody(BUFFER_LIMIT) == null) return WaitResult.Ended
+        }
+    }
+
+    private fun isInterim(part: HttpPart): Boolean =
+        part == HttpPart.End || (part is HttpPart.Response && part.head.status in INTERIM_STATUSES)
+
+    private fun isSurplus(part: HttpPart): Boolean =
+        part is HttpPart.Response && part.head.headers.valueOf(dialect.requestId) in connection.requestIds
+
+    /** Returns why an answer with [head] must not be passed on, or null if it may. */
+    private fun defectOf(head: ResponseHead): String? {
+        val echoed = head.headers.valueOf(dialect.requestId)
+        val isSuccess = head.status in SUCCESS_STATUSES
+        return when {
+            attempt.requestId != null && echoed != null && echoed != attempt.requestId ->
+                "answer to another request $echoed"
+            attempt.requestId != null && echoed == null && isSuccess -> "answer without a request id"
+            // On a connection that served other requests, the failure may be a surplus answer to one of them.
+            echoed == null && connection.requestIds.isNotEmpty() -> "failure without a request id"
+            isSuccess && head.headers.valueOf(dialect.signature) == null -> "answer without a signature"
+            isSuccess && head.headers.valueOf("Content-Encoding") != null -> "answer with a content encoding"
+            else -> null
+        }
+    }
+
+    private suspend fun handleFailure(head: ResponseHead): AttemptResult {
+        val body = readBody(BUFFER_LIMIT) ?: return failed(AttemptEnd.BROKEN, "failure ${head.status} was cut")
+        allowReuse(head)
+        val isNotExecuted = head.headers.valueOf(dialect.notExecuted) != null || head.status == MISDIRECTED_REQUEST
+        if (isNotExecuted) {
+            use = EndpointUse.Refused(hadFreePlaces = hasFreePlaces(head))
+            return AttemptResult.Failed(AttemptEnd.NOT_EXECUTED, "refused with ${head.status}")
+        }
+        // The caller would take this status as proof that the request was not run, but the endpoint did not say so.
+        if (head.status in
+            NOT_EXECUTED_STATUSES
+        ) {
+            return failed(AttemptEnd.BROKEN, "status ${head.status} without a denial")
+        }
+        if (head.status < SERVER_ERROR) return deliver(head, body)
+        use = EndpointUse.Failed
+        return AttemptResult.Failed(AttemptEnd.FAILED, "failed with ${head.status}", head to body)
+    }
+
+    /** A misdirected request says nothing about the load of the intended endpoint. */
+    private fun hasFreePlaces(head: ResponseHead): Boolean {
+        val load = dialect.loadOf(head.headers) ?: return false
+        return head.status != MISDIRECTED_REQUEST && load.waiting == 0 && load.running < load.slots
+    }
+
+    private suspend fun deliver(
+        head: ResponseHead,
+        body: ByteArray,
+    ): AttemptResult {
+        use = EndpointUse.Answered(clock.now() - start)
+        sink.sendAnswer(head, body)
+        return AttemptResult.Delivered
+    }
+
+    private suspend fun relayBody(head: ResponseHead): AttemptResult {
+        val buffered = ByteArrayOutputStream()
+        var isStreamed = false
+        while (true) {
+            val received = awaitPart(attempt.gapLimit)
+            val part = (received as? WaitResult.Part)?.part
+            when {
+                part is HttpPart.Data && !isStreamed -> buffered.write(part.bytes)
+                part is HttpPart.Data -> if (!sink.sendPiece(head, part.bytes)) return AttemptResult.Delivered
+                part == HttpPart.End -> break
+                received == WaitResult.Stalled -> return failed(
+                    AttemptEnd.STALLED,
+                    "answer paused for ${attempt.gapLimit}",
+                )
+                else -> return failed(AttemptEnd.BROKEN, "answer was cut")
+            }
+            if (!isStreamed && buffered.size() > BUFFER_LIMIT) {
+                isStreamed = true
+                if (!sink.sendPiece(head, buffered.toByteArray())) return AttemptResult.Delivered
+            }
+        }
+        allowReuse(head)
+        use = EndpointUse.Answered(clock.now() - start)
+        if (isStreamed) sink.sendEnd(head) else sink.sendAnswer(head, buffered.toByteArray())
+        return AttemptResult.Delivered
+    }
+
+    private suspend fun relayEvents(head: ResponseHead): AttemptResult {
+        val splitter = eventSplitter()
+        var hasEvents = false
+        var lastEventAt = start
+        while (true) {
+            val limit = if (hasEvents) attempt.gapLimit else attempt.firstByteLimit
+            // Excludes the time in which the caller does not read.
+            val waitedSince = clock.now()
+            // Counted from the last event, as an endpoint may send a byte now and then without end.
+            val received = awaitPartOrStall(limit - (waitedSince - lastEventAt), hasEvents)
+            val part = (received as? WaitResult.Part)?.part
+            when {
+                part is HttpPart.Data -> {
+                    val events = splitter.add(part.bytes)
+                    if (splitter.pendingBytes > BUFFER_LIMIT) return failed(AttemptEnd.BROKEN, "event without end")
+                    for ((i, event) in events.withIndex()) {
+                        if (!hasEvents) use = EndpointUse.Answered(clock.now() - start)
+                        if (hasEvents && i == 0) recordPause(clock.now() - waitedSince)
+                        hasEvents = true
+                        if (!sink.sendEvent(head, event)) return AttemptResult.Delivered
+                    }
+                    if (events.isNotEmpty()) lastEventAt = clock.now()
+                }
+                part == HttpPart.End -> break
+                received == WaitResult.Stalled -> return lost(AttemptEnd.STALLED, "stream paused for $limit")
+                else -> return lost(AttemptEnd.BROKEN, "stream was cut")
+            }
+        }
+        if (splitter.isInsideEvent) return failed(AttemptEnd.BROKEN, "stream ended inside an event")
+        allowReuse(head)
+        sink.sendEnd(head)
+        return AttemptResult.Delivered
+    }
+
+    private fun recordPause(pause: Duration) {
+        attempt.pauseTarget?.let { balancer.paced(attempt.endpoint.id, pause / it) }
+    }
+
+    /**
+     * Waits for the next part for [limit], and longer while the attempt should not be given up for another endpoint.
+     */
+    private suspend fun awaitPartOrStall(
+        limit: Duration,
+        hasBegun: Boolean,
+    ): WaitResult {
+        var received = awaitPart(limit.coerceAtLeast(MIN_WAIT))
+        while (received == WaitResult.Stalled && attempt.canBeAbandoned) {
+            if (balancer.shouldAbandon(attempt.endpoint.id, hasBegun)) break
+            received = awaitPart(STALL_CHECK_INTERVAL)
+        }
+        return received
+    }
+
+    private suspend fun awaitPart(limit: Duration): WaitResult =
+        withTimeoutOrNull(limit) { link.receive()?.let { WaitResult.Part(it) } ?: WaitResult.Ended }
+            ?: WaitResult.Stalled
+
+    private suspend fun readBody(limit: Int): ByteArray? {
+        val body = ByteArrayOutputStream()
+        while (body.size() <= limit) {
+            when (val part = (awaitPart(attempt.gapLimit) as? WaitResult.Part)?.part) {
+                is HttpPart.Data -> body.write(part.bytes)
+                HttpPart.End -> return body.toByteArray()
+                else -> return null
+            }
+        }
+        return null
+    }
+
+    /** Allows reuse of the connection if the whole request was sent and nothing unexpected has arrived. */
+    private fun allowReuse(head: ResponseHead) {
+        val canBeReused = surplusAnswers == 0 && connection.requestIds.size < MAX_REQUESTS_PER_CONNECTION
+        val isReusable = canBeReused && !head.closesConnection && sent.isCompleted && link.isIdle
+        keepAliveTime = if (isReusable) keepAliveTimeOf(head) else null
+    }
+
+    private fun lost(
+        end: AttemptEnd,
+        detail: String,
+    ): AttemptResult = failed(end, detail, EndpointUse.Lost)
+
+    private fun failed(
+        end: AttemptEnd,
+        detail: String,
+        use: EndpointUse = EndpointUse.Failed,
+    ): AttemptResult {
+        this.use = use
+        keepAliveTime = null
+        return AttemptResult.Failed(end, detail)
+    }
+
+    private companion object {
+        /** Longest answer in bytes that is buffered until complete, so that a failed attempt can be repeated. */
+        const val BUFFER_LIMIT = 262_144
+
+        /** Surplus answers that are skipped before the connection counts as broken. */
+        const val MAX_SURPLUS_ANSWERS = 2
+
+        /** Bounds the identifiers that are kept for a connection. */
+        const val MAX_REQUESTS_PER_CONNECTION = 64
+
+        val MIN_WAIT = 1.milliseconds
+
+        /** Time between two checks whether a request without data should be sent to another endpoint. */
+        val STALL_CHECK_INTERVAL = 200.milliseconds
+        const val MISDIRECTED_REQUEST = 421
+        const val SERVER_ERROR = 500
+        val INTERIM_STATUSES = 100..199
+        val SUCCESS_STATUSES = 200..299
+
+        /** Statuses that callers take as a statement that the request was not run. */
+        val NOT_EXECUTED_STATUSES = setOf(408, 421, 429, 503)
+    }
+}
+
+/** Result of waiting for the next part of an answer. */
+private sealed interface WaitResult {
+    class Part(
+        val part: HttpPart,
+    ) : WaitResult
+
+    data object Ended : WaitResult
+
+    data object Stalled : WaitResult
+}
+
+/**
+ * Returns how long the connection may stay idle, which is shorter than the endpoint announces, so that the gateway
+ * closes it first.
+ */
+private fun keepAliveTimeOf(head: ResponseHead): Duration {
+    val seconds =
+        head.headers
+            .valueOf("Keep-Alive")
+            ?.split(',')
+            ?.map { it.trim() }
+            ?.firstOrNull { it.startsWith("timeout=") }
+            ?.substringAfter('=')
+            ?.toIntOrNull() ?: return DEFAULT_KEEP_ALIVE
+    return seconds.seconds * KEEP_ALIVE_FRACTION
+}
+
+private fun isEventStream(head: ResponseHead): Boolean =
+    head.headers.valueOf("Content-Type")?.startsWith("text/event-stream") == true
+
+/** Fraction of the announced idle time that is used, as the endpoint starts to count it before this process does. */
+private const val KEEP_ALIVE_FRACTION = 0.6
