Log the prompt segments of requests and the events of failed attempts

The logs could not tell whether the requests lost in several crashes share a part of their prompts, nor whether a cut stream had begun. Lines about the end of an attempt and of a request now name the segments of the prompt, lines of attempts the events received, and a failed connection how long it took.

--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/AttemptExecution.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/AttemptExecution.kt
@@ -27,6 +27,9 @@
     private val link = connection.link
     private var surplusAnswers = 0
 
+    /** Number of events received; null before the head of a stream. */
+    private var events: Int? = null
+
     var use: EndpointUse = EndpointUse.Abandoned
 
     /** Time for which the connection may be kept idle; null if it must be closed. */
@@ -160,26 +163,28 @@
 
     private suspend fun relayEvents(head: ResponseHead): AttemptResult {
         val splitter = eventSplitter()
-        var hasEvents = false
+        var count = 0
+        events = 0
         var lastEventAt = start
         while (true) {
-            val limit = if (hasEvents) attempt.gapLimit else attempt.firstByteLimit
+            val limit = if (count > 0) attempt.gapLimit else attempt.firstByteLimit
             // Excludes the time in which the caller does not read.
             val waitedSince = clock.now()
             // Counted from the last event, as an endpoint may send a byte now and then without end.
-            val received = awaitPartOrStall(limit - (waitedSince - lastEventAt), hasEvents)
+            val received = awaitPartOrStall(limit - (waitedSince - lastEventAt), hasBegun = count > 0)
             val part = (received as? WaitResult.Part)?.part
             when {
                 part is HttpPart.Data -> {
-                    val events = splitter.add(part.bytes)
+                    val complete = splitter.add(part.bytes)
                     if (splitter.pendingBytes > BUFFER_LIMIT) return failed(AttemptEnd.BROKEN, "event without end")
-                    for ((i, event) in events.withIndex()) {
-                        if (!hasEvents) use = EndpointUse.Answered(clock.now() - start)
-                        if (hasEvents && i == 0) recordPause(clock.now() - waitedSince)
-                        hasEvents = true
+                    for ((i, event) in complete.withIndex()) {
+                        if (count == 0) use = EndpointUse.Answered(clock.now() - start)
+                        if (count > 0 && i == 0) recordPause(clock.now() - waitedSince)
+                        count += 1
+                        events = count
                         if (!sink.sendEvent(head, event)) return AttemptResult.Delivered
                     }
-                    if (events.isNotEmpty()) lastEventAt = clock.now()
+                    if (complete.isNotEmpty()) lastEventAt = clock.now()
                 }
                 part == HttpPart.End -> break
                 received == WaitResult.Stalled -> return lost(AttemptEnd.STALLED, "stream paused for $limit")
@@ -246,7 +251,7 @@
     ): AttemptResult {
         this.use = use
         keepAliveTime = null
-        return AttemptResult.Failed(end, detail)
+        return AttemptResult.Failed(end, detail, events = events)
     }
 
     private companion object {
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/CallerConnection.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/CallerConnection.kt
@@ -132,6 +132,7 @@
                 request = request.head.headers.valueOf(dialect.requestId),
                 service = end.service?.text,
                 endpoint = end.endpoint?.text,
+                prompt = promptText(dialect.promptOf(request.head.headers)),
                 status = end.status,
                 detail = end.reason,
                 ms = time.inWholeMilliseconds,
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/Exchange.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/Exchange.kt
@@ -66,11 +66,17 @@
     /** The sink has received the complete answer, or the caller is gone. */
     data object Delivered : AttemptResult
 
-    /** The attempt failed; [failure] is the error answer of the endpoint, if it sent one. */
+    /**
+     * The attempt failed.
+     *
+     * @property failure error answer of the endpoint, if it sent one
+     * @property events number of events that the endpoint sent; null if it sent no head of a stream
+     */
     class Failed(
         val end: AttemptEnd,
         val detail: String,
         val failure: Pair<ResponseHead, ByteArray>? = null,
+        val events: Int? = null,
     ) : AttemptResult
 }
 
@@ -92,10 +98,11 @@
         var connection: EndpointConnection? = null
         var keepAliveTime: Duration? = null
         try {
+            val start = clock.now()
             connection = open(attempt)
             if (connection == null) {
                 use = EndpointUse.Lost
-                return AttemptResult.Failed(AttemptEnd.NOT_SENT, "no connection")
+                return AttemptResult.Failed(AttemptEnd.NOT_SENT, "no connection after ${clock.now() - start}")
             }
             val sent = connection.link.sendRequest(attempt.head, attempt.body)
             val execution = AttemptExecution(attempt, connection, sink, sent, balancer, dialect, clock)
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/GatewayDialect.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/GatewayDialect.kt
@@ -2,6 +2,7 @@
 
 import org.cicadaturn.decisions.gateway.LoadSample
 import org.cicadaturn.schema.generated.Header
+import org.cicadaturn.schema.generated.PromptSegmentId
 
 /**
  * Names and formats of the headers that the callers and endpoints of a platform use.
@@ -14,6 +15,7 @@
  * @property signature header with the signature of an endpoint's answer
  * @property notExecuted header that is present if the endpoint did not run the request
  * @property keyScheme scheme of the Authorization header that carries a key
+ * @property promptOf returns the segments of the prompt that the headers of a request name, in order; empty if it has none
  * @property loadOf returns the load that an endpoint reported in the headers of an answer, or null
  */
 public data class GatewayDialect(
@@ -25,5 +27,6 @@
     val signature: String,
     val notExecuted: String,
     val keyScheme: String,
+    val promptOf: (List<Header>) -> List<PromptSegmentId>,
     val loadOf: (List<Header>) -> LoadSample?,
 )
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/RequestHandler.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/RequestHandler.kt
@@ -115,6 +115,7 @@
     ) {
         private val route: Route = admission.route
         private val id = request.head.headers.valueOf(dialect.requestId)
+        private val prompt = dialect.promptOf(request.head.headers)
         private val deadline = request.arrivedAt + timeLimit()
         private val holdUntil = request.arrivedAt + maxHoldTime(route.kind, timeLimit())
 
@@ -164,7 +165,7 @@
                         }
                         last = result.end
                         val step = nextStep(result.end, history())
-                        record("attempt", placement.endpoint, result.detail, step)
+                        record("attempt", placement.endpoint, result.detail, step, result.events)
                         if (step == NextStep.HOLD) delay(minOf(holdTime(), HOLD_PAUSE * sends))
                         if (step != NextStep.REPEAT && step != NextStep.HOLD) {
                             return finish(step, result.detail, retryDelay(remaining()))
@@ -205,6 +206,7 @@
             endpoint: LiveEndpoint?,
             detail: String,
             step: NextStep?,
+            events: Int? = null,
         ) {
             val state = fleet.value
             journal(
@@ -220,6 +222,8 @@
                     current = state.isConfigurationCurrent,
                     sends = sends,
                     remainingMs = remaining().inWholeMilliseconds,
+                    prompt = promptText(prompt),
+                    events = events,
                     detail = detail,
                     step = step?.name,
                 ),
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/RequestJournal.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/RequestJournal.kt
@@ -5,6 +5,7 @@
 import kotlinx.serialization.json.jsonObject
 import org.apache.logging.log4j.LogManager
 import org.apache.logging.log4j.message.StringMapMessage
+import org.cicadaturn.schema.generated.PromptSegmentId
 import org.cicadaturn.schema.generated.RequestLine
 
 /** Receives a line for each decision about a request. */
@@ -13,6 +14,10 @@
 /** Returns a journal that writes the fields of each line to the log. */
 internal fun requestJournal(): RequestJournal = { line -> logger.info(messageOf(line)) }
 
+/** Returns the [segments] of a prompt as they appear in a line, or null if there are none. */
+internal fun promptText(segments: List<PromptSegmentId>): String? =
+    segments.takeIf { it.isNotEmpty() }?.joinToString(" ") { it.text }
+
 private fun messageOf(line: RequestLine): StringMapMessage {
     val message = StringMapMessage()
     message.with("part", "request")
--- a/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/TestGateway.kt
+++ b/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/TestGateway.kt
@@ -12,6 +12,7 @@
 import org.cicadaturn.schema.generated.NetworkAddress
 import org.cicadaturn.schema.generated.OrganisationId
 import org.cicadaturn.schema.generated.ProcessSettings
+import org.cicadaturn.schema.generated.PromptSegmentId
 import org.cicadaturn.schema.generated.Route
 import org.cicadaturn.schema.generated.RouteKind
 import org.cicadaturn.schema.generated.RoutedService
@@ -23,6 +24,7 @@
 import org.cicadaturn.tasks.Node
 import org.cicadaturn.tasks.experts.RankClient
 import org.cicadaturn.tasks.http.httpRuntime
+import org.cicadaturn.tasks.http.valueOf
 import java.net.Socket
 import kotlin.random.Random
 import kotlin.time.Clock
@@ -147,6 +149,14 @@
         signature = "X-Signature",
         notExecuted = "X-Not-Executed",
         keyScheme = "Bearer",
+        promptOf = { headers ->
+            headers
+                .valueOf("X-Prompt")
+                .orEmpty()
+                .split(' ')
+                .filter { it.isNotEmpty() }
+                .map { PromptSegmentId(it) }
+        },
         loadOf = { null },
     )
 
