--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/GatewayNode.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/GatewayNode.kt
@@ -111,14 +111,16 @@
     private val admin = GatewayAdmin(registry, ::isReady) { fleet.state.value }
     private val handler =
         RequestHandler(
-            fleet.state,
-            ::table,
-            balancer,
-            exchange,
-            dependencies.dialect,
-            dependencies.clock,
-            dependencies.random,
-            journal,
+            RequestDependencies(
+                fleet = fleet.state,
+                routes = ::table,
+                balancer = balancer,
+                exchange = exchange,
+                dialect = dependencies.dialect,
+                clock = dependencies.clock,
+                random = dependencies.random,
+                journal = journal,
+            ),
         )
     private var routes: RouteTable? = null
     private var stopping = false
--- /dev/null
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/RequestExecution.kt
@@ -0,0 +1,307 @@
+package org.cicadaturn.tasks.gateway
+
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.flow.first
+import kotlinx.coroutines.withTimeoutOrNull
+import org.cicadaturn.decisions.dispatch.DispatchRequest
+import org.cicadaturn.decisions.gateway.Admission
+import org.cicadaturn.decisions.gateway.AttemptEnd
+import org.cicadaturn.decisions.gateway.AttemptHistory
+import org.cicadaturn.decisions.gateway.EndpointRequest
+import org.cicadaturn.decisions.gateway.NextStep
+import org.cicadaturn.decisions.gateway.finalStep
+import org.cicadaturn.decisions.gateway.maxHoldTime
+import org.cicadaturn.decisions.gateway.nextStep
+import org.cicadaturn.decisions.gateway.retryDelay
+import org.cicadaturn.schema.generated.EndpointId
+import org.cicadaturn.schema.generated.Header
+import org.cicadaturn.schema.generated.LiveEndpoint
+import org.cicadaturn.schema.generated.RequestLine
+import org.cicadaturn.schema.generated.Route
+import org.cicadaturn.schema.generated.RouteKind
+import org.cicadaturn.schema.generated.ServiceId
+import org.cicadaturn.tasks.http.RequestHead
+import org.cicadaturn.tasks.http.ResponseHead
+import org.cicadaturn.tasks.http.endToEnd
+import org.cicadaturn.tasks.http.valueOf
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+
+/** Handling of one admitted [request] from its arrival to its end. */
+internal class RequestExecution(
+    private val request: CallerRequest,
+    private val admission: Admission.Admitted,
+    private val service: ServiceId,
+    private val answer: CallerAnswer,
+    private val dependencies: RequestDependencies,
+) {
+    private val dialect = dependencies.dialect
+    private val balancer = dependencies.balancer
+    private val clock = dependencies.clock
+    private val route: Route = admission.route
+    private val id = request.head.headers.valueOf(dialect.requestId)
+    private val prompt = dialect.promptOf(request.head.headers)
+    private val deadline = request.arrivedAt + timeLimit()
+    private val holdUntil = request.arrivedAt + maxHoldTime(route.kind, timeLimit())
+
+    /** Endpoints that the request was sent to. */
+    private val triedEndpoints = HashSet<EndpointId>()
+
+    /** Endpoints that may have run the request or could not be reached. */
+    private val excludedEndpoints = HashSet<EndpointId>()
+    private var sends = 0
+    private var unsentAttempts = 0
+    private var mayHaveRun = false
+    private var lastFailure: Pair<ResponseHead, ByteArray>? = null
+
+    private fun timeLimit(): Duration {
+        val requested =
+            request.head.headers
+                .valueOf(dialect.deadlineMillis)
+                ?.trim()
+                ?.toLongOrNull()
+                ?.milliseconds
+        return minOf(requested ?: route.timeout, route.timeout)
+    }
+
+    private fun remaining(): Duration = deadline - clock.now()
+
+    suspend fun run(): RequestEnd {
+        balancer.arrived(service)
+        val end = withTimeoutOrNull(remaining().coerceAtLeast(1.milliseconds)) { attempts() }
+        return (end ?: expire()).copy(service = service)
+    }
+
+    private suspend fun expire(): RequestEnd =
+        when {
+            answer.isBegun -> answer.cut("deadline passed within the answer")
+            sends > 0 -> answer.sendError(GATEWAY_TIMEOUT, "deadline passed", emptyList())
+            else -> answer.refuse(DEFAULT_RETRY_DELAY, "deadline passed before an endpoint was found")
+        }
+
+    private suspend fun attempts(): RequestEnd {
+        var last = AttemptEnd.NOT_SENT
+        while (true) {
+            when (val placement = place()) {
+                is Placement.Placed -> {
+                    val result = attempt(placement.endpoint)
+                    if (result !is AttemptResult.Failed) {
+                        return answer.result().copy(endpoint = placement.endpoint.id)
+                    }
+                    last = result.end
+                    val step = nextStep(result.end, history())
+                    record("attempt", placement.endpoint, result.detail, step, result.events)
+                    if (step == NextStep.HOLD) delay(minOf(holdTime(), HOLD_PAUSE * sends))
+                    if (step != NextStep.REPEAT && step != NextStep.HOLD) {
+                        return finish(step, result.detail, retryDelay(remaining()))
+                    }
+                }
+                is Placement.Rejected -> {
+                    val step = finalStep(last, history())
+                    return finish(step, placement.cause.text, retryDelay(remaining(), placement.retryAfter))
+                }
+                is Placement.Waiting -> error("a wait ends with another placement")
+            }
+        }
+    }
+
+    private suspend fun place(): Placement {
+        val placement = balancer.place(dispatchRequest())
+        if (placement !is Placement.Waiting) return placement
+        record("wait", null, placement.cause.text, null)
+        return balancer.await(placement)
+    }
+
+    private fun dispatchRequest(): DispatchRequest =
+        DispatchRequest(
+            endpoint = endpointRequest(),
+            organisation = admission.organisation,
+            priority = admission.priority,
+            bytes = request.body.size,
+            aimUntil = request.arrivedAt - timeSpent() + route.latencyTarget * START_SHARE,
+            waitUntil = clock.now() + holdTime(),
+            hasReturned = timeSpent() > MIN_RETURN_TIME,
+        )
+
+    /** Returns the time that the caller had spent on earlier attempts, as far as its deadline tells. */
+    private fun timeSpent(): Duration = (route.timeout - timeLimit()).coerceAtLeast(Duration.ZERO)
+
+    private fun record(
+        event: String,
+        endpoint: LiveEndpoint?,
+        detail: String,
+        step: NextStep?,
+        events: Int? = null,
+    ) {
+        val state = dependencies.fleet.value
+        dependencies.journal(
+            RequestLine(
+                event = event,
+                request = id,
+                route = route.name,
+                service = service.text,
+                endpoint = endpoint?.id?.text,
+                address = endpoint?.address?.let { "${it.ip}:${it.port}" },
+                configuration = state.view.configuration?.version,
+                endpointsRevision = state.view.endpointsRevision,
+                current = state.isConfigurationCurrent,
+                sends = sends,
+                remainingMs = remaining().inWholeMilliseconds,
+                prompt = promptText(prompt),
+                events = events,
+                detail = detail,
+                step = step?.name,
+            ),
+        )
+    }
+
+    private fun endpointRequest(): EndpointRequest {
+        val isLimitReached = triedEndpoints.size >= route.attempts
+        // The second attempt goes to another endpoint; later ones may return to an endpoint that refused.
+        val excluded = if (sends <= 1) triedEndpoints + excludedEndpoints else excludedEndpoints
+        return EndpointRequest(
+            service,
+            excluded = excluded.toSet(),
+            only = triedEndpoints.toSet().takeIf { isLimitReached },
+            isRetry = sends > 0,
+            canWait = holdTime() > Duration.ZERO,
+        )
+    }
+
+    /** Returns how long the request may still wait; a request that may have been run does not wait. */
+    private fun holdTime(): Duration {
+        if (mayHaveRun || answer.isBegun) return Duration.ZERO
+        return minOf(holdUntil - clock.now(), remaining()).coerceAtLeast(Duration.ZERO)
+    }
+
+    private suspend fun attempt(endpoint: LiveEndpoint): AttemptResult {
+        // Counted before the request is sent, as expire() must not answer "not run" once it may have been sent.
+        triedEndpoints += endpoint.id
+        sends += 1
+        val result = dependencies.exchange.run(attemptRequest(endpoint), answer)
+        if (result !is AttemptResult.Failed) return result
+        if (result.end == AttemptEnd.NOT_SENT) {
+            triedEndpoints -= endpoint.id
+            excludedEndpoints += endpoint.id
+            sends -= 1
+            unsentAttempts += 1
+        }
+        if (result.end !in NOT_RUN_ENDS) {
+            excludedEndpoints += endpoint.id
+            mayHaveRun = true
+        }
+        result.failure?.let { lastFailure = it }
+        return result
+    }
+
+    private fun attemptRequest(endpoint: LiveEndpoint): AttemptRequest {
+        val remaining = remaining()
+        val isRepeatable = route.kind == RouteKind.IDEMPOTENT || route.resumable
+        val canTryAnother = triedEndpoints.size < route.attempts
+        val limit =
+            when {
+                !isRepeatable || !canTryAnother -> remaining
+                route.kind == RouteKind.STREAM -> STREAM_STALL_TIMEOUT
+                else -> route.latencyTarget * SLOW_ANSWER_FACTOR
+            }
+        return AttemptRequest(
+            endpoint = endpoint,
+            kind = if (isRepeatable) route.kind else RouteKind.AT_MOST_ONCE,
+            head = headFor(endpoint, remaining),
+            body = request.body,
+            requestId = id,
+            firstByteLimit = minOf(limit, remaining - ANSWER_RESERVE).coerceAtLeast(1.milliseconds),
+            gapLimit = minOf(limit, remaining - ANSWER_RESERVE).coerceAtLeast(1.milliseconds),
+            canBeAbandoned = route.kind == RouteKind.STREAM && limit == STREAM_STALL_TIMEOUT,
+            pauseTarget = route.pauseTarget,
+            remaining = remaining,
+        )
+    }
+
+    private fun headFor(
+        endpoint: LiveEndpoint,
+        remaining: Duration,
+    ): RequestHead {
+        val setByGateway =
+            setOf(
+                dialect.deadlineMillis,
+                dialect.organisation,
+                dialect.expectedEndpoint,
+            ).map { it.lowercase() }
+        val isKeyed = dependencies.routes()?.configuration?.tenancies != null
+        val resumeFrom = answer.lastEventId
+        val forwarded =
+            request.head.headers.endToEnd().filter {
+                val name = it.name.lowercase()
+                name !in setByGateway &&
+                    !(isKeyed && name == "authorization") &&
+                    !(resumeFrom != null && name == dialect.lastEventId.lowercase())
+            }
+        val added =
+            listOfNotNull(
+                Header(dialect.deadlineMillis, remaining.inWholeMilliseconds.coerceAtLeast(1).toString()),
+                Header(dialect.expectedEndpoint, endpoint.id.text),
+                admission.organisation?.let { Header(dialect.organisation, it.text) },
+                resumeFrom?.let { Header(dialect.lastEventId, it.toString()) },
+            )
+        return RequestHead(request.head.method, request.head.target, forwarded + added)
+    }
+
+    private fun history(): AttemptHistory =
+        AttemptHistory(
+            kind = route.kind,
+            isResumable = route.resumable,
+            endpointsTried = triedEndpoints.size,
+            maxEndpoints = route.attempts,
+            unsentAttempts = unsentAttempts,
+            mayHaveRun = mayHaveRun,
+            isAnswerBegun = answer.isBegun,
+            remaining = remaining(),
+            holdTimeLeft = holdUntil - clock.now(),
+        )
+
+    private suspend fun finish(
+        step: NextStep,
+        reason: String,
+        retryAfter: Duration,
+    ): RequestEnd =
+        when (step) {
+            NextStep.PASS_FAILURE -> passFailure(reason)
+            NextStep.REFUSE -> answer.refuse(retryAfter, reason)
+            NextStep.CUT -> answer.cut(reason)
+            NextStep.FAIL, NextStep.REPEAT, NextStep.HOLD -> answer.sendError(BAD_GATEWAY, reason, emptyList())
+        }
+
+    private suspend fun passFailure(reason: String): RequestEnd {
+        val failure = lastFailure ?: return answer.sendError(BAD_GATEWAY, reason, emptyList())
+        answer.sendAnswer(failure.first, failure.second)
+        return answer.result()
+    }
+
+    private companion object {
+        val NOT_RUN_ENDS = setOf(AttemptEnd.NOT_SENT, AttemptEnd.NOT_EXECUTED)
+
+        /**
+         * Longest gap in a stream before it is resumed at another endpoint. Callers abandon a stream after a gap of
+         * two seconds, and the resumption must fit into this time. A group that lost a rank answers again after a
+         * stall of 1.5 s, and its other endpoints cannot answer earlier.
+         */
+        val STREAM_STALL_TIMEOUT = 1_600.milliseconds
+
+        /** Pause after a refusal, for each time that the request was sent, before it is sent to the same endpoints. */
+        val HOLD_PAUSE = 100.milliseconds
+
+        /** Share of the latency target that may pass before placement; the endpoint needs the rest. */
+        const val START_SHARE = 0.4
+
+        /** Time spent on earlier attempts from which a caller counts as having come back; it rules out network delays. */
+        val MIN_RETURN_TIME = 300.milliseconds
+
+        /** Time before the deadline that is left for the answer to the caller. */
+        val ANSWER_RESERVE = 10.milliseconds
+
+        /** Multiple of the latency target after which a repeatable request is sent to another endpoint. */
+        const val SLOW_ANSWER_FACTOR = 4
+        const val GATEWAY_TIMEOUT = 504
+    }
+}
