Log when a request was placed and when its answer began

After an outage of a group answers are late for seconds, and the log did not tell whether requests wait at the gateway or at the endpoint. End lines now have both times.

--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/CallerAnswer.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/CallerAnswer.kt
@@ -10,13 +10,20 @@
 import kotlin.time.Duration
 import kotlin.time.DurationUnit
 
-/** How a request ended, for logs and metrics. */
+/**
+ * How a request ended, for logs and metrics.
+ *
+ * @property placedAfter time from the arrival until the request was placed at the endpoint that answered
+ * @property begunAfter time from the arrival until the answer began
+ */
 internal data class RequestEnd(
     val status: Int,
     val reason: String,
     val keepsConnection: Boolean,
     val service: ServiceId? = null,
     val endpoint: EndpointId? = null,
+    val placedAfter: Duration? = null,
+    val begunAfter: Duration? = null,
 )
 
 /** Answer to one request, written to the connection of the caller. */
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/CallerConnection.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/CallerConnection.kt
@@ -135,6 +135,8 @@
                 prompt = promptText(dialect.promptOf(request.head.headers)),
                 status = end.status,
                 detail = end.reason,
+                placedMs = end.placedAfter?.inWholeMilliseconds,
+                firstMs = end.begunAfter?.inWholeMilliseconds,
                 ms = time.inWholeMilliseconds,
             ),
         )
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/RequestExecution.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/RequestExecution.kt
@@ -30,6 +30,7 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
+import kotlin.time.Instant
 
 /** Handling of one admitted [request] from its arrival to its end. */
 internal class RequestExecution(
@@ -57,6 +58,8 @@
     private var sends = 0
     private var unsentAttempts = 0
     private var mayHaveRun = false
+    private var placedAt = request.arrivedAt
+    private var begunAt: Instant? = null
     private var lastFailure: Pair<ResponseHead, ByteArray>? = null
 
     private fun timeLimit(): Duration {
@@ -100,9 +103,7 @@
                         continue
                     }
                     val result = attempt(placement.endpoint)
-                    if (result !is AttemptResult.Failed) {
-                        return answer.result().copy(endpoint = placement.endpoint.id)
-                    }
+                    if (result !is AttemptResult.Failed) return answered(placement.endpoint)
                     last = result.end
                     val step = nextStep(result.end, history())
                     record("attempt", placement.endpoint, result.detail, step, result.events)
@@ -120,6 +121,13 @@
         }
     }
 
+    private fun answered(endpoint: LiveEndpoint): RequestEnd =
+        answer.result().copy(
+            endpoint = endpoint.id,
+            placedAfter = placedAt - request.arrivedAt,
+            begunAfter = begunAt?.let { it - request.arrivedAt },
+        )
+
     /** Ends the request without sending it, or sending it again, because of [verdict]. */
     private suspend fun holdBack(
         verdict: Verdict,
@@ -208,8 +216,9 @@
         // Counted before the request is sent, as expire() must not answer "not run" once it may have been sent.
         triedEndpoints += endpoint.id
         sends += 1
+        placedAt = clock.now()
         val observation = gate.observe(endpoint)
-        val result = dependencies.exchange.run(attemptRequest(endpoint, observation::advance), answer)
+        val result = dependencies.exchange.run(attemptRequest(endpoint) { recordProgress(observation, it) }, answer)
         observation.ended()
         if (result !is AttemptResult.Failed) return result
         if (result.isDisconnected && prompt.size > 1) observation.lost()
@@ -227,6 +236,14 @@
         return result
     }
 
+    private fun recordProgress(
+        observation: PromptObservation,
+        progress: AnswerProgress,
+    ) {
+        if (progress >= AnswerProgress.BEGINNING && begunAt == null) begunAt = clock.now()
+        observation.advance(progress)
+    }
+
     private fun attemptRequest(
         endpoint: LiveEndpoint,
         onProgress: (AnswerProgress) -> Unit,
