Break a stream off instead of continuing it with an answer of another kind

A stream that had begun was resumed at the next endpoint, whose answer was not checked to be a stream. Callers found the pieces of a success of another type in the middle of their stream (test case: 300,000 bytes of text). Shorter answers and statuses below 500 were written as a whole new answer; only the encoder, which refuses a head within a body, kept them off the wire, and the log called such requests answered. Once an answer has begun, only a stream continues it; anything else counts as a failed attempt.

EndpointFaultTest "an answer that is no stream does not continue one" failed before for the long success; the other seven cases passed before by the encoder and now by decision.

--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/AttemptExecution.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/AttemptExecution.kt
@@ -56,6 +56,7 @@
         if (defect != null) return failed(AttemptEnd.BROKEN, defect)
         dialect.loadOf(head.headers)?.let { balancer.loadReported(attempt.endpoint.id, it) }
         if (head.status !in SUCCESS_STATUSES) return handleFailure(head)
+        if (sink.isBegun && !isEventStream(head)) return failed(AttemptEnd.BROKEN, "the answer is no stream")
         balancer.accepted(attempt.endpoint.id)
         attempt.onProgress(AnswerProgress.HEAD)
         return if (isEventStream(head)) relayEvents(head) else relayBody(head)
@@ -116,7 +117,7 @@
         ) {
             return failed(AttemptEnd.BROKEN, "status ${head.status} without a denial")
         }
-        if (head.status < SERVER_ERROR) return deliver(head, body)
+        if (head.status < SERVER_ERROR && !sink.isBegun) return deliver(head, body)
         use = EndpointUse.Failed
         return AttemptResult.Failed(AttemptEnd.FAILED, "failed with ${head.status}", head to body)
     }
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/CallerAnswer.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/CallerAnswer.kt
@@ -32,8 +32,7 @@
     private val isStopping: () -> Boolean,
     private val callerCloses: Boolean,
 ) : AnswerSink {
-    /** True once a part of an answer may have reached the caller. */
-    var isBegun = false
+    override var isBegun = false
         private set
 
     /** Identifier of the last event that was sent to the caller. */
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/Exchange.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/Exchange.kt
@@ -42,6 +42,9 @@
 
 /** Receives the parts of an answer as soon as they can be passed on to the caller. */
 internal interface AnswerSink {
+    /** True once a part of an answer may have reached the caller; what follows must continue it. */
+    val isBegun: Boolean
+
     /** Passes on a complete answer; returns false if the caller is gone. */
     suspend fun sendAnswer(
         head: ResponseHead,
--- a/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/EndpointFaultTest.kt
+++ b/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/EndpointFaultTest.kt
@@ -281,6 +281,41 @@
         }
     }
 
+    /** Guards against the answer of the next endpoint, or its head, in the middle of a stream that has begun. */
+    @TestFactory
+    fun `an answer that is no stream does not continue one`() =
+        mapOf<String, (RawRequest) -> String>(
+            "client error" to { r -> "HTTP/1.1 404 No\r\nX-Id: ${r.id}\r\nContent-Length: 3\r\n\r\nbad" },
+            "server error" to { r -> "HTTP/1.1 500 No\r\nX-Id: ${r.id}\r\nContent-Length: 3\r\n\r\nbad" },
+            "redirect" to { r -> "HTTP/1.1 302 No\r\nX-Id: ${r.id}\r\nLocation: /x\r\nContent-Length: 0\r\n\r\n" },
+            "refusal" to { r ->
+                "HTTP/1.1 503 No\r\nX-Id: ${r.id}\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+            },
+            "success of another type" to { r -> okHead(r, "Content-Type: text/plain\r\nContent-Length: 3") + "bad" },
+            "success of another type without a length" to { r -> okHead(r, "Content-Type: text/plain") + "bad" },
+            "long success of another type" to { r ->
+                okHead(r, "Content-Type: text/plain\r\nContent-Length: 300000") + "x".repeat(300_000)
+            },
+            "success without content" to { r -> "HTTP/1.1 204 OK\r\nX-Id: ${r.id}\r\nX-Signature: s\r\n\r\n" },
+        ).map { (name, answer) ->
+            DynamicTest.dynamicTest(name) {
+                val breaks: (RawRequest, OutputStream) -> Boolean = { r, out ->
+                    !out.text(streamHead(r, "s").replace("\r\n\r\n", "\r\nContent-Length: 999\r\n\r\n") + event(1))
+                }
+                ScriptedEndpoint(breaks).use { first ->
+                    ScriptedEndpoint { r, out -> !out.text(answer(r)) }.use { second ->
+                        TestGateway(listOf(first, second)).use { gateway ->
+                            val received = exchange(gateway.port, request("/stream/x"))
+                            assertEquals(1, second.requests.size)
+                            assertEquals(event(1), received.body)
+                            assertEquals(null, received.stray)
+                            assertFalse(received.isComplete)
+                        }
+                    }
+                }
+            }
+        }
+
     /** Guards against memory that grows with an event that never ends. */
     @Test
     fun `a stream whose event does not end is given up`() {
--- a/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/TestGateway.kt
+++ b/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/TestGateway.kt
@@ -76,12 +76,17 @@
     }
 }
 
-/** Answer as received; [isComplete] is false if the connection ended within it. */
+/**
+ * Answer as received; [isComplete] is false if the connection ended within it.
+ *
+ * @property stray first line that stands where a chunk should begin, or null if there is none
+ */
 internal class RawAnswer(
     val status: Int,
     val head: String,
     val body: String,
     val isComplete: Boolean,
+    val stray: String? = null,
 )
 
 /** Sends [bytes] on a new connection and returns the first answer. */
@@ -106,7 +111,8 @@
     }
     val body = StringBuilder()
     while (true) {
-        val size = readLine(input)?.toIntOrNull(16) ?: return RawAnswer(status, head, body.toString(), false)
+        val line = readLine(input) ?: return RawAnswer(status, head, body.toString(), false)
+        val size = line.toIntOrNull(16) ?: return RawAnswer(status, head, body.toString(), false, stray = line)
         val chunk = input.readNBytes(size)
         readLine(input) ?: return RawAnswer(status, head, body.toString(), false)
         if (size == 0) return RawAnswer(status, head, body.toString(), true)
