Do not pass a stream without an event on as complete

An answer may have neither a length nor chunks and end with its connection. An endpoint that crashed after the head of such a stream closed the connection in order, and the caller got an empty stream that looked complete, without the attempt at another endpoint. A stream without an event now counts as cut, unless it is the rest of one that has begun and its end is certain.

EndpointFaultTest "a stream without a length that ends before its first event is not complete" failed before. Answers without a length that are reset were handled before and have a test now.

--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/AttemptExecution.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/AttemptExecution.kt
@@ -207,12 +207,19 @@
             }
         }
         if (splitter.isInsideEvent) return failed(AttemptEnd.BROKEN, "stream ended inside an event")
+        if (count == 0 && !isEmptyRest(head)) return disconnected("stream ended without an event")
         allowReuse(head)
         attempt.onProgress(AnswerProgress.RUNNING)
         sink.sendEnd(head)
         return AttemptResult.Delivered
     }
 
+    /**
+     * Returns true if a stream without events is the rest of one whose last event the caller has. If the end of the
+     * connection ends the stream, it may as well have been cut.
+     */
+    private fun isEmptyRest(head: ResponseHead): Boolean = sink.isBegun && !head.endsWithConnection
+
     private fun recordPause(pause: Duration) {
         attempt.pauseTarget?.let { balancer.paced(attempt.endpoint.id, pause / it) }
     }
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/http/HttpMessages.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/http/HttpMessages.kt
@@ -27,7 +27,11 @@
     val status: Int,
     val headers: List<Header>,
     val closesConnection: Boolean = false,
-)
+) {
+    /** True if only the end of the connection tells where the body ends, so that a cut cannot always be told from it. */
+    val endsWithConnection: Boolean
+        get() = headers.valueOf("Content-Length") == null && headers.valueOf("Transfer-Encoding") == null
+}
 
 /** Returns the first value of the header [name], whose case is ignored, or null. */
 public fun List<Header>.valueOf(name: String): String? = firstOrNull { it.name.equals(name, ignoreCase = true) }?.value
--- a/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/EndpointFaultTest.kt
+++ b/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/EndpointFaultTest.kt
@@ -316,6 +316,40 @@
             }
         }
 
+    /** Guards against a stream that ends before its first event, as its endpoint crashed, and looks complete. */
+    @Test
+    fun `a stream without a length that ends before its first event is not complete`() {
+        val ends: (RawRequest, OutputStream) -> Boolean = { r, out -> !out.text(streamHead(r, "first")) }
+        val answers: (RawRequest, OutputStream) -> Boolean = { r, out -> !out.text(streamHead(r, "second") + event(1)) }
+        ScriptedEndpoint(ends).use { first ->
+            ScriptedEndpoint(answers).use { second ->
+                TestGateway(listOf(first, second)).use { gateway ->
+                    val answer = exchange(gateway.port, request("/stream/x"))
+                    assertEquals(event(1), answer.body)
+                    assertTrue(answer.isComplete)
+                }
+            }
+        }
+    }
+
+    /** Guards against an answer without a length that is taken for complete although its connection was reset. */
+    @Test
+    fun `an answer without a length is complete only if its connection was closed`() {
+        val ends: (RawRequest, OutputStream) -> Boolean = { r, out ->
+            out.text(okHead(r, "X-Any: 1") + "whole")
+            if (r.id == "reset") throw ResetConnection()
+            false
+        }
+        ScriptedEndpoint(ends).use { endpoint ->
+            TestGateway(listOf(endpoint)).use { gateway ->
+                val answer = exchange(gateway.port, request("/once/x"))
+                assertEquals("whole", answer.body)
+                assertTrue(answer.isComplete)
+                assertEquals(502, exchange(gateway.port, request("/once/x", id = "reset")).status)
+            }
+        }
+    }
+
     /** Guards against memory that grows with an event that never ends. */
     @Test
     fun `a stream whose event does not end is given up`() {
--- a/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/ScriptedEndpoint.kt
+++ b/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/ScriptedEndpoint.kt
@@ -23,6 +23,9 @@
             ?.trim()
 }
 
+/** Thrown by a script to end its connection with a reset. */
+internal class ResetConnection : RuntimeException()
+
 /** Endpoint on loopback that answers each request with [script], which returns false to close the connection. */
 internal class ScriptedEndpoint(
     private val script: (RawRequest, OutputStream) -> Boolean,
@@ -48,7 +51,13 @@
                 val request = readRequest(it.getInputStream()) ?: return
                 requests += request
                 val out = it.getOutputStream()
-                val keepsConnection = script(request, out)
+                val keepsConnection =
+                    try {
+                        script(request, out)
+                    } catch (e: ResetConnection) {
+                        it.setSoLinger(true, 0)
+                        false
+                    }
                 out.flush()
                 if (!keepsConnection) return
             }
