--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/FleetTask.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/FleetTask.kt
@@ -1,5 +1,6 @@
 package org.cicadaturn.tasks.gateway
 
+import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.ExperimentalCoroutinesApi
@@ -96,7 +97,7 @@
 
     fun start() {
         scope.launch { processMessages() }
-        FleetPart.entries.forEach { part -> scope.launch { follow(part) } }
+        FleetPart.entries.forEach { part -> scope.launch { keepFollowing(part) } }
         scope.launch { register() }
         scope.launch { fetchFromPeers() }
     }
@@ -164,6 +165,21 @@
         }
     }
 
+    /** Follows [part] from the start again if that ends with a defect, which must not leave the process with old data. */
+    private suspend fun keepFollowing(part: FleetPart) {
+        while (true) {
+            try {
+                follow(part)
+            } catch (e: CancellationException) {
+                throw e
+            } catch (e: Throwable) {
+                logger.error("fleet: following {} failed", part, e)
+                messages.send(FleetMessage.Failed(part, StoreError.Unanswered("defect: $e")))
+                delay(RESTART_DELAY)
+            }
+        }
+    }
+
     private suspend fun follow(part: FleetPart) {
         var revision: Long? = null
         var failures = 0
@@ -224,6 +240,9 @@
 
         const val QUEUED_MESSAGES = 16
 
+        /** Bounds the calls and log lines that a defect causes if it occurs each time. */
+        val RESTART_DELAY = 1.seconds
+
         /** Time between calls of peers. A configuration that only a peer has must be applied within seconds too. */
         val RELAY_INTERVAL = 700.milliseconds
     }
--- a/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/FleetFollowTest.kt
+++ b/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/FleetFollowTest.kt
@@ -70,4 +70,34 @@
             val state = fleet.state.first { (it.view.configuration?.version ?: 0L) > 1L }
             assertEquals(2L, state.view.configuration?.version)
         }
+
+    /** Store whose first answer about the configuration ends in a defect of the client. */
+    private inner class DefectiveStore : FleetStore by unavailableStore {
+        private var lists = 0
+
+        override suspend fun list(part: FleetPart): Either<StoreError, FleetChanges> {
+            lists += 1
+            if (lists == 1) throw StackOverflowError()
+            return FleetChanges(1, if (part == FleetPart.CONFIGURATION) listOf(configured(1)) else emptyList()).right()
+        }
+    }
+
+    /** Guards against a process that stops following the store after a defect and serves with old data for good. */
+    @Test
+    fun `a defect does not end the following`() =
+        runTest {
+            val peer = GatewayPeer(ProcessId("g"), NetworkAddress("127.0.0.1", 1), FailureDomainId("a"))
+            val dependencies =
+                FleetDependencies(
+                    DefectiveStore(),
+                    peer,
+                    { null },
+                    10.seconds,
+                    Backoff { 10.milliseconds },
+                    Clock.System,
+                )
+            val fleet = startFleet(backgroundScope, dependencies)
+            val state = fleet.state.first { it.view.configuration != null }
+            assertEquals(1L, state.view.configuration?.version)
+        }
 }
