Test that a repeated earlier refusal says nothing about the next request

Reported by other operators: a server wrote an earlier refusal once more on a kept connection, and callers were told that a request had not run although it ran. It does not happen here: an answer with the identifier of an earlier request is skipped, and one that never gets its own answer has an unknown outcome.

--- a/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/EndpointFaultTest.kt
+++ b/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/EndpointFaultTest.kt
@@ -196,6 +196,42 @@
         }
     }
 
+    private fun refusal(id: String?) = "HTTP/1.1 503 No\r\nX-Id: $id\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+
+    /**
+     * Guards against an earlier refusal, written once more on a kept connection, that is reported as "not run" for a
+     * request that runs, or makes that request run at a second endpoint.
+     */
+    @TestFactory
+    fun `an earlier refusal that is repeated says nothing about the next request`() =
+        mapOf<String, Pair<(RawRequest, OutputStream) -> Boolean, Int>>(
+            "and the answer follows" to Pair({ r, out -> answerOk(r, out) }, 200),
+            "and the answer follows late" to Pair({ r, out -> Thread.sleep(300).let { answerOk(r, out) } }, 200),
+            "and the connection ends" to Pair({ _, _ -> false }, 502),
+            "again and again" to Pair({ _, out -> out.text(refusal("r1").repeat(5)).let { false } }, 502),
+        ).map { (name, case) ->
+            DynamicTest.dynamicTest(name) {
+                val (rest, status) = case
+                val received = CopyOnWriteArrayList<RawRequest>()
+                val faulty =
+                    ScriptedEndpoint { r, out ->
+                        received += r
+                        out.text(refusal("r1"))
+                        if (r.id == "r1") true else rest(r, out)
+                    }
+                faulty.use { first ->
+                    TestGateway(listOf(first)).use { gateway ->
+                        assertEquals(503, exchange(gateway.port, request("/once/x", "X-Deadline: 50\r\n", "r1")).status)
+                        val connections = first.connections
+                        val refused = received.size
+                        assertEquals(status, exchange(gateway.port, request("/once/x", id = "r2")).status)
+                        assertEquals(1, received.size - refused)
+                        assertEquals(connections, first.connections, "the connection was not kept")
+                    }
+                }
+            }
+        }
+
     /** Guards against an endpoint that keeps a request waiting with surplus answers that never end. */
     @Test
     fun `surplus answers without end do not delay the answer`() {
--- a/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/FleetFollowTest.kt
+++ b/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/FleetFollowTest.kt
@@ -76,9 +76,10 @@
         private var lists = 0
 
         override suspend fun list(part: FleetPart): Either<StoreError, FleetChanges> {
+            if (part != FleetPart.CONFIGURATION) return FleetChanges(1, emptyList()).right()
             lists += 1
             if (lists == 1) throw StackOverflowError()
-            return FleetChanges(1, if (part == FleetPart.CONFIGURATION) listOf(configured(1)) else emptyList()).right()
+            return FleetChanges(1, listOf(configured(1))).right()
         }
     }
 
--- a/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/ScriptedEndpoint.kt
+++ b/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/ScriptedEndpoint.kt
@@ -35,6 +35,9 @@
     val requests = CopyOnWriteArrayList<RawRequest>()
     val port: Int get() = server.localPort
 
+    /** Number of connections that were made to it. */
+    val connections: Int get() = sockets.size
+
     init {
         thread(isDaemon = true) {
             while (!server.isClosed) {
