Keep to an even share of the slots when a group returns

All processes placed what had waited as soon as a group returned, before any load was reported: no limit applied, about 100 requests queued at the engines on top of their 96 slots, and all of them were late. For half a second after an outage each process keeps to the slots divided by the number of processes.

The test in EndpointBalancerTest failed before (100 requests instead of 8).

--- a/decisions/src/main/kotlin/org/cicadaturn/decisions/dispatch/GroupTracker.kt
+++ b/decisions/src/main/kotlin/org/cicadaturn/decisions/dispatch/GroupTracker.kt
@@ -108,6 +108,9 @@
     /** Returns since when the group of [endpoint] has been down, or null if it is not. */
     public fun downSince(endpoint: EndpointId): Instant?
 
+    /** Returns when the last outage of the group of [endpoint] ended; long ago if it had none. */
+    public fun upSince(endpoint: EndpointId): Instant
+
     /** Returns the endpoints whose report is due, and counts them as asked. */
     public fun endpointsToAsk(now: Instant): List<EndpointId>
 
@@ -131,6 +134,7 @@
         val members = LinkedHashSet<EndpointId>()
         var epoch = 0L
         var downSince: Instant? = null
+        var upSince = Instant.DISTANT_PAST
         var downEpoch = 0L
         var suspectUntil = Instant.DISTANT_PAST
         var unansweredAsks = 0
@@ -181,8 +185,8 @@
         when {
             !report.isOpen -> markDown(group, now)
             since == null -> group.suspectUntil = Instant.DISTANT_PAST
-            group.isSilent -> markAccepting(group)
-            report.epoch > group.downEpoch -> markAccepting(group)
+            group.isSilent -> markAccepting(group, now)
+            report.epoch > group.downEpoch -> markAccepting(group, now)
             // Ranks that are cut off from each other go on reporting the epoch in which the group failed as open.
             now - since >= REPORT_LAG -> group.mayProbe = true
         }
@@ -224,7 +228,11 @@
         }
     }
 
-    private fun markAccepting(group: Group) {
+    private fun markAccepting(
+        group: Group,
+        now: Instant,
+    ) {
+        if (group.downSince != null) group.upSince = now
         group.downSince = null
         group.mayProbe = false
         group.isSilent = false
@@ -252,7 +260,7 @@
         endpoint: EndpointId,
         now: Instant,
     ) {
-        knownGroup(endpoint)?.let { markAccepting(it) }
+        knownGroup(endpoint)?.let { markAccepting(it, now) }
         progressed(endpoint, now)
     }
 
@@ -296,6 +304,8 @@
 
     override fun downSince(endpoint: EndpointId): Instant? = knownGroup(endpoint)?.downSince
 
+    override fun upSince(endpoint: EndpointId): Instant = knownGroup(endpoint)?.upSince ?: Instant.DISTANT_PAST
+
     override fun endpointsToAsk(now: Instant): List<EndpointId> {
         val due = unknown.filterValues { it <= now }.keys.take(MAX_DISCOVERIES)
         due.forEach { unknown[it] = now + DISCOVERY_INTERVAL }
--- a/decisions/src/main/kotlin/org/cicadaturn/decisions/gateway/EndpointBalancer.kt
+++ b/decisions/src/main/kotlin/org/cicadaturn/decisions/gateway/EndpointBalancer.kt
@@ -290,10 +290,14 @@
         member: Member,
         now: Instant,
     ): Boolean {
-        val profile = profiles[member.endpoint.service] ?: return true
-        val limit = limits[groups.groupOf(member.endpoint.id)] ?: return true
-        val engine = EngineProfile(member.endpoint.slots, profile.stepTime, profile.stepTimePerRequest)
-        return ownPerRank(member) < limit.ownPerRank(engine, now)
+        val endpoint = member.endpoint
+        val profile = profiles[endpoint.service] ?: return true
+        val engine = EngineProfile(endpoint.slots, profile.stepTime, profile.stepTimePerRequest)
+        val limit = limits[groups.groupOf(endpoint.id)]?.ownPerRank(engine, now) ?: Double.MAX_VALUE
+        // The requests that waited for the end of an outage come before any report of the load.
+        val hasReturned = now - groups.upSince(endpoint.id) < RETURN_TIME
+        val share = if (hasReturned) endpoint.slots.toDouble() / gateways.at(now) else Double.MAX_VALUE
+        return ownPerRank(member) < minOf(limit, share)
     }
 
     /** Returns the number of requests that this process has in flight at a rank of the group of [member], on average. */
@@ -482,6 +486,9 @@
         /** Time for which a rank that was lost is avoided; longer than a group stalls without it. */
         val LOSS_PAUSE = 1.seconds
 
+        /** Time after an outage for which a process keeps to an even share of the slots; reports follow meanwhile. */
+        val RETURN_TIME = 500.milliseconds
+
         /** Time between two questions to a group that is down, for each process at a small site. */
         val ASK_INTERVAL = 150.milliseconds
 
--- a/decisions/src/test/kotlin/org/cicadaturn/decisions/gateway/EndpointBalancerTest.kt
+++ b/decisions/src/test/kotlin/org/cicadaturn/decisions/gateway/EndpointBalancerTest.kt
@@ -173,10 +173,10 @@
     }
 
     /** Returns a balancer for the groups a and b, each with the ranks 0 and 1. */
-    private fun groupedBalancer(): EndpointBalancer {
+    private fun groupedBalancer(gateways: Int = 1): EndpointBalancer {
         val profile = ExpertProfile(1, 4, 2, 1, 100.milliseconds, 200.milliseconds, 5.milliseconds, 1.milliseconds)
         val ids = listOf("a0", "a1", "b0", "b1")
-        val grouped = view(ids.map { endpoint(it) }, gateways = 1, coldRate = 0.0)
+        val grouped = view(ids.map { endpoint(it) }, gateways, coldRate = 0.0)
         val services = listOf(RoutedService(service, 400, 0.0, profile))
         return balancer().also { balancer ->
             balancer.update(grouped.copy(configuration = grouped.configuration!!.copy(services = services)), start)
@@ -221,6 +221,24 @@
         }
     }
 
+    /** Guards against all waiting requests of all processes at once at the ranks of a group that has just returned. */
+    @Test
+    fun `after an outage a process sends its even share of the slots until loads are reported`() {
+        val balancer = groupedBalancer(gateways = 4)
+        listOf("a0", "b0").forEach {
+            balancer.finished(EndpointId(it), EndpointUse.Refused(hadFreePlaces = true), start)
+        }
+        val up = start + 5.seconds
+        listOf("a0", "b0").forEach {
+            balancer.groupReported(EndpointId(it), GroupReport(it.take(1), 2, isOpen = true), up)
+        }
+
+        fun sent(at: Instant) = (1..100).count { balancer.choose(request(), at) is EndpointChoice.Chosen }
+        // Four ranks with 8 slots each, shared by four processes.
+        assertEquals(8, sent(up + 10.milliseconds))
+        assertTrue(sent(up + 2.seconds) > 8)
+    }
+
     /** Guards against callers that stay with a process which cannot serve them while others can. */
     @Test
     fun `a process is isolated if it reaches no group and one of them may be reached by others`() {
