Do not blame prompts for the loss of a failure domain

Before a crash is reported, other endpoints of the same failure domain are probed; if they refuse too, the domain is lost.

The test failed before: the segment was held back.

--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/QuarantineTask.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/QuarantineTask.kt
@@ -192,11 +192,25 @@
         if (known != null) return
         scope.launch {
             delay(COLLECTION_TIME)
-            val hasCrashed = dependencies.refusesConnections(endpoint.address)
-            send(QuarantineMessage.Probed(endpoint.id, hasCrashed))
+            send(QuarantineMessage.Probed(endpoint.id, hasCrashedAlone(endpoint)))
         }
     }
 
+    /**
+     * Returns true if [endpoint] refuses connections and another endpoint of its failure domain does not. If all of them
+     * do, the domain is lost or cut off, whatever the endpoint was asked.
+     */
+    private suspend fun hasCrashedAlone(endpoint: LiveEndpoint): Boolean {
+        if (!dependencies.refusesConnections(endpoint.address)) return false
+        val neighbours =
+            dependencies.fleet.state.value.view.endpoints
+                .filter { it.failureDomain == endpoint.failureDomain && it.id != endpoint.id }
+                .shuffled(dependencies.random)
+                .sortedByDescending { it.service == endpoint.service }
+                .take(MAX_NEIGHBOURS)
+        return neighbours.isEmpty() || neighbours.any { !dependencies.refusesConnections(it.address) }
+    }
+
     private fun finish(message: QuarantineMessage.Probed) {
         val collected = losses.remove(message.endpoint) ?: return
         val endpoint = collected.endpoint
@@ -459,6 +473,9 @@
         /** The connections of a process that has ended are reset within a few milliseconds. */
         val COLLECTION_TIME = 10.milliseconds
 
+        /** Endpoints of a failure domain that are probed; several may have crashed for the same reason. */
+        const val MAX_NEIGHBOURS = 3
+
         /** Time between two reviews of the suspicions, and between two attempts to bring the store up to date. */
         val REVIEW_INTERVAL = 2.seconds
 
--- a/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/QuarantineTaskTest.kt
+++ b/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/QuarantineTaskTest.kt
@@ -60,7 +60,7 @@
     ) = LiveEndpoint(
         EndpointId(id),
         service,
-        NetworkAddress("10.0.0.1", 80),
+        NetworkAddress(id, 80),
         FailureDomainId("a"),
         state,
         slots = 8,
@@ -73,6 +73,9 @@
     ) {
         val cutOff = mutableSetOf<String>()
         var crashed = setOf("e1", "e2", "e3")
+
+        /** Endpoints that were probed, in order. */
+        val probed = mutableListOf<String>()
         var isStoreAvailable = true
         val stored = LinkedHashMap<ServiceSegment, QuarantinedSegment>()
         private val processes = LinkedHashMap<String, Process>()
@@ -140,7 +143,11 @@
                     trials = trialRegistry(ProcessId(process.name)),
                     fleet = StateFleet(process.state),
                     store = TestStore(),
-                    refusesConnections = { _ -> delay(1).let { lastLostAt in crashed } },
+                    refusesConnections = { address ->
+                        delay(1)
+                        probed += address.ip
+                        address.ip in crashed
+                    },
                     exchange = { peer, news -> exchange(process.name, peer.id.text, news) },
                     metrics = QuarantineMetrics(PrometheusRegistry()),
                     random = Random(1),
@@ -150,9 +157,6 @@
             )
         }
 
-        /** Endpoint whose crash is probed; the tests lose requests at one endpoint at a time. */
-        var lastLostAt = "e1"
-
         private suspend fun exchange(
             from: String,
             to: String,
@@ -274,15 +278,25 @@
         runTest {
             val fleet = TestFleet(this)
             val process = fleet.start("g1")
-            fleet.lastLostAt = "e4"
             process.lose("e4", "a own1")
             fleet.crashed = setOf("leaving")
-            fleet.lastLostAt = "leaving"
             process.lose("leaving", "b own2")
             assertEquals(Verdict.Clear, process.verdict("a own3"))
             assertEquals(Verdict.Clear, process.verdict("b own3"))
         }
 
+    /** Guards against segments that are suspected as a failure domain is cut off in a way that refuses connections. */
+    @Test
+    fun `a failure domain that refuses connections makes nothing suspicious`() =
+        runTest {
+            val fleet = TestFleet(this)
+            val process = fleet.start("g1")
+            fleet.crashed = setOf("e1", "e2", "e3", "e4", "leaving")
+            process.lose("e1", "bad own1")
+            assertEquals(Verdict.Clear, process.verdict("bad own2"))
+            assertTrue(fleet.probed.size in 2..4, "probed ${fleet.probed}")
+        }
+
     /** Guards against several processes that try a suspected segment at the same time. */
     @Test
     fun `one process at a time tries a suspected segment`() =
