Hold a segment back longer after each crash, and remove old entries

Evidence lost half of its weight in ten minutes whatever it was: a coincidence held a sound segment back for 5.5 minutes, and one that crashes endpoints for hours was tried again every half hour. Entries in the store that no request met in four half-lives are removed, which bounds them.

--- a/decisions/src/main/kotlin/org/cicadaturn/decisions/quarantine/CrashEvidence.kt
+++ b/decisions/src/main/kotlin/org/cicadaturn/decisions/quarantine/CrashEvidence.kt
@@ -10,6 +10,8 @@
 import kotlin.math.exp
 import kotlin.math.ln
 import kotlin.math.pow
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.hours
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.minutes
 import kotlin.time.Duration.Companion.seconds
@@ -58,7 +60,8 @@
  *
  * Segments that were lost together compete for the explanation of a crash: an answer to one of them makes the others
  * more likely, and a segment that explains more crashes clears its company. Evidence loses weight with time, so that a
- * segment is tried again one day.
+ * segment is tried again: about a minute after the first crash, as it may have been a coincidence, and hours after the
+ * third.
  */
 public interface CrashEvidence {
     /** Adds [report] and returns true if it contains something new. */
@@ -86,6 +89,15 @@
 /** Returns empty evidence; [lastAnswer] returns when a segment was last answered, or null if that is not known. */
 public fun crashEvidence(lastAnswer: (ServiceSegment) -> Instant?): CrashEvidence = BayesianCrashEvidence(lastAnswer)
 
+/** Returns the time in which evidence against a segment that explains [crashes] crashes loses half of its weight. */
+internal fun halfLife(crashes: Int): Duration = FIRST_HALF_LIFE * HALF_LIFE_GROWTH.pow(crashes - 1)
+
+/** Holds a segment back for about a minute after one crash for which it is the only explanation. */
+private val FIRST_HALF_LIFE = 2.minutes
+
+/** Two crashes hold a segment back for a quarter of an hour, three for hours, four for most of a day. */
+private const val HALF_LIFE_GROWTH = 6.0
+
 private class BayesianCrashEvidence(
     private val lastAnswer: (ServiceSegment) -> Instant?,
 ) : CrashEvidence {
@@ -268,7 +280,7 @@
         val history = if (lastAnswer(segment) == null) 1.0 else ANSWERED_BEFORE
         val evidence =
             explained.sumOf { outage ->
-                ln(outage.likelihoodRatio(segment.segment)) * 0.5.pow((now - outage.at) / HALF_LIFE)
+                ln(outage.likelihoodRatio(segment.segment)) * 0.5.pow((now - outage.at) / halfLife(explained.size))
             }
         return prior * history * exp(evidence)
     }
@@ -289,9 +301,7 @@
         /** Endpoints that crash at the same time may have one cause, such as the loss of their failure domain. */
         val OUTAGE_WINDOW = 100.milliseconds
 
-        /** Time in which evidence loses half of its weight: two crashes hold a segment back for some minutes. */
-        val HALF_LIFE = 10.minutes
-        val MAX_AGE = 30.minutes
+        val MAX_AGE = 24.hours
 
         /** Crashes kept for a service, and prompts kept of a report; they bound memory and the time of a decision. */
         const val MAX_CRASHES = 24
--- a/decisions/src/main/kotlin/org/cicadaturn/decisions/quarantine/SegmentQuarantine.kt
+++ b/decisions/src/main/kotlin/org/cicadaturn/decisions/quarantine/SegmentQuarantine.kt
@@ -10,14 +10,13 @@
 import org.cicadaturn.schema.generated.SegmentStatus
 import org.cicadaturn.schema.generated.ServiceId
 import kotlin.time.Duration.Companion.milliseconds
-import kotlin.time.Duration.Companion.minutes
 import kotlin.time.Instant
 
 /**
  * Changes that the list of quarantined segments in the store needs.
  *
  * @property added segments that are to be added or renewed
- * @property removed segments that have been answered since they were added
+ * @property removed segments that have been answered since they were added, or were added long ago
  */
 public data class QuarantineChanges(
     val added: List<QuarantinedSegment>,
@@ -194,15 +193,17 @@
         b: Suspicion,
     ): Suspicion = if (a.confidence >= b.confidence) a else b
 
-    /** Returns the suspicion that a listed segment stands for, or null if an answer has cleared the segment. */
+    /** Returns the suspicion that a listed segment stands for, or null if an answer or the time has cleared it. */
     private fun suspicionOf(
         listed: Listed,
         now: Instant,
     ): Suspicion? {
         val entry = listed.entry
         val segment = ServiceSegment(entry.service, entry.segment)
-        if ((lastAnswer(segment) ?: listed.since) > listed.since) return null
-        val confidence = if (now - listed.since < REVIEW_TIME) entry.confidence else REVIEWED_CONFIDENCE
+        val isCleared = (lastAnswer(segment) ?: listed.since) > listed.since
+        if (isCleared || ageInHalfLives(listed, now) >= EXPIRY) return null
+        val isDue = ageInHalfLives(listed, now) >= REVIEW
+        val confidence = if (isDue) REVIEWED_CONFIDENCE else entry.confidence
         return Suspicion(segment, confidence, entry.crashes, entry.endpoints, listed.since, lastCrash = listed.since)
     }
 
@@ -232,9 +233,14 @@
         now: Instant,
     ): Boolean {
         val entry = listed[suspicion.segment] ?: return true
-        return now - entry.since >= REVIEW_TIME
+        return ageInHalfLives(entry, now) >= REVIEW
     }
 
+    private fun ageInHalfLives(
+        listed: Listed,
+        now: Instant,
+    ): Double = (now - listed.since) / halfLife(listed.entry.crashes.coerceAtLeast(1))
+
     override fun status(now: Instant): List<SegmentStatus> =
         view(now).suspicions.mapNotNull { suspicion ->
             SegmentStatus(
@@ -250,10 +256,13 @@
         }
 
     private companion object {
-        /** Time after which a listed segment is tried again, one request at a time, as its fault may be fixed. */
-        val REVIEW_TIME = 10.minutes
+        /** Half-lives after which a listed segment is tried again, one request at a time; as for evidence of one crash. */
+        const val REVIEW = 0.55
+
+        /** Half-lives after which the entry of a segment that no request has had since is removed. */
+        const val EXPIRY = 4.0
 
-        /** Confidence of a listed segment from then on. */
+        /** Confidence of a listed segment that is tried again. */
         const val REVIEWED_CONFIDENCE = 0.5
         const val MAX_LISTED_ENDPOINTS = 16
     }
--- a/decisions/src/test/kotlin/org/cicadaturn/decisions/quarantine/SegmentQuarantineTest.kt
+++ b/decisions/src/test/kotlin/org/cicadaturn/decisions/quarantine/SegmentQuarantineTest.kt
@@ -13,6 +13,7 @@
 import org.junit.jupiter.api.Assertions.assertTrue
 import org.junit.jupiter.api.Test
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.hours
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.minutes
 import kotlin.time.Duration.Companion.seconds
@@ -158,14 +159,22 @@
         assertClear("x bad", start)
     }
 
-    /** Guards against a segment that is held back forever although its fault may have been fixed. */
+    /**
+     * Guards against a segment that is held back for long for a coincidence, or forever, and against one that crashes
+     * endpoints every few minutes for hours.
+     */
     @Test
-    fun `a segment that is held back is tried again after minutes, and later after more crashes`() {
-        repeat(2) { quarantine.crashed(report("a bad $it" to STRONG), start + 5.seconds * it) }
-        answer("a 0", start + 6.seconds)
-        assertQuarantined("bad 3", start + 5.minutes)
-        assertSuspected("bad 3", start + 18.minutes)
-        assertClear("bad 3", start + 40.minutes)
+    fun `a segment is held back for a minute after one crash and for hours after three`() {
+        answer("a 0", start - 1.seconds)
+        quarantine.crashed(report("a bad 1" to STRONG), start)
+        assertQuarantined("bad 9", start + 50.seconds)
+        assertSuspected("bad 9", start + 80.seconds)
+        quarantine.crashed(report("a bad 2" to STRONG), start + 80.seconds)
+        assertQuarantined("bad 9", start + 15.minutes)
+        assertSuspected("bad 9", start + 25.minutes)
+        quarantine.crashed(report("a bad 3" to STRONG), start + 25.minutes)
+        assertQuarantined("bad 9", start + 2.hours)
+        assertClear("bad 9", start + 25.hours)
     }
 
     /** Guards against a suspected segment that crashes endpoint after endpoint without ever being held back. */
@@ -236,13 +245,24 @@
         val late = segmentQuarantine()
         late.listed(listed, start, start + 30.seconds)
         assertTrue(late.view(start).verdict(service, segments("b bad 2")) is Verdict.Quarantined)
-        val reviewed = start + 10.minutes
+        val reviewed = start + 2.minutes
         assertTrue(late.view(reviewed).verdict(service, segments("b bad 2")) is Verdict.Suspected)
         late.answered(service, organisation, segments("b bad 2"), reviewed)
         assertEquals(Verdict.Clear, late.view(reviewed).verdict(service, segments("b bad 3")))
         assertEquals(listOf(ServiceSegment(service, PromptSegmentId("bad"))), late.changes(reviewed, start).removed)
     }
 
+    /** Guards against entries that are kept in the store for good although no request has their segment. */
+    @Test
+    fun `an entry without requests is removed`() {
+        quarantine.crashed(report("bad 1" to STRONG), start)
+        val late = segmentQuarantine()
+        late.listed(quarantine.changes(start, start).added, start, start)
+        assertEquals(0, late.changes(start + 5.minutes, start).removed.size)
+        assertEquals(1, late.changes(start + 10.minutes, start).removed.size)
+        assertEquals(Verdict.Clear, late.view(start + 10.minutes).verdict(service, segments("b bad 2")))
+    }
+
     /** Guards against a state dump that hides what is held back and why. */
     @Test
     fun `the status names what is held back, since when and on what evidence`() {
