Keep the bound of cold endpoints with more gateways than it allows requests

The bound was divided by the number of gateways and rounded up to one request a second for each: 36 gateways of the grown deployments sent up to 36 to an endpoint whose bound is 26. If the bound is lower than the number of gateways, only as many of them send to an endpoint, chosen by rendezvous hashing.

The property that allowed a share of one whatever the bound is strict now; the test with 40 gateways failed before (40 requests in a second).

--- a/bench/src/main/kotlin/org/cicadaturn/bench/overload/GatewayModel.kt
+++ b/bench/src/main/kotlin/org/cicadaturn/bench/overload/GatewayModel.kt
@@ -72,7 +72,15 @@
     }
 
     private fun balancerOptions() =
-        BalancerOptions(DOMAIN, coldFactor = 1.5, coldSlack = 5.0, retryRatio = 0.2, retrySlack = 88.0, 10.seconds)
+        BalancerOptions(
+            ProcessId("gateway"),
+            DOMAIN,
+            coldFactor = 1.5,
+            coldSlack = 5.0,
+            retryRatio = 0.2,
+            retrySlack = 88.0,
+            10.seconds,
+        )
 
     private fun view(): FleetView {
         val endpoints =
--- a/decisions/src/main/kotlin/org/cicadaturn/decisions/gateway/BalancerTypes.kt
+++ b/decisions/src/main/kotlin/org/cicadaturn/decisions/gateway/BalancerTypes.kt
@@ -3,6 +3,7 @@
 import org.cicadaturn.schema.generated.EndpointId
 import org.cicadaturn.schema.generated.FailureDomainId
 import org.cicadaturn.schema.generated.LiveEndpoint
+import org.cicadaturn.schema.generated.ProcessId
 import org.cicadaturn.schema.generated.ServiceId
 import kotlin.time.Duration
 
@@ -95,6 +96,7 @@
 /**
  * Parameters of the balancer; the bounds apply to all gateways together.
  *
+ * @property self identifier of this process
  * @property localDomain failure domain of this process
  * @property coldFactor factor on the request rate that a cold endpoint can sustain
  * @property coldSlack requests per second that are allowed in addition to that product
@@ -103,6 +105,7 @@
  * @property retryWindow window of the retry budget
  */
 public data class BalancerOptions(
+    val self: ProcessId,
     val localDomain: FailureDomainId,
     val coldFactor: Double,
     val coldSlack: Double,
--- a/decisions/src/main/kotlin/org/cicadaturn/decisions/gateway/EndpointBalancer.kt
+++ b/decisions/src/main/kotlin/org/cicadaturn/decisions/gateway/EndpointBalancer.kt
@@ -12,6 +12,7 @@
 import org.cicadaturn.decisions.dispatch.groupTracker
 import org.cicadaturn.decisions.routing.EndpointHealth
 import org.cicadaturn.decisions.routing.OutlierDetector
+import org.cicadaturn.decisions.routing.entryRank
 import org.cicadaturn.decisions.routing.outlierDetector
 import org.cicadaturn.schema.generated.AdmissionState
 import org.cicadaturn.schema.generated.EndpointId
@@ -19,6 +20,7 @@
 import org.cicadaturn.schema.generated.FailureDomainId
 import org.cicadaturn.schema.generated.FleetView
 import org.cicadaturn.schema.generated.LiveEndpoint
+import org.cicadaturn.schema.generated.ProcessId
 import org.cicadaturn.schema.generated.RoutingConfiguration
 import org.cicadaturn.schema.generated.ServiceId
 import kotlin.random.Random
@@ -126,6 +128,8 @@
     private class Member(
         var endpoint: LiveEndpoint,
     ) {
+        /** Position of this process among those that send to the endpoint; null until it is needed. */
+        var senderRank: Int? = null
         var inFlight = 0
         var sample: LoadSample? = null
         var sampledAt = Instant.DISTANT_PAST
@@ -156,12 +160,14 @@
     /** Limits by name of group. */
     private val limits = HashMap<String, GroupLimit>()
     private var drained = emptySet<FailureDomainId>()
+    private var peers = emptyList<ProcessId>()
 
     override fun update(
         view: FleetView,
         now: Instant,
     ) {
         gateways.update(view.peers.size, now)
+        updatePeers(view.peers.map { it.id })
         drained = view.drainedDomains.toSet()
         val listed = view.endpoints.mapTo(HashSet()) { it.id }
         members.keys.retainAll(listed)
@@ -179,6 +185,12 @@
         }
     }
 
+    private fun updatePeers(peers: List<ProcessId>) {
+        if (peers == this.peers) return
+        this.peers = peers
+        members.values.forEach { it.senderRank = null }
+    }
+
     private fun updateMember(
         endpoint: LiveEndpoint,
         now: Instant,
@@ -313,10 +325,15 @@
         now: Instant,
     ): Boolean {
         if (pool.coldRate <= 0.0) return true
-        val share = coldShare(pool.coldRate, options.coldFactor, options.coldSlack, gateways.at(now))
-        return member.sends.count(now) < share
+        val count = gateways.at(now)
+        val share = coldShare(pool.coldRate, options.coldFactor, options.coldSlack, count)
+        val isSender = share.senders >= count || senderRank(member) < share.senders
+        return isSender && member.sends.count(now) < share.perSender
     }
 
+    private fun senderRank(member: Member): Int =
+        member.senderRank ?: entryRank(options.self, peers, member.endpoint.id).also { member.senderRank = it }
+
     private fun cost(
         member: Member,
         now: Instant,
--- a/decisions/src/main/kotlin/org/cicadaturn/decisions/gateway/RateShare.kt
+++ b/decisions/src/main/kotlin/org/cicadaturn/decisions/gateway/RateShare.kt
@@ -5,10 +5,21 @@
 import kotlin.time.Instant
 
 /**
- * Returns the requests per second that one of [gateways] processes may send to an endpoint that may be cold.
+ * Share of a process in the requests to an endpoint that may be cold.
+ *
+ * @property senders number of processes that may send to one endpoint
+ * @property perSender requests per second that each of them may send
+ */
+public data class ColdShare(
+    val senders: Int,
+    val perSender: Int,
+)
+
+/**
+ * Returns the share of each of [gateways] processes.
  *
  * Processes that are cut off keep their share, so the sum over all processes stays within the bound without any
- * coordination. A share is at least 1, so the sum exceeds a bound that is lower than the number of processes.
+ * coordination. If the bound is lower than the number of processes, only some of them send to an endpoint.
  *
  * @param rate requests per second that a cold endpoint can sustain
  * @param factor factor on the rate up to which requests are allowed
@@ -19,9 +30,10 @@
     factor: Double,
     slack: Double,
     gateways: Int,
-): Int {
+): ColdShare {
     require(gateways >= 1) { "gateways is $gateways; give at least 1" }
-    return ((rate * factor + slack) * USED_SHARE / gateways).toInt().coerceAtLeast(1)
+    val bound = ((rate * factor + slack) * USED_SHARE).toInt().coerceAtLeast(1)
+    return ColdShare(senders = minOf(bound, gateways), perSender = maxOf(1, bound / gateways))
 }
 
 /** The rest is reserved for processes that have started but are not yet known to all others. */
--- a/decisions/src/test/kotlin/org/cicadaturn/decisions/dispatch/DispatcherTest.kt
+++ b/decisions/src/test/kotlin/org/cicadaturn/decisions/dispatch/DispatcherTest.kt
@@ -39,7 +39,7 @@
     private var lastTicket = 0L
 
     private fun balancer(): EndpointBalancer {
-        val options = BalancerOptions(domain, 1.5, 5.0, 0.2, 20.0, 10.seconds)
+        val options = BalancerOptions(ProcessId("g"), domain, 1.5, 5.0, 0.2, 20.0, 10.seconds)
         val endpoints =
             ids.map {
                 LiveEndpoint(
--- a/decisions/src/test/kotlin/org/cicadaturn/decisions/gateway/EndpointBalancerTest.kt
+++ b/decisions/src/test/kotlin/org/cicadaturn/decisions/gateway/EndpointBalancerTest.kt
@@ -62,18 +62,21 @@
         peers = List(gateways) { GatewayPeer(ProcessId("p$it"), NetworkAddress("10.0.0.2", 80), home) },
     )
 
-    private fun balancer(seed: Int = 1) =
-        endpointBalancer(
-            BalancerOptions(
-                localDomain = home,
-                coldFactor = 1.5,
-                coldSlack = 5.0,
-                retryRatio = 0.2,
-                retrySlack = 92.0,
-                retryWindow = 10.seconds,
-            ),
-            Random(seed),
-        )
+    private fun balancer(
+        seed: Int = 1,
+        self: String = "p0",
+    ) = endpointBalancer(
+        BalancerOptions(
+            self = ProcessId(self),
+            localDomain = home,
+            coldFactor = 1.5,
+            coldSlack = 5.0,
+            retryRatio = 0.2,
+            retrySlack = 92.0,
+            retryWindow = 10.seconds,
+        ),
+        Random(seed),
+    )
 
     private fun request(tried: Set<String> = emptySet()) =
         EndpointRequest(service, tried.map { EndpointId(it) }.toSet(), null, tried.isNotEmpty(), canWait = true)
@@ -86,10 +89,20 @@
     ) {
         val bound = rate * 1.5 + 5
         val share = coldShare(rate.toDouble(), 1.5, 5.0, gateways)
-        assertTrue(
-            share * gateways <= bound || share == 1,
-            "$share for each of $gateways gateways exceeds the bound $bound",
-        )
+        assertTrue(share.senders <= gateways && share.senders * share.perSender <= bound, "$share exceeds $bound")
+    }
+
+    /** Guards against a cold endpoint that is overloaded by one request of each of many gateways, and crashes again. */
+    @Test
+    fun `many gateways together stay within the bound of an endpoint`() {
+        val sent =
+            (0 until 40).sumOf { i ->
+                val balancer = balancer(self = "p$i")
+                balancer.update(view(listOf(endpoint("e")), gateways = 40, coldRate = 14.0), start)
+                (1..5).count { balancer.choose(request(), start) is EndpointChoice.Chosen }
+            }
+        // 1.5 times the rate of 14, plus 5; a part is reserved for processes that have just started.
+        assertTrue(sent in 15..26, "$sent requests in a second")
     }
 
     /** Guards against a burst of requests to the only endpoint that is left. */
@@ -172,14 +185,21 @@
         assertTrue("e0" !in chosen)
     }
 
+    private fun groupedView(
+        ids: List<String>,
+        gateways: Int,
+    ): FleetView {
+        val profile = ExpertProfile(1, 4, 2, 1, 100.milliseconds, 200.milliseconds, 5.milliseconds, 1.milliseconds)
+        val view = view(ids.map { endpoint(it) }, gateways, coldRate = 0.0)
+        val services = listOf(RoutedService(service, 400, 0.0, profile))
+        return view.copy(configuration = view.configuration!!.copy(services = services))
+    }
+
     /** Returns a balancer for the groups a and b, each with the ranks 0 and 1. */
     private fun groupedBalancer(gateways: Int = 1): EndpointBalancer {
-        val profile = ExpertProfile(1, 4, 2, 1, 100.milliseconds, 200.milliseconds, 5.milliseconds, 1.milliseconds)
         val ids = listOf("a0", "a1", "b0", "b1")
-        val grouped = view(ids.map { endpoint(it) }, gateways, coldRate = 0.0)
-        val services = listOf(RoutedService(service, 400, 0.0, profile))
         return balancer().also { balancer ->
-            balancer.update(grouped.copy(configuration = grouped.configuration!!.copy(services = services)), start)
+            balancer.update(groupedView(ids, gateways), start)
             ids.forEach { balancer.groupReported(EndpointId(it), GroupReport(it.take(1), 1, isOpen = true), start) }
         }
     }
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/GatewayNode.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/GatewayNode.kt
@@ -152,6 +152,7 @@
 
     private fun balancerOptions(): BalancerOptions =
         BalancerOptions(
+            self = peer.id,
             localDomain = FailureDomainId(file.process.failureDomain),
             coldFactor = settings.coldFactor,
             coldSlack = settings.coldSlack,
