Send nothing to a rank whose group is not known while others are

The rank that came back had not told its group, so it counted as a group of its own, the only one that was not down: all 36 gateways sent it what they had waiting within milliseconds, it fell over, and its successor too.

The test in EndpointBalancerTest failed before.

--- a/decisions/src/main/kotlin/org/cicadaturn/decisions/dispatch/GroupTracker.kt
+++ b/decisions/src/main/kotlin/org/cicadaturn/decisions/dispatch/GroupTracker.kt
@@ -99,6 +99,9 @@
         now: Instant,
     ): Boolean
 
+    /** Returns true if [endpoint] has told its group. */
+    public fun isKnown(endpoint: EndpointId): Boolean
+
     /** Returns the name of the group of [endpoint]. */
     public fun groupOf(endpoint: EndpointId): String
 
@@ -298,6 +301,8 @@
         return true
     }
 
+    override fun isKnown(endpoint: EndpointId): Boolean = endpoint in names
+
     override fun groupOf(endpoint: EndpointId): String = names[endpoint] ?: endpoint.text
 
     override fun ranksOf(endpoint: EndpointId): Set<EndpointId> = knownGroup(endpoint)?.members ?: setOf(endpoint)
--- a/decisions/src/main/kotlin/org/cicadaturn/decisions/gateway/EndpointBalancer.kt
+++ b/decisions/src/main/kotlin/org/cicadaturn/decisions/gateway/EndpointBalancer.kt
@@ -127,6 +127,7 @@
 ) : EndpointBalancer {
     private class Member(
         var endpoint: LiveEndpoint,
+        val listedAt: Instant,
     ) {
         /** Position of this process among those that send to the endpoint; null until it is needed. */
         var senderRank: Int? = null
@@ -197,7 +198,7 @@
     ) {
         val known = members[endpoint.id]
         if (known == null || known.endpoint.startedAt != endpoint.startedAt) {
-            members[endpoint.id] = Member(endpoint).also { it.coldUntil = now + endpoint.coldFor }
+            members[endpoint.id] = Member(endpoint, now).also { it.coldUntil = now + endpoint.coldFor }
             groups.forget(endpoint.id)
             pool(endpoint.service, now)
             return
@@ -249,7 +250,7 @@
         now: Instant,
     ): Either<Unavailability, List<Member>> {
         val usable =
-            inService(request.service).filter {
+            grouped(inService(request.service), now).filter {
                 it.endpoint.id !in request.excluded && (request.only == null || it.endpoint.id in request.only)
             }
         if (usable.isEmpty()) return Unavailability.NO_ENDPOINT.left()
@@ -264,6 +265,20 @@
         return if (candidates.isEmpty()) Unavailability.AT_RATE.left() else candidates.right()
     }
 
+    /**
+     * Returns [members] without those whose group is not known yet, if that of others is.
+     *
+     * A rank that has just started cannot run a request before its group forms again. Until then the requests of all
+     * processes would go to it, as its group is the only one that is not known to be down, and overload it.
+     */
+    private fun grouped(
+        members: List<Member>,
+        now: Instant,
+    ): List<Member> {
+        if (members.none { it.endpoint.service in profiles && groups.isKnown(it.endpoint.id) }) return members
+        return members.filter { groups.isKnown(it.endpoint.id) || now - it.listedAt >= MAX_UNKNOWN_TIME }
+    }
+
     /** Returns the first of [members] whose group may be probed by a request. */
     private fun probe(
         members: List<Member>,
@@ -503,6 +518,9 @@
         /** Time for which a rank that was lost is avoided; longer than a group stalls without it. */
         val LOSS_PAUSE = 1.seconds
 
+        /** Time after which a rank that tells no group is used; ranks tell theirs within a second of their start. */
+        val MAX_UNKNOWN_TIME = 3.seconds
+
         /** Time after an outage for which a process keeps to an even share of the slots; reports follow meanwhile. */
         val RETURN_TIME = 500.milliseconds
 
--- a/decisions/src/test/kotlin/org/cicadaturn/decisions/gateway/EndpointBalancerTest.kt
+++ b/decisions/src/test/kotlin/org/cicadaturn/decisions/gateway/EndpointBalancerTest.kt
@@ -241,6 +241,21 @@
         }
     }
 
+    /** Guards against a rank that is overloaded and crashes again before its group has formed with it. */
+    @Test
+    fun `a rank that has just started gets no requests while its group is down`() {
+        val balancer = groupedBalancer()
+        listOf("a0", "b0").forEach {
+            balancer.finished(EndpointId(it), EndpointUse.Refused(hadFreePlaces = true), start)
+        }
+        val ids = listOf("a0", "a1", "b0", "b2")
+        balancer.update(groupedView(ids, gateways = 1), start + 1.seconds)
+        val choice = balancer.choose(request(), start + 1.seconds)
+        assertEquals(Unavailability.DOWN, assertInstanceOf(EndpointChoice.None::class.java, choice).cause)
+        balancer.groupReported(EndpointId("b2"), GroupReport("b", 2, isOpen = true), start + 2.seconds)
+        assertInstanceOf(EndpointChoice.Chosen::class.java, balancer.choose(request(), start + 2.seconds))
+    }
+
     /** Guards against all waiting requests of all processes at once at the ranks of a group that has just returned. */
     @Test
     fun `after an outage a process sends its even share of the slots until loads are reported`() {
