Add commands that list and release quarantined prompt segments

Operators need to see which segments are held back, since when and on what evidence, and to end that.

--- a/daemons/src/main/kotlin/org/cicadaturn/daemons/Main.kt
+++ b/daemons/src/main/kotlin/org/cicadaturn/daemons/Main.kt
@@ -2,6 +2,7 @@
 
 import org.cicadaturn.daemons.command.CommandHandlers
 import org.cicadaturn.daemons.command.DemoHandlers
+import org.cicadaturn.daemons.command.QuarantineHandlers
 import org.cicadaturn.daemons.command.StandinHandlers
 import org.cicadaturn.daemons.command.commandTree
 import org.cicadaturn.daemons.command.runCommand
@@ -20,6 +21,7 @@
         endpoint = ::runEndpoint,
         standins = StandinHandlers(::runPlatformStandin, ::runEngineStandin, ::runOrdersStandin),
         control = controlHandlers(),
+        quarantine = QuarantineHandlers(::listQuarantine, ::releaseSegment),
         benches = benches(),
         demo = DemoHandlers(::configureDemo, ::runDemoLoad),
     )
--- a/daemons/src/main/kotlin/org/cicadaturn/daemons/command/CommandHandlers.kt
+++ b/daemons/src/main/kotlin/org/cicadaturn/daemons/command/CommandHandlers.kt
@@ -22,6 +22,7 @@
  * @property endpoint runs an endpoint process until it is stopped
  * @property standins handlers of the stand-ins for outside systems
  * @property control handlers of the operators' commands
+ * @property quarantine handlers of the commands about prompt segments that are held back
  * @property benches benchmarks
  * @property demo handlers of the demonstration
  * @property setUpLogs configures logging with the given level and format before a command runs
@@ -32,6 +33,7 @@
     val endpoint: ((EndpointFile) -> Int)? = null,
     val standins: StandinHandlers = StandinHandlers(),
     val control: ControlHandlers = ControlHandlers(),
+    val quarantine: QuarantineHandlers = QuarantineHandlers(),
     val benches: List<Bench> = emptyList(),
     val demo: DemoHandlers = DemoHandlers(),
     val setUpLogs: (level: String, format: String) -> Unit = ::setUpLogs,
--- a/daemons/src/main/kotlin/org/cicadaturn/daemons/command/CommandTree.kt
+++ b/daemons/src/main/kotlin/org/cicadaturn/daemons/command/CommandTree.kt
@@ -112,6 +112,7 @@
     listOfNotNull(
         standinCommand(handlers.standins, handlers.setUpLogs),
         controlCommand(handlers.control, handlers.setUpLogs),
+        quarantineCommand(handlers.quarantine, handlers.setUpLogs),
         benchCommand(handlers.benches, handlers.setUpLogs),
         demoCommand(handlers.demo, handlers.setUpLogs),
     )
--- a/daemons/src/test/kotlin/org/cicadaturn/daemons/command/CommandRun.kt
+++ b/daemons/src/test/kotlin/org/cicadaturn/daemons/command/CommandRun.kt
@@ -45,6 +45,11 @@
                 history = { connection, limit -> record(connection, limit) },
                 localDrain = { connection, on -> record(connection, on) },
             ),
+        quarantine =
+            QuarantineHandlers(
+                list = { store, format -> record(store, format) },
+                release = { store, service, segment -> record(store, service, segment) },
+            ),
         benches = listOf(Bench("routing", "Measures the choice of endpoints.", benchOptions) { record(it) }),
         demo = DemoHandlers(configure = { record(it) }, drive = { record(it) }),
         setUpLogs = { level, format -> calls += "logs $level $format" },
