--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/AttemptExecution.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/AttemptExecution.kt
@@ -4,6 +4,7 @@
 import kotlinx.coroutines.withTimeoutOrNull
 import org.cicadaturn.decisions.gateway.AttemptEnd
 import org.cicadaturn.decisions.gateway.EndpointUse
+import org.cicadaturn.decisions.gateway.StreamEvent
 import org.cicadaturn.decisions.gateway.eventSplitter
 import org.cicadaturn.schema.generated.AnswerProgress
 import org.cicadaturn.tasks.http.HttpPart
@@ -14,6 +15,7 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
+import kotlin.time.Instant
 
 /** Reads the answer to [attempt], which was sent on [connection], and passes it on to [sink]. */
 internal class AttemptExecution(
@@ -37,6 +39,9 @@
     var keepAliveTime: Duration? = null
         private set
     private val start = clock.now()
+    private var firstEventAt = start
+    private var lastEventAt = start
+    private val hasEvents: Boolean get() = (events ?: 0) > 0
 
     suspend fun run(): AttemptResult =
         when (val received = awaitHead()) {
@@ -112,9 +117,7 @@
             return AttemptResult.Failed(AttemptEnd.NOT_EXECUTED, "refused with ${head.status}")
         }
         // The caller would take this status as proof that the request was not run, but the endpoint did not say so.
-        if (head.status in
-            NOT_EXECUTED_STATUSES
-        ) {
+        if (head.status in NOT_EXECUTED_STATUSES) {
             return failed(AttemptEnd.BROKEN, "status ${head.status} without a denial")
         }
         if (head.status < SERVER_ERROR && !sink.isBegun) return deliver(head, body)
@@ -168,38 +171,19 @@
 
     private suspend fun relayEvents(head: ResponseHead): AttemptResult {
         val splitter = eventSplitter()
-        var count = 0
         events = 0
-        var lastEventAt = start
-        var firstEventAt = start
         while (true) {
-            val limit = if (count > 0) attempt.gapLimit else attempt.firstByteLimit
+            val limit = if (hasEvents) attempt.gapLimit else attempt.firstByteLimit
             // Excludes the time in which the caller does not read.
             val waitedSince = clock.now()
             // Counted from the last event, as an endpoint may send a byte now and then without end.
-            val received = awaitPartOrStall(limit - (waitedSince - lastEventAt), hasBegun = count > 0)
+            val received = awaitPartOrStall(limit - (waitedSince - lastEventAt), hasEvents)
             val part = (received as? WaitResult.Part)?.part
             when {
                 part is HttpPart.Data -> {
                     val complete = splitter.add(part.bytes)
                     if (splitter.pendingBytes > BUFFER_LIMIT) return failed(AttemptEnd.BROKEN, "event without end")
-                    for ((i, event) in complete.withIndex()) {
-                        if (count == 0) {
-                            firstEventAt = clock.now()
-                            use = EndpointUse.Answered(firstEventAt - start)
-                            attempt.onProgress(AnswerProgress.BEGINNING)
-                        }
-                        if (count > 0 && i == 0) recordPause(clock.now() - waitedSince)
-                        count += 1
-                        events = count
-                        if (!sink.sendEvent(head, event)) return AttemptResult.Delivered
-                    }
-                    if (complete.isNotEmpty()) lastEventAt = clock.now()
-                    if (count > 0 &&
-                        lastEventAt - firstEventAt >= BEGINNING_TIME
-                    ) {
-                        attempt.onProgress(AnswerProgress.RUNNING)
-                    }
+                    if (!sendEvents(head, complete, waitedSince)) return AttemptResult.Delivered
                 }
                 part == HttpPart.End -> break
                 received == WaitResult.Stalled -> return lost(AttemptEnd.STALLED, "stream paused for $limit")
@@ -207,7 +191,33 @@
             }
         }
         if (splitter.isInsideEvent) return failed(AttemptEnd.BROKEN, "stream ended inside an event")
-        if (count == 0 && !isEmptyRest(head)) return disconnected("stream ended without an event")
+        return endEvents(head)
+    }
+
+    /** Passes on [complete], which arrived together; returns false if the caller has left. */
+    private suspend fun sendEvents(
+        head: ResponseHead,
+        complete: List<StreamEvent>,
+        waitedSince: Instant,
+    ): Boolean {
+        for ((i, event) in complete.withIndex()) {
+            if (!hasEvents) {
+                firstEventAt = clock.now()
+                use = EndpointUse.Answered(firstEventAt - start)
+                attempt.onProgress(AnswerProgress.BEGINNING)
+            } else if (i == 0) {
+                recordPause(clock.now() - waitedSince)
+            }
+            events = (events ?: 0) + 1
+            if (!sink.sendEvent(head, event)) return false
+        }
+        if (complete.isNotEmpty()) lastEventAt = clock.now()
+        if (hasEvents && lastEventAt - firstEventAt >= BEGINNING_TIME) attempt.onProgress(AnswerProgress.RUNNING)
+        return true
+    }
+
+    private suspend fun endEvents(head: ResponseHead): AttemptResult {
+        if (!hasEvents && !isEmptyRest(head)) return disconnected("stream ended without an event")
         allowReuse(head)
         attempt.onProgress(AnswerProgress.RUNNING)
         sink.sendEnd(head)
--- a/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/CallerFaultTest.kt
+++ b/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/CallerFaultTest.kt
@@ -15,15 +15,6 @@
 
 /** Tests the handling of callers that send invalid requests, close connections early or reuse them. */
 class CallerFaultTest {
-    private fun answerOk(
-        request: RawRequest,
-        out: OutputStream,
-    ): Boolean {
-        val answer = "HTTP/1.1 200 OK\r\nX-Id: ${request.id}\r\nX-Signature: s\r\nContent-Length: 2\r\n\r\nok"
-        out.write(answer.encodeToByteArray())
-        return true
-    }
-
     private val requestHead = "POST /safe/x HTTP/1.1\r\nHost: shop.example\r\nX-Id: r1\r\nAuthorization: Bearer key\r\n"
 
     private val invalidRequests: Map<String, Pair<String, Int>> =
