Derive the suspicions against segments from records of each crash once

A review of suspicions took 81.6 ms with 24 crashes of 16 lost prompts with 9 segments each: each segment searched the prompts of all crashes again. It runs on the event loop of a gateway.

CrashEvidence.kt keeps the records. CapacityBench has rows for the review and the report of a crash.

The tests of the quarantine pass unchanged.

--- a/bench/src/main/kotlin/org/cicadaturn/bench/capacity/CapacityBench.kt
+++ b/bench/src/main/kotlin/org/cicadaturn/bench/capacity/CapacityBench.kt
@@ -105,7 +105,17 @@
             measureRow("configuration offer frame", "bytes", "frames", listOf(1, 2, 4), 1) {
                 it * frameBytes(Frame.ConfigurationOffer(Revision(1_000)))
             },
-        ),
+        ) + quarantineRows(),
+    )
+
+private fun quarantineRows(): List<CapacityRow> =
+    listOf(
+        measureRow("report of a crash between gateways", "bytes", "lost prompts", listOf(1, 4, 16), 16) {
+            crashNewsBytes(it)
+        },
+        measureRow("time of a review of suspicions", "microseconds", "crashes", listOf(1, 8, 24), 24) {
+            reviewMicros(it)
+        },
     )
 
 private fun measureRow(
--- a/decisions/src/main/kotlin/org/cicadaturn/decisions/quarantine/CrashEvidence.kt
+++ b/decisions/src/main/kotlin/org/cicadaturn/decisions/quarantine/CrashEvidence.kt
@@ -4,17 +4,12 @@
 import org.cicadaturn.schema.generated.EndpointId
 import org.cicadaturn.schema.generated.LostPrompt
 import org.cicadaturn.schema.generated.ProcessId
-import org.cicadaturn.schema.generated.PromptSegmentId
 import org.cicadaturn.schema.generated.SegmentState
 import org.cicadaturn.schema.generated.ServiceId
-import kotlin.math.exp
-import kotlin.math.ln
 import kotlin.math.pow
-import kotlin.time.Duration
 import kotlin.time.Duration.Companion.hours
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.minutes
-import kotlin.time.Duration.Companion.seconds
 import kotlin.time.Instant
 
 /**
@@ -89,15 +84,6 @@
 /** Returns empty evidence; [lastAnswer] returns when a segment was last answered, or null if that is not known. */
 public fun crashEvidence(lastAnswer: (ServiceSegment) -> Instant?): CrashEvidence = BayesianCrashEvidence(lastAnswer)
 
-/** Returns the time in which evidence against a segment that explains [crashes] crashes loses half of its weight. */
-internal fun halfLife(crashes: Int): Duration = FIRST_HALF_LIFE * HALF_LIFE_GROWTH.pow(crashes - 1)
-
-/** Holds a segment back for about a minute after one crash for which it is the only explanation. */
-private val FIRST_HALF_LIFE = 2.minutes
-
-/** Two crashes hold a segment back for a quarter of an hour, three for hours, four for most of a day. */
-private const val HALF_LIFE_GROWTH = 6.0
-
 private class BayesianCrashEvidence(
     private val lastAnswer: (ServiceSegment) -> Instant?,
 ) : CrashEvidence {
@@ -167,140 +153,42 @@
         expire(now)
         return crashes.entries
             .groupBy { it.value.service }
-            .flatMap { (service, entries) -> suspicionsOf(service, outages(entries), now) }
+            .flatMap { (service, entries) -> suspicionsOf(service, entries, now) }
             .filter { it.confidence >= MIN_CONFIDENCE }
             .sortedByDescending { it.confidence }
     }
 
-    /** Crashes within a short time, which may have one cause, with the segments that may explain them. */
-    private inner class Outage(
-        val service: ServiceId,
-        val crashes: List<Map.Entry<Run, Crash>>,
-    ) {
-        val at = crashes.first().value.at
-        private val prompts = crashes.associate { it.key to it.value.prompts() }
-
-        /** Segments that nothing clears of this outage. */
-        val open: Set<PromptSegmentId> =
-            prompts.values
-                .flatten()
-                .flatMap { it.segments }
-                .filterTo(LinkedHashSet()) { !isCleared(ServiceSegment(service, it), at) }
-
-        fun endpointsWith(segment: PromptSegmentId): List<EndpointId> =
-            prompts.filterValues { lost -> lost.any { segment in it.segments } }.keys.map { it.endpoint }
-
-        /**
-         * Returns how many times more likely this outage is if [segment] crashes endpoints.
-         *
-         * Crashes that it does not explain need another cause, which might explain all of them.
-         */
-        fun likelihoodRatio(segment: PromptSegmentId): Double {
-            val ratios = prompts.values.map { lost -> ratioIn(lost, segment) }
-            val explained = ratios.filterNotNull()
-            if (explained.size == ratios.size) return explained.min()
-            return (explained.max() * PARTIAL_EXPLANATION).coerceAtLeast(1.0)
-        }
-
-        private fun ratioIn(
-            lost: List<LostPrompt>,
-            segment: PromptSegmentId,
-        ): Double? = lost.filter { segment in it.segments }.maxOfOrNull { it.likelihoodRatio }
-
-        /** Returns the open segments that may explain the same crashes as [segment], itself included. */
-        fun rivalsOf(segment: PromptSegmentId): Set<PromptSegmentId> =
-            prompts.values
-                .filter { lost -> lost.any { segment in it.segments } }
-                .flatMap { lost -> lost.flatMap { it.segments } }
-                .filterTo(HashSet()) { it in open }
-
-        /** Returns how many open segments that were never answered share a prompt with [segment], itself included. */
-        fun unknownBeside(segment: PromptSegmentId): Int =
-            prompts.values
-                .flatten()
-                .filter { segment in it.segments }
-                .minOf { prompt -> prompt.segments.count { it in open && wasNeverAnswered(it) } }
-                .coerceAtLeast(1)
-
-        private fun wasNeverAnswered(segment: PromptSegmentId): Boolean =
-            lastAnswer(ServiceSegment(service, segment)) == null
-    }
-
-    private fun isCleared(
-        segment: ServiceSegment,
-        crashedAt: Instant,
-    ): Boolean =
-        (lastAnswer(segment) ?: Instant.DISTANT_PAST) > crashedAt || (released[segment] ?: crashedAt) > crashedAt
-
-    private fun outages(crashes: List<Map.Entry<Run, Crash>>): List<Outage> {
-        val groups = mutableListOf<MutableList<Map.Entry<Run, Crash>>>()
-        for (crash in crashes.sortedBy { it.value.at }) {
-            val last = groups.lastOrNull()
-            if (last != null &&
-                crash.value.at - last.first().value.at < OUTAGE_WINDOW
-            ) {
-                last += crash
-            } else {
-                groups +=
-                    mutableListOf(crash)
-            }
-        }
-        return groups.map { Outage(it.first().value.service, it) }
-    }
-
     private fun suspicionsOf(
         service: ServiceId,
-        outages: List<Outage>,
+        entries: List<Map.Entry<Run, Crash>>,
         now: Instant,
     ): List<Suspicion> {
-        val segments = outages.flatMapTo(LinkedHashSet()) { it.open }
-        val odds = segments.associateWith { segment -> odds(ServiceSegment(service, segment), outages, now) }
-        return segments.map { segment ->
-            val explained = outages.filter { segment in it.open }
-            val rivals = explained.flatMapTo(HashSet()) { it.rivalsOf(segment) }
-            Suspicion(
-                segment = ServiceSegment(service, segment),
-                confidence = odds.getValue(segment) / (1 + rivals.sumOf { odds.getValue(it) }),
-                crashes = explained.size,
-                endpoints = explained.flatMap { it.endpointsWith(segment) },
-                since = explained.first().at,
-                lastCrash = explained.last().at,
-            )
-        }
+        val explained =
+            entries.sortedBy { it.value.at }.map { (run, crash) ->
+                ExplainedCrash(run.endpoint, crash.at, crash.prompts()) { segment ->
+                    historyOf(ServiceSegment(service, segment), crash.at)
+                }
+            }
+        return explain(service, explained, now)
     }
 
-    /** Returns the odds that [segment] crashes endpoints against no segment doing so. */
-    private fun odds(
+    private fun historyOf(
         segment: ServiceSegment,
-        outages: List<Outage>,
-        now: Instant,
-    ): Double {
-        val explained = outages.filter { segment.segment in it.open }
-        val prior = PRIOR_ODDS / explained.minOf { it.unknownBeside(segment.segment) }
-        val history = if (lastAnswer(segment) == null) 1.0 else ANSWERED_BEFORE
-        val evidence =
-            explained.sumOf { outage ->
-                ln(outage.likelihoodRatio(segment.segment)) * 0.5.pow((now - outage.at) / halfLife(explained.size))
-            }
-        return prior * history * exp(evidence)
+        crashedAt: Instant,
+    ): SegmentHistory {
+        val answeredAt = lastAnswer(segment)
+        val releasedAt = released[segment]
+        return when {
+            answeredAt != null && answeredAt > crashedAt -> SegmentHistory.CLEARED
+            releasedAt != null && releasedAt > crashedAt -> SegmentHistory.CLEARED
+            answeredAt != null -> SegmentHistory.ANSWERED_BEFORE
+            else -> SegmentHistory.NEVER_ANSWERED
+        }
     }
 
     private companion object {
-        /** Odds that a prompt that was never answered contains a segment that crashes endpoints, before any crash. */
-        const val PRIOR_ODDS = 0.05
-
-        /** Factor on the odds of a segment that endpoints have answered before. */
-        const val ANSWERED_BEFORE = 0.0001
-
-        /** Factor on the evidence of an outage in which endpoints crashed without a request with the segment. */
-        const val PARTIAL_EXPLANATION = 0.1
-
         /** Confidence below which a suspicion has no effect and is left out. */
         const val MIN_CONFIDENCE = 0.01
-
-        /** Endpoints that crash at the same time may have one cause, such as the loss of their failure domain. */
-        val OUTAGE_WINDOW = 100.milliseconds
-
         val MAX_AGE = 24.hours
 
         /** Crashes kept for a service, and prompts kept of a report; they bound memory and the time of a decision. */
