Split the quarantine task, and let it own the state of its store writes

The coroutine that writes the list to the store read the evidence and set isStoring itself, beside the task that owns both. It now asks the task by a message and reports the end of the write by another one.

QuarantineTaskTest and CrashingRequestTest pass.

--- /dev/null
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/CrashProbe.kt
@@ -0,0 +1,28 @@
+package org.cicadaturn.tasks.gateway
+
+import org.cicadaturn.schema.generated.AdmissionState
+import org.cicadaturn.schema.generated.LiveEndpoint
+
+/** Endpoints of a failure domain that are probed; several may have crashed for the same reason. */
+private const val MAX_NEIGHBOURS = 3
+
+/**
+ * Returns true if [endpoint] refuses connections and another endpoint of its failure domain does not. If all of them
+ * do, the domain is lost or cut off, whatever the endpoint was asked.
+ */
+internal suspend fun QuarantineDependencies.hasCrashedAlone(endpoint: LiveEndpoint): Boolean {
+    if (!refusesConnections(endpoint.address)) return false
+    val neighbours =
+        fleet.state.value.view.endpoints
+            .filter { it.failureDomain == endpoint.failureDomain && it.id != endpoint.id }
+            .shuffled(random)
+            .sortedByDescending { it.service == endpoint.service }
+            .take(MAX_NEIGHBOURS)
+    return neighbours.isEmpty() || neighbours.any { !refusesConnections(it.address) }
+}
+
+/** Returns true if [endpoint] should be running; one that leaves may end connections, but has not crashed. */
+internal fun QuarantineDependencies.isInService(endpoint: LiveEndpoint): Boolean =
+    fleet.state.value.view.endpoints.any {
+        it.id == endpoint.id && it.startedAt == endpoint.startedAt && it.state == AdmissionState.IN_SERVICE
+    }
--- /dev/null
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/QuarantinePeers.kt
@@ -0,0 +1,45 @@
+package org.cicadaturn.tasks.gateway
+
+import kotlinx.coroutines.async
+import kotlinx.coroutines.awaitAll
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.flow.first
+import kotlinx.coroutines.withTimeoutOrNull
+import org.cicadaturn.schema.generated.GatewayPeer
+import org.cicadaturn.schema.generated.QuarantineNews
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** Longest wait for the answer of another process. */
+private val ANSWER_TIMEOUT = 500.milliseconds
+private const val START_QUERIES = 5
+private val START_QUERY_INTERVAL = 1.seconds
+
+/** Sends [news] to all other processes and returns the answers that arrive within [limit]. */
+internal suspend fun QuarantineDependencies.broadcast(
+    news: QuarantineNews,
+    limit: Duration = ANSWER_TIMEOUT,
+): List<QuarantineNews> =
+    coroutineScope {
+        peers()
+            .map { async { withTimeoutOrNull(limit) { exchange(it, news) } } }
+            .awaitAll()
+            .filterNotNull()
+    }
+
+/** Returns what the other processes know, as one of them tells it to a process that starts; null if none answers. */
+internal suspend fun QuarantineDependencies.askAtStart(): QuarantineNews? {
+    fleet.state.first { it.isKnown }
+    repeat(START_QUERIES) {
+        val answer = peers().shuffled(random).firstNotNullOfOrNull { exchange(it, QuarantineNews(isQuery = true)) }
+        if (answer != null) return answer
+        delay(START_QUERY_INTERVAL)
+    }
+    return null
+}
+
+private fun QuarantineDependencies.peers(): List<GatewayPeer> =
+    fleet.state.value.view.peers
+        .filter { it.id != self }
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/QuarantineTask.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/QuarantineTask.kt
@@ -4,10 +4,7 @@
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.ExperimentalCoroutinesApi
-import kotlinx.coroutines.async
-import kotlinx.coroutines.awaitAll
 import kotlinx.coroutines.channels.Channel
-import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.flow.MutableStateFlow
 import kotlinx.coroutines.flow.StateFlow
@@ -17,12 +14,10 @@
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.selects.onTimeout
 import kotlinx.coroutines.selects.select
-import kotlinx.coroutines.withTimeoutOrNull
 import org.apache.logging.log4j.LogManager
 import org.cicadaturn.decisions.quarantine.ServiceSegment
 import org.cicadaturn.decisions.quarantine.SuspicionView
 import org.cicadaturn.decisions.quarantine.segments
-import org.cicadaturn.schema.generated.AdmissionState
 import org.cicadaturn.schema.generated.AnswerProgress
 import org.cicadaturn.schema.generated.CrashReport
 import org.cicadaturn.schema.generated.EndpointId
@@ -31,7 +26,6 @@
 import org.cicadaturn.schema.generated.OrganisationId
 import org.cicadaturn.schema.generated.PromptSegmentId
 import org.cicadaturn.schema.generated.QuarantineNews
-import org.cicadaturn.schema.generated.QuarantinedSegment
 import org.cicadaturn.schema.generated.SegmentStatus
 import org.cicadaturn.schema.generated.SegmentTrial
 import org.cicadaturn.schema.generated.ServiceId
@@ -46,67 +40,6 @@
     dependencies: QuarantineDependencies,
 ): Quarantine = QuarantineTask(scope, dependencies).also { it.start() }
 
-private sealed interface QuarantineMessage {
-    class Lost(
-        val request: LostRequest,
-        val reply: CompletableDeferred<Unit>,
-    ) : QuarantineMessage
-
-    class Probed(
-        val endpoint: EndpointId,
-        val hasCrashed: Boolean,
-    ) : QuarantineMessage
-
-    class Answered(
-        val service: ServiceId,
-        val organisation: OrganisationId?,
-        val segments: List<PromptSegmentId>,
-    ) : QuarantineMessage
-
-    class Observed(
-        val service: ServiceId,
-        val times: Map<AnswerProgress, Duration>,
-    ) : QuarantineMessage
-
-    class HeldBack(
-        val service: ServiceId,
-    ) : QuarantineMessage
-
-    class Claim(
-        val service: ServiceId,
-        val reply: CompletableDeferred<Boolean>,
-    ) : QuarantineMessage
-
-    class ClaimAnswered(
-        val service: ServiceId,
-        val answers: List<SegmentTrial>,
-        val reply: CompletableDeferred<Boolean>,
-    ) : QuarantineMessage
-
-    class EndTrial(
-        val service: ServiceId,
-    ) : QuarantineMessage
-
-    class Received(
-        val news: QuarantineNews,
-        val reply: CompletableDeferred<QuarantineNews>,
-    ) : QuarantineMessage
-
-    /** Answers of the other processes to a report of this process, or to its question at the start. */
-    class PeersAnswered(
-        val answers: List<QuarantineNews>,
-        val report: CrashReport?,
-    ) : QuarantineMessage
-
-    class Listed(
-        val entries: List<QuarantinedSegment>,
-    ) : QuarantineMessage
-
-    class GetStatus(
-        val reply: CompletableDeferred<List<SegmentStatus>>,
-    ) : QuarantineMessage
-}
-
 private class QuarantineTask(
     private val scope: CoroutineScope,
     private val dependencies: QuarantineDependencies,
@@ -136,7 +69,10 @@
 
     fun start() {
         scope.launch { processMessages() }
-        scope.launch { askPeers() }
+        scope.launch {
+            val answer = dependencies.askAtStart() ?: return@launch
+            send(QuarantineMessage.PeersAnswered(listOf(answer), report = null))
+        }
         scope.launch {
             dependencies.fleet.state
                 .map { it.view.quarantine }
@@ -177,6 +113,8 @@
                 quarantine.listed(message.entries, now, dependencies.wallClock.now())
                 publish()
             }
+            QuarantineMessage.UpdateStore -> updateStore()
+            QuarantineMessage.StoreUpdated -> isStoring = false
             is QuarantineMessage.GetStatus -> message.reply.complete(quarantine.status(now))
         }
     }
@@ -192,29 +130,14 @@
         if (known != null) return
         scope.launch {
             delay(COLLECTION_TIME)
-            send(QuarantineMessage.Probed(endpoint.id, hasCrashedAlone(endpoint)))
+            send(QuarantineMessage.Probed(endpoint.id, dependencies.hasCrashedAlone(endpoint)))
         }
     }
 
-    /**
-     * Returns true if [endpoint] refuses connections and another endpoint of its failure domain does not. If all of them
-     * do, the domain is lost or cut off, whatever the endpoint was asked.
-     */
-    private suspend fun hasCrashedAlone(endpoint: LiveEndpoint): Boolean {
-        if (!dependencies.refusesConnections(endpoint.address)) return false
-        val neighbours =
-            dependencies.fleet.state.value.view.endpoints
-                .filter { it.failureDomain == endpoint.failureDomain && it.id != endpoint.id }
-                .shuffled(dependencies.random)
-                .sortedByDescending { it.service == endpoint.service }
-                .take(MAX_NEIGHBOURS)
-        return neighbours.isEmpty() || neighbours.any { !dependencies.refusesConnections(it.address) }
-    }
-
     private fun finish(message: QuarantineMessage.Probed) {
         val collected = losses.remove(message.endpoint) ?: return
         val endpoint = collected.endpoint
-        if (message.hasCrashed && isInService(endpoint)) {
+        if (message.hasCrashed && dependencies.isInService(endpoint)) {
             report(endpoint, collected.prompts)
         } else {
             logger.info(
@@ -226,12 +149,6 @@
         collected.replies.forEach { it.complete(Unit) }
     }
 
-    /** An endpoint that leaves may end connections, but has not crashed. */
-    private fun isInService(endpoint: LiveEndpoint): Boolean =
-        dependencies.fleet.state.value.view.endpoints.any {
-            it.id == endpoint.id && it.startedAt == endpoint.startedAt && it.state == AdmissionState.IN_SERVICE
-        }
-
     private fun report(
         endpoint: LiveEndpoint,
         prompts: List<LostPrompt>,
@@ -247,25 +164,9 @@
         quarantine.crashed(report, now)
         publish()
         val news = QuarantineNews(crashes = listOf(report), answered = quarantine.answersTo(report.segments, now))
-        scope.launch { send(QuarantineMessage.PeersAnswered(broadcast(news), report)) }
+        scope.launch { send(QuarantineMessage.PeersAnswered(dependencies.broadcast(news), report)) }
     }
 
-    private fun textOf(lost: List<LostPrompt>): String =
-        lost.joinToString { prompt -> "${promptText(prompt.segments)} (${prompt.likelihoodRatio.toInt()}:1)" }
-
-    /** Sends [news] to all other processes and returns the answers that arrive within [limit]. */
-    private suspend fun broadcast(
-        news: QuarantineNews,
-        limit: Duration = ANSWER_TIMEOUT,
-    ): List<QuarantineNews> =
-        coroutineScope {
-            dependencies.fleet.state.value.view.peers
-                .filter { it.id != self }
-                .map { async { withTimeoutOrNull(limit) { dependencies.exchange(it, news) } } }
-                .awaitAll()
-                .filterNotNull()
-        }
-
     /**
      * Adds what the other processes answered. What they know about the prompts of a report is sent to all, as each of
      * them has answered only to this process.
@@ -277,30 +178,16 @@
         publish()
         val report = message.report ?: return
         val news = QuarantineNews(answered = quarantine.answersTo(report.segments, now))
-        scope.launch { broadcast(news) }
+        scope.launch { dependencies.broadcast(news) }
     }
 
     private fun merge(news: QuarantineNews): QuarantineNews {
         val now = clock.now()
         news.trials.forEach { trials.seen(it, now) }
         if (quarantine.merge(news, now)) publish()
-        val answer =
-            if (news.isQuery) {
-                quarantine.news(
-                    now,
-                )
-            } else {
-                QuarantineNews(
-                    answered =
-                        quarantine.answersTo(
-                            news.crashes.flatMapTo(HashSet()) {
-                                it.segments
-                            },
-                            now,
-                        ),
-                )
-            }
-        return answer.copy(trials = trials.own())
+        if (news.isQuery) return quarantine.news(now).copy(trials = trials.own())
+        val segments = news.crashes.flatMapTo(HashSet()) { it.segments }
+        return QuarantineNews(answered = quarantine.answersTo(segments, now), trials = trials.own())
     }
 
     private fun recordAnswer(message: QuarantineMessage.Answered) {
@@ -314,7 +201,7 @@
         if (doubtful.isEmpty()) return
         publish()
         val answers = quarantine.answersTo(doubtful, now)
-        scope.launch { broadcast(QuarantineNews(answered = answers)) }
+        scope.launch { dependencies.broadcast(QuarantineNews(answered = answers)) }
     }
 
     private fun countHeldBack(service: ServiceId) {
@@ -330,7 +217,12 @@
             return
         }
         scope.launch {
-            val others = broadcast(QuarantineNews(trials = listOf(claim)), CLAIM_TIMEOUT).flatMap { it.trials }
+            val others =
+                dependencies
+                    .broadcast(
+                        QuarantineNews(trials = listOf(claim)),
+                        CLAIM_TIMEOUT,
+                    ).flatMap { it.trials }
             send(QuarantineMessage.ClaimAnswered(message.service, others, message.reply))
         }
     }
@@ -345,72 +237,39 @@
     private fun end(service: ServiceId) {
         trials.end(service)
         val over = SegmentTrial(self, service, isGranted = true, isOver = true)
-        scope.launch { broadcast(QuarantineNews(trials = listOf(over))) }
-    }
-
-    /** Learns at the start what the other processes know. */
-    private suspend fun askPeers() {
-        dependencies.fleet.state.first { it.isKnown }
-        repeat(START_QUERIES) {
-            val peers =
-                dependencies.fleet.state.value.view.peers
-                    .filter { it.id != self }
-                    .shuffled(dependencies.random)
-            val answer = peers.firstNotNullOfOrNull { dependencies.exchange(it, QuarantineNews(isQuery = true)) }
-            if (answer != null) return send(QuarantineMessage.PeersAnswered(listOf(answer), report = null))
-            delay(START_QUERY_INTERVAL)
-        }
+        scope.launch { dependencies.broadcast(QuarantineNews(trials = listOf(over))) }
     }
 
     private fun publish() {
         val now = clock.now()
         val before = published.value
-        val after =
-            quarantine
-                .view(
-                    now,
-                ).copy(blocked = heldBackSinceAnswer.filterValues { it >= MAX_HELD_BACK }.keys.toSet())
+        val blocked = heldBackSinceAnswer.filterValues { it >= MAX_HELD_BACK }.keys.toSet()
+        val after = quarantine.view(now).copy(blocked = blocked)
         published.value = after
-        logChanges(before, after)
+        logger.logChanges(before, after)
         dependencies.metrics.suspicions(after)
-        updateStore()
-    }
-
-    private fun logChanges(
-        before: SuspicionView,
-        after: SuspicionView,
-    ) {
-        val earlier = before.suspicions.associateBy { it.segment }
-        after.suspicions.filter { it.state != earlier[it.segment]?.state }.forEach { suspicion ->
-            logger.warn(
-                "quarantine: segment {} at {} is {}, confidence {}, {} crashes, endpoints {}",
-                suspicion.segment.segment,
-                suspicion.segment.service,
-                suspicion.state?.name?.lowercase() ?: "clear",
-                suspicion.confidence,
-                suspicion.crashes,
-                suspicion.endpoints,
-            )
-        }
-        val remaining = after.suspicions.mapTo(HashSet()) { it.segment }
-        before.suspicions.filter { it.state != null && it.segment !in remaining }.forEach {
-            logger.warn("quarantine: segment {} at {} is clear", it.segment.segment, it.segment.service)
-        }
+        scheduleStoreUpdate()
     }
 
     /**
      * Brings the list in the store up to date, one call at a time. All processes come to the same conclusions, so each
      * waits for a random time, after which another one has usually written.
      */
-    private fun updateStore() {
+    private fun scheduleStoreUpdate() {
         if (isStoring || changes().isEmpty) return
         isStoring = true
         scope.launch {
             delay(MAX_STORE_DELAY * dependencies.random.nextDouble())
-            val due = changes()
+            send(QuarantineMessage.UpdateStore)
+        }
+    }
+
+    private fun updateStore() {
+        val due = changes()
+        scope.launch {
             due.added.forEach { entry -> logFailure("add", dependencies.store.quarantine(entry).leftOrNull()) }
             due.removed.forEach { segment -> logFailure("remove", dependencies.store.release(segment).leftOrNull()) }
-            isStoring = false
+            send(QuarantineMessage.StoreUpdated)
         }
     }
 
@@ -473,15 +332,9 @@
         /** The connections of a process that has ended are reset within a few milliseconds. */
         val COLLECTION_TIME = 10.milliseconds
 
-        /** Endpoints of a failure domain that are probed; several may have crashed for the same reason. */
-        const val MAX_NEIGHBOURS = 3
-
         /** Time between two reviews of the suspicions, and between two attempts to bring the store up to date. */
         val REVIEW_INTERVAL = 2.seconds
 
-        /** Longest wait for the answer of another process. */
-        val ANSWER_TIMEOUT = 500.milliseconds
-
         /** Longest wait for objections to a trial; a process that does not answer within it has probably ended. */
         val CLAIM_TIMEOUT = 150.milliseconds
 
@@ -490,8 +343,6 @@
 
         /** Longest delay of a write that any process could do. */
         val MAX_STORE_DELAY = 300.milliseconds
-        const val START_QUERIES = 5
-        val START_QUERY_INTERVAL = 1.seconds
 
         /** Own reports that may still get further prompts, which arrive within a fraction of a second. */
         const val MAX_REPORTED = 16
