Move the implementation of the balancer and its records out of EndpointBalancer.kt

EndpointBalancer.kt keeps the interface and the factory function, LeastLoadBalancer.kt the choice, and BalancedEndpoint.kt what is known of an endpoint and of a service. No decision changes; the tests of decisions/gateway pass.

--- /dev/null
+++ b/decisions/src/main/kotlin/org/cicadaturn/decisions/gateway/LeastLoadBalancer.kt
@@ -0,0 +1,389 @@
+package org.cicadaturn.decisions.gateway
+
+import arrow.core.Either
+import arrow.core.flatMap
+import arrow.core.left
+import arrow.core.right
+import org.cicadaturn.decisions.dispatch.EngineProfile
+import org.cicadaturn.decisions.dispatch.GroupHealth
+import org.cicadaturn.decisions.dispatch.GroupLimit
+import org.cicadaturn.decisions.dispatch.GroupReport
+import org.cicadaturn.decisions.dispatch.groupLimit
+import org.cicadaturn.decisions.dispatch.groupTracker
+import org.cicadaturn.decisions.routing.EndpointHealth
+import org.cicadaturn.decisions.routing.entryRank
+import org.cicadaturn.schema.generated.AdmissionState
+import org.cicadaturn.schema.generated.EndpointId
+import org.cicadaturn.schema.generated.ExpertProfile
+import org.cicadaturn.schema.generated.FailureDomainId
+import org.cicadaturn.schema.generated.FleetView
+import org.cicadaturn.schema.generated.LiveEndpoint
+import org.cicadaturn.schema.generated.ProcessId
+import org.cicadaturn.schema.generated.RoutingConfiguration
+import org.cicadaturn.schema.generated.ServiceId
+import kotlin.random.Random
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.Instant
+
+/** Balancer that prefers the endpoint with the lowest load, among those that limits and health allow. */
+internal class LeastLoadBalancer(
+    private val options: BalancerOptions,
+    private val random: Random,
+) : EndpointBalancer {
+    private val members = HashMap<EndpointId, BalancedEndpoint>()
+    private val pools = HashMap<ServiceId, ServicePool>()
+    private val gateways = GatewayCount()
+    private val groups = groupTracker { ASK_INTERVAL * maxOf(1, gateways.listed / GATEWAYS_PER_ASK) }
+
+    /** Profiles of the services whose endpoints are ranks of groups. */
+    private var profiles = emptyMap<ServiceId, ExpertProfile>()
+
+    /** Limits by name of group. */
+    private val limits = HashMap<String, GroupLimit>()
+    private var drained = emptySet<FailureDomainId>()
+    private var peers = emptyList<ProcessId>()
+
+    override fun update(
+        view: FleetView,
+        now: Instant,
+    ) {
+        gateways.update(view.peers.size, now)
+        updatePeers(view.peers.map { it.id })
+        drained = view.drainedDomains.toSet()
+        val listed = view.endpoints.mapTo(HashSet()) { it.id }
+        members.keys.retainAll(listed)
+        groups.retain(listed)
+        val configuration = view.configuration
+        if (configuration != null) profiles = configuration.expertProfiles()
+        view.endpoints.forEach { endpoint -> updateMember(endpoint, now) }
+        view.endpoints.filter { it.service in profiles }.forEach { groups.discover(it.id) }
+        limits.keys.retainAll(members.keys.mapTo(HashSet()) { groups.groupOf(it) })
+        configuration?.services?.forEach { pool(it.id, now).coldRate = it.coldRate }
+        pools.forEach { (id, pool) ->
+            val endpoints = members.values.map { it.endpoint }.filter { it.service == id }
+            val inService = endpoints.filter { it.state == AdmissionState.IN_SERVICE }
+            pool.detector.updateMembers(inService.mapTo(HashSet()) { it.id }, now)
+        }
+    }
+
+    private fun updatePeers(peers: List<ProcessId>) {
+        if (peers == this.peers) return
+        this.peers = peers
+        members.values.forEach { it.senderRank = null }
+    }
+
+    private fun updateMember(
+        endpoint: LiveEndpoint,
+        now: Instant,
+    ) {
+        val known = members[endpoint.id]
+        if (known == null || known.endpoint.startedAt != endpoint.startedAt) {
+            members[endpoint.id] = BalancedEndpoint(endpoint, now)
+            groups.forget(endpoint.id)
+            pool(endpoint.service, now)
+            return
+        }
+        if (known.endpoint.coldFor != endpoint.coldFor) known.coldUntil = now + endpoint.coldFor
+        known.endpoint = endpoint
+    }
+
+    private fun pool(
+        service: ServiceId,
+        now: Instant,
+    ): ServicePool =
+        pools.getOrPut(service) {
+            ServicePool(budget = gatewayRetryBudget(options.retryRatio, options.retryWindow, now))
+        }
+
+    /** Returns this process's share of the retries that are allowed beyond the ratio to the requests. */
+    private fun slack(now: Instant): Double = options.retrySlack * USED_SLACK_SHARE / gateways.at(now)
+
+    override fun arrived(
+        service: ServiceId,
+        now: Instant,
+    ) {
+        pool(service, now).budget.request(now)
+    }
+
+    override fun choose(
+        request: EndpointRequest,
+        now: Instant,
+    ): EndpointChoice {
+        val pool = pool(request.service, now)
+        val choice = candidates(request, pool, now).flatMap { found -> useRetry(request, pool, now).map { found } }
+        return choice.fold(
+            { EndpointChoice.None(it) },
+            { candidates ->
+                pool.lastSentAt = now
+                val best = candidates.minBy { it.cost(options.localDomain, now) + random.nextDouble() * JITTER }
+                best.inFlight += 1
+                best.sends.sent(now)
+                EndpointChoice.Chosen(best.endpoint)
+            },
+        )
+    }
+
+    /** Returns the endpoints that may get [request], at least one, or why none may. */
+    private fun candidates(
+        request: EndpointRequest,
+        pool: ServicePool,
+        now: Instant,
+    ): Either<Unavailability, List<BalancedEndpoint>> {
+        val usable =
+            grouped(inService(request.service), now).filter {
+                it.endpoint.id !in request.excluded && (request.only == null || it.endpoint.id in request.only)
+            }
+        if (usable.isEmpty()) return Unavailability.NO_ENDPOINT.left()
+        val running = usable.filter { groups.health(it.endpoint.id, now) in RUNNING }.ifEmpty { probe(usable, now) }
+        if (running.isEmpty()) return Unavailability.DOWN.left()
+        val withRoom = if (request.canWait) running.filter { hasRoom(it, now) } else running
+        if (withRoom.isEmpty()) return Unavailability.AT_LIMIT.left()
+        val available = withRoom.filter { isAvailable(it, pool, now) }
+        val trusted = available.filter { groups.health(it.endpoint.id, now) == GroupHealth.ACCEPTING }
+        val fallback = if (request.isRetry && request.canWait) emptyList() else withRoom
+        val candidates = trusted.ifEmpty { available }.ifEmpty { fallback.filter { isWithinRate(it, pool, now) } }
+        return if (candidates.isEmpty()) Unavailability.AT_RATE.left() else candidates.right()
+    }
+
+    /**
+     * Returns [members] without those whose group is not known yet, if that of others is.
+     *
+     * A rank that has just started cannot run a request before its group forms again. Until then the requests of all
+     * processes would go to it, as its group is the only one that is not known to be down, and overload it.
+     */
+    private fun grouped(
+        members: List<BalancedEndpoint>,
+        now: Instant,
+    ): List<BalancedEndpoint> {
+        if (members.none { it.endpoint.service in profiles && groups.isKnown(it.endpoint.id) }) return members
+        return members.filter { groups.isKnown(it.endpoint.id) || now - it.listedAt >= MAX_UNKNOWN_TIME }
+    }
+
+    /** Returns the first of [members] whose group may be probed by a request. */
+    private fun probe(
+        members: List<BalancedEndpoint>,
+        now: Instant,
+    ): List<BalancedEndpoint> = listOfNotNull(members.firstOrNull { groups.tryProbe(it.endpoint.id, now) })
+
+    /** Takes a retry from the budget if [request] is one, or returns why it must not be sent again now. */
+    private fun useRetry(
+        request: EndpointRequest,
+        pool: ServicePool,
+        now: Instant,
+    ): Either<Unavailability, Unit> {
+        if (!request.isRetry) return Unit.right()
+        // The health of groups tells more than a number of refusals, which may all come from one of several groups.
+        val isRefusing = pool.refusals >= MIN_REFUSALS_IN_A_ROW && now - pool.lastSentAt < PROBE_INTERVAL
+        val mustWait = request.canWait && isRefusing && request.service !in profiles
+        return when {
+            mustWait -> Unavailability.REFUSING.left()
+            pool.budget.tryRetry(now, slack(now)) -> Unit.right()
+            else -> Unavailability.NO_RETRY.left()
+        }
+    }
+
+    private fun isAvailable(
+        member: BalancedEndpoint,
+        pool: ServicePool,
+        now: Instant,
+    ): Boolean =
+        now >= member.refusedUntil &&
+            pool.detector.health(member.endpoint.id, now) != EndpointHealth.EJECTED &&
+            member.inFlight < pool.detector.ownLimit(member.endpoint.id, now) &&
+            isWithinRate(member, pool, now)
+
+    /** Returns true if the group of [member] may get another request of this process. */
+    private fun hasRoom(
+        member: BalancedEndpoint,
+        now: Instant,
+    ): Boolean {
+        val endpoint = member.endpoint
+        val profile = profiles[endpoint.service] ?: return true
+        val engine = EngineProfile(endpoint.slots, profile.stepTime, profile.stepTimePerRequest)
+        val limit = limits[groups.groupOf(endpoint.id)]?.ownPerRank(engine, now) ?: Double.MAX_VALUE
+        // The requests that waited for the end of an outage come before any report of the load.
+        val hasReturned = now - groups.upSince(endpoint.id) < RETURN_TIME
+        val share = if (hasReturned) endpoint.slots.toDouble() / gateways.at(now) else Double.MAX_VALUE
+        return ownPerRank(member) < minOf(limit, share)
+    }
+
+    /** Returns the number of requests that this process has in flight at a rank of the group of [member], on average. */
+    private fun ownPerRank(member: BalancedEndpoint): Double {
+        val ranks = groups.ranksOf(member.endpoint.id).mapNotNull { members[it] }
+        return ranks.ifEmpty { listOf(member) }.map { it.inFlight }.average()
+    }
+
+    /** An endpoint may become cold without notice, so the bound for a cold endpoint always applies. */
+    private fun isWithinRate(
+        member: BalancedEndpoint,
+        pool: ServicePool,
+        now: Instant,
+    ): Boolean {
+        if (pool.coldRate <= 0.0) return true
+        val count = gateways.at(now)
+        val share = coldShare(pool.coldRate, options.coldFactor, options.coldSlack, count)
+        val isSender = share.senders >= count || senderRank(member) < share.senders
+        return isSender && member.sends.count(now) < share.perSender
+    }
+
+    private fun senderRank(member: BalancedEndpoint): Int =
+        member.senderRank ?: entryRank(options.self, peers, member.endpoint.id).also { member.senderRank = it }
+
+    override fun finished(
+        endpoint: EndpointId,
+        use: EndpointUse,
+        now: Instant,
+    ) {
+        val member = members[endpoint] ?: return
+        member.inFlight = maxOf(0, member.inFlight - 1)
+        val pool = pool(member.endpoint.service, now)
+        when (use) {
+            is EndpointUse.Answered -> pool.detector.answered(endpoint, use.firstByte, now)
+            EndpointUse.Failed -> pool.detector.failed(endpoint, now)
+            EndpointUse.Lost -> recordLoss(member, pool, now)
+            is EndpointUse.Refused -> {
+                member.refusedUntil = now + REFUSAL_PAUSE
+                if (use.hadFreePlaces) groups.refused(endpoint, now)
+            }
+            EndpointUse.Abandoned -> Unit
+        }
+        if (use == EndpointUse.Failed || use == EndpointUse.Lost || use is EndpointUse.Refused) pool.refusals += 1
+    }
+
+    /** Records a loss; one of a rank says more about its group than about the rank, which therefore stays in use. */
+    private fun recordLoss(
+        member: BalancedEndpoint,
+        pool: ServicePool,
+        now: Instant,
+    ) {
+        val endpoint = member.endpoint
+        if (endpoint.service !in profiles) return pool.detector.failed(endpoint.id, now)
+        member.refusedUntil = now + LOSS_PAUSE
+        groups.unreachable(endpoint.id, now)
+    }
+
+    override fun shouldAbandon(
+        endpoint: EndpointId,
+        hasBegun: Boolean,
+        now: Instant,
+    ): Boolean {
+        val member = members[endpoint] ?: return true
+        if (member.endpoint.service !in profiles) return true
+        if (now - groups.lastProgress(endpoint) <
+            MAX_PROGRESS_AGE
+        ) {
+            return hasBegun || !member.isFull(now, MAX_PROGRESS_AGE)
+        }
+        val group = groups.groupOf(endpoint)
+        return inService(member.endpoint.service).any {
+            groups.groupOf(it.endpoint.id) != group &&
+                groups.health(it.endpoint.id, now) == GroupHealth.ACCEPTING &&
+                hasRoom(it, now)
+        }
+    }
+
+    override fun isIsolated(now: Instant): Boolean =
+        profiles.keys.any { service ->
+            val healths = inService(service).map { groups.health(it.endpoint.id, now) }
+            healths.any { it == GroupHealth.UNREACHABLE } &&
+                healths.all { it == GroupHealth.UNREACHABLE || it == GroupHealth.DOWN }
+        }
+
+    private fun inService(service: ServiceId): List<BalancedEndpoint> =
+        members.values.filter {
+            it.endpoint.service == service &&
+                it.endpoint.state == AdmissionState.IN_SERVICE &&
+                it.endpoint.failureDomain !in drained
+        }
+
+    override fun accepted(
+        endpoint: EndpointId,
+        now: Instant,
+    ) {
+        groups.accepted(endpoint, now)
+        pools[members[endpoint]?.endpoint?.service]?.refusals = 0
+    }
+
+    override fun groupReported(
+        endpoint: EndpointId,
+        report: GroupReport?,
+        now: Instant,
+    ) {
+        if (endpoint in members) groups.reported(endpoint, report, now)
+    }
+
+    override fun endpointsToAsk(now: Instant): List<LiveEndpoint> =
+        groups.endpointsToAsk(now).mapNotNull { members[it]?.endpoint }
+
+    override fun nextAsk(now: Instant): Instant? = groups.nextAsk(now)
+
+    override fun downSince(service: ServiceId): Instant? {
+        val endpoints = members.values.map { it.endpoint }.filter { it.service == service }
+        val times = endpoints.map { groups.downSince(it.id) ?: return null }
+        return times.maxOrNull()
+    }
+
+    override fun loadReported(
+        endpoint: EndpointId,
+        load: LoadSample,
+        now: Instant,
+    ) {
+        val member = members[endpoint] ?: return
+        if (member.endpoint.service in profiles) {
+            val limit = limits.getOrPut(groups.groupOf(endpoint)) { groupLimit() }
+            limit.reported(load.running + load.waiting, ownPerRank(member), now)
+        }
+        member.loadReported(load, now)
+    }
+
+    override fun paced(
+        endpoint: EndpointId,
+        ratio: Double,
+        now: Instant,
+    ) {
+        groups.progressed(endpoint, now)
+        limits[groups.groupOf(endpoint)]?.paced(ratio, now)
+    }
+
+    private companion object {
+        /** The rest of the slack is reserved for processes that start during a window. */
+        const val USED_SLACK_SHARE = 0.65
+
+        /** Refusals and failures in a row, without an accepted request, after which the service counts as refusing. */
+        const val MIN_REFUSALS_IN_A_ROW = 3
+
+        /** While the service refuses, a retry that may wait is sent only if no request was sent to it for this long. */
+        val PROBE_INTERVAL = 150.milliseconds
+
+        /** Keeps processes with the same view of the load from choosing the same endpoint. */
+        const val JITTER = 0.08
+
+        /** Time for which an endpoint that refused a request is avoided. */
+        val REFUSAL_PAUSE = 100.milliseconds
+
+        /** Health of groups to which requests are sent. */
+        val RUNNING = setOf(GroupHealth.ACCEPTING, GroupHealth.SUSPECT)
+
+        /** A group that has sent nothing for this long stands still; passes take a fraction of it. */
+        val MAX_PROGRESS_AGE = 1_500.milliseconds
+
+        /** Time for which a rank that was lost is avoided; longer than a group stalls without it. */
+        val LOSS_PAUSE = 1.seconds
+
+        /** Time after which a rank that tells no group is used; ranks tell theirs within a second of their start. */
+        val MAX_UNKNOWN_TIME = 3.seconds
+
+        /** Time after an outage for which a process keeps to an even share of the slots; reports follow meanwhile. */
+        val RETURN_TIME = 500.milliseconds
+
+        /** Time between two questions to a group that is down, for each process at a small site. */
+        val ASK_INTERVAL = 150.milliseconds
+
+        /** Number of processes beyond which each asks less often, so that together they ask at a bounded rate. */
+        const val GATEWAYS_PER_ASK = 8
+    }
+}
+
+private fun RoutingConfiguration.expertProfiles(): Map<ServiceId, ExpertProfile> =
+    services.mapNotNull { s -> s.experts?.let { s.id to it } }.toMap()
