Ask the other gateways for evidence again after a cut

A gateway that was cut off from the store and its peers during a crash learned what was quarantined from the store, but not what was suspected: it sent requests with a suspected segment freely, beside the trial of another gateway. It now asks a peer each time that it reaches the store again, itself or through a peer, and not only at its start.

QuarantineTaskTest "a process that was cut off learns suspicions from its peers" failed before (Clear instead of Suspected).

--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/QuarantinePeers.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/QuarantinePeers.kt
@@ -4,7 +4,6 @@
 import kotlinx.coroutines.awaitAll
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
-import kotlinx.coroutines.flow.first
 import kotlinx.coroutines.withTimeoutOrNull
 import org.cicadaturn.schema.generated.GatewayPeer
 import org.cicadaturn.schema.generated.QuarantineNews
@@ -14,8 +13,10 @@
 
 /** Longest wait for the answer of another process. */
 private val ANSWER_TIMEOUT = 500.milliseconds
-private const val START_QUERIES = 5
-private val START_QUERY_INTERVAL = 1.seconds
+
+/** Rounds of questions to all other processes; they may start at the same time. */
+private const val QUERY_ROUNDS = 5
+private val QUERY_INTERVAL = 1.seconds
 
 /** Sends [news] to all other processes and returns the answers that arrive within [limit]. */
 internal suspend fun QuarantineDependencies.broadcast(
@@ -29,13 +30,12 @@
             .filterNotNull()
     }
 
-/** Returns what the other processes know, as one of them tells it to a process that starts; null if none answers. */
-internal suspend fun QuarantineDependencies.askAtStart(): QuarantineNews? {
-    fleet.state.first { it.isKnown }
-    repeat(START_QUERIES) {
+/** Returns what another process knows about crashes, or null if none answers. */
+internal suspend fun QuarantineDependencies.askAny(): QuarantineNews? {
+    repeat(QUERY_ROUNDS) {
         val answer = peers().shuffled(random).firstNotNullOfOrNull { exchange(it, QuarantineNews(isQuery = true)) }
         if (answer != null) return answer
-        delay(START_QUERY_INTERVAL)
+        delay(QUERY_INTERVAL)
     }
     return null
 }
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/QuarantineTask.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/QuarantineTask.kt
@@ -8,7 +8,9 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.flow.MutableStateFlow
 import kotlinx.coroutines.flow.StateFlow
+import kotlinx.coroutines.flow.collectLatest
 import kotlinx.coroutines.flow.distinctUntilChanged
+import kotlinx.coroutines.flow.filter
 import kotlinx.coroutines.flow.first
 import kotlinx.coroutines.flow.map
 import kotlinx.coroutines.launch
@@ -69,10 +71,7 @@
 
     fun start() {
         scope.launch { processMessages() }
-        scope.launch {
-            val answer = dependencies.askAtStart() ?: return@launch
-            send(QuarantineMessage.PeersAnswered(listOf(answer), report = null))
-        }
+        scope.launch { askPeers() }
         scope.launch {
             dependencies.fleet.state
                 .map { it.view.quarantine }
@@ -81,6 +80,18 @@
         }
     }
 
+    /** Learns what the other processes know, at the start and after each time that this process was cut off. */
+    private suspend fun askPeers() {
+        dependencies.fleet.state
+            .filter { it.isKnown }
+            .map { it.isConfigurationCurrent }
+            .distinctUntilChanged()
+            .collectLatest {
+                val answer = dependencies.askAny() ?: return@collectLatest
+                send(QuarantineMessage.PeersAnswered(listOf(answer), report = null))
+            }
+    }
+
     private fun send(message: QuarantineMessage) {
         messages.trySend(message)
     }
--- a/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/QuarantineTaskTest.kt
+++ b/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/QuarantineTaskTest.kt
@@ -272,6 +272,25 @@
             assertQuarantined(processes[1], "bad own2")
         }
 
+    /** Guards against a process that was cut off during a crash and sends suspected requests beside another trial. */
+    @Test
+    fun `a process that was cut off learns suspicions from its peers`() =
+        runTest {
+            val fleet = TestFleet(this)
+            val processes = listOf("g1", "g2").map { fleet.start(it) }
+            testScheduler.advanceTimeBy(100)
+            fleet.cutOff += "g2"
+            processes[1].state.value = processes[1].state.value.copy(isConfigurationCurrent = false)
+            processes[0].lose("e1", "bad own1", AnswerProgress.NONE)
+            testScheduler.advanceTimeBy(3_000)
+            assertTrue(processes[0].verdict("bad own2") is Verdict.Suspected, "${processes[0].verdict("bad own2")}")
+            assertEquals(Verdict.Clear, processes[1].verdict("bad own2"))
+            fleet.cutOff -= "g2"
+            fleet.publish()
+            testScheduler.advanceTimeBy(100)
+            assertTrue(processes[1].verdict("bad own2") is Verdict.Suspected, "${processes[1].verdict("bad own2")}")
+        }
+
     /** Guards against segments that are suspected for connections that were reset, and for endpoints that leave. */
     @Test
     fun `requests lost without a crash make nothing suspicious`() =
