--- a/decisions/src/main/kotlin/org/cicadaturn/decisions/quarantine/SegmentQuarantine.kt
+++ b/decisions/src/main/kotlin/org/cicadaturn/decisions/quarantine/SegmentQuarantine.kt
@@ -140,18 +140,12 @@
         news: QuarantineNews,
         now: Instant,
     ): Boolean {
-        val isNew = news.crashes.map { evidence.add(it, now) }.any { it }
+        val newCrashes = news.crashes.count { evidence.add(it, now) }
         val candidates = evidence.candidates()
         reported.keys.retainAll(candidates)
-        val isCleared =
-            news.answered
-                .filter {
-                    ServiceSegment(
-                        it.service,
-                        it.segment,
-                    ) in candidates
-                }.map { addAnswer(it, now) }
-        return isNew || isCleared.any { it }
+        val useful = news.answered.filter { ServiceSegment(it.service, it.segment) in candidates }
+        val newAnswers = useful.count { addAnswer(it, now) }
+        return newCrashes + newAnswers > 0
     }
 
     private fun addAnswer(
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/PeerRelay.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/PeerRelay.kt
@@ -63,11 +63,10 @@
         VIEW_PATH -> encode(FleetView.serializer(), service.view())
         PLEDGE_PATH ->
             decode(PledgeRequest.serializer(), body)?.let { encode(PledgeAnswer.serializer(), service.pledge(it)) }
-        QUARANTINE_PATH ->
-            decode(
-                QuarantineNews.serializer(),
-                body,
-            )?.let { encode(QuarantineNews.serializer(), service.receiveNews(it)) }
+        QUARANTINE_PATH -> {
+            val news = decode(QuarantineNews.serializer(), body)
+            news?.let { encode(QuarantineNews.serializer(), service.receiveNews(it)) }
+        }
         else -> null
     }
 
