--- a/decisions/src/main/kotlin/org/cicadaturn/decisions/quarantine/LossWeights.kt
+++ b/decisions/src/main/kotlin/org/cicadaturn/decisions/quarantine/LossWeights.kt
@@ -82,7 +82,7 @@
                 AnswerProgress.RUNNING to 0.01,
             )
 
-        /** Shortest share of the time that is assumed for a state, as shorter ones are not measured well. */
+        /** Shortest share of the time that is assumed for a state; estimates of shorter ones are imprecise. */
         const val MIN_SHARE = 0.005
 
         /** Answers from which the states of a service are known well enough. */
