--- a/review/tools/PagedList.java
+++ b/review/tools/PagedList.java
@@ -4,8 +4,8 @@
 
 /** Gateways are restarted in turn while the servers of a service are replaced; the list of servers has eight pages. */
 final class PagedList {
-    static final long DRAIN_MS = 2000, TOUCH_MS = 3000, SERVE_AFTER_DRAIN_MS = 12_000;
-    static final int OTHERS = 3776, SERVERS = 100, ROUNDS = 2;
+    static final long DRAIN_MS = 3000, TOUCH_MS = 4000, SERVE_AFTER_DRAIN_MS = 12_000;
+    static final int OTHERS = 3600, SERVERS = 200, ROUNDS = 2;
 
     static final Map<String, Long> DRAINING = new ConcurrentHashMap<>();
 
