--- a/review/tools/FrozenUploads.java
+++ b/review/tools/FrozenUploads.java
@@ -5,7 +5,7 @@
 /** One of two gateways is frozen for four seconds while clients send bodies of 1 MB, a quarter of max_body_bytes. */
 final class FrozenUploads {
     static final int BODY = 1_000_000;
-    static final int PER_S = 20;
+    static final int PER_S = 40;
     static final long FREEZE_MS = 4000, TOUCH_MS = 3000, TIMEOUT_MS = 1500, DEADLINE_MS = 3009, GRACE_MS = 8000;
 
     public static void main(String[] args) throws Exception {
@@ -52,6 +52,8 @@
         if (Lab.trouble()) frozen.signal("CONT");
         Lab.sleep(22_000);
 
+        Map<String, Integer> runs = new HashMap<>();
+        for (Lab.Run r : new ArrayList<>(Lab.Server.RUNS)) runs.merge(r.request(), 1, Integer::sum);
         int broken = 0;
         for (int i = 0; i < gateways.size(); i++) {
             int sent = 0, late = 0, unanswered = 0;
@@ -59,6 +61,7 @@
             for (Lab.Outcome o : new ArrayList<>(outcomes.get(i))) {
                 String end = o.status() == 0 ? o.detail() : "" + o.status();
                 String when = o.sentAt() < thawed - FREEZE_MS ? "1 before" : o.sentAt() < thawed + TOUCH_MS ? "2 frozen or not yet in touch" : "3 in touch again";
+                Lab.log("  %s: %s %s sent at %d ms, ended at %d ms: %s, run %d times", gateways.get(i).id, o.request(), o.path(), o.sentAt(), o.endedAt(), end, runs.getOrDefault(o.request(), 0));
                 counts.merge(when + ", " + o.path() + ": " + end, 1, Integer::sum);
                 if (o.sentAt() < thawed + TOUCH_MS) continue;
                 sent++;
--- a/review/tools/PagedList.java
+++ b/review/tools/PagedList.java
@@ -76,6 +76,7 @@
             Lab.sleep(5000);
         }
         Lab.sleep(4000);
+        DRAINING.entrySet().stream().sorted(Map.Entry.comparingByValue()).forEach(e -> Lab.log("  %s: draining acknowledged at %d ms", e.getKey(), e.getValue()));
         int broken = 0, requests = 0;
         Set<String> stale = new TreeSet<>();
         for (Lab.Run r : new ArrayList<>(Lab.Server.RUNS)) {
@@ -88,7 +89,7 @@
             if (!inTouch) continue;
             broken++;
             stale.add(g.id + " " + r.server());
-            if (broken % 10 == 1) Lab.log("  request %s reached %s %d ms after its draining was acknowledged, sent by %s, which had started %d ms before", r.request(), r.server(), r.at() - drained, g.id, sentAt - g.starts.stream().filter(s -> s <= sentAt).max(Long::compare).orElse(0L));
+            Lab.log("  request %s reached %s %d ms after its draining was acknowledged, sent by %s, which had started %d ms before", r.request(), r.server(), r.at() - drained, g.id, sentAt - g.starts.stream().filter(s -> s <= sentAt).max(Long::compare).orElse(0L));
         }
         Lab.log("gateways and draining servers that they went on using: %s", stale);
         Lab.log("%d runs; %d servers drained; %d requests reached a draining server later than %d ms after the acknowledgement, from a gateway in touch", requests, DRAINING.size(), broken, DRAIN_MS);
--- a/review/tools/SilentStore.java
+++ b/review/tools/SilentStore.java
@@ -64,14 +64,17 @@
             int old = 0, revoked = 0, refused = 0, right = 0;
             long last = 0;
             for (Lab.Outcome o : new ArrayList<>(outcomes.get(i))) {
-                if (o.sentAt() <= fourth + CONFIG_MS) continue;
+                if (o.sentAt() < silentAt) continue;
                 Lab.Run run = runs.get(o.request());
+                boolean isCounted = o.sentAt() > fourth + CONFIG_MS;
+                Lab.log("  %s: %s %s key %s sent at %d ms: %d, run by %s%s", gateways.get(i).id, o.request(), o.path(), o.key(), o.sentAt(), o.status(), run == null ? "nobody" : run.server(), isCounted ? "" : " (not counted)");
+                if (!isCounted) continue;
                 boolean isWrong = true;
                 if (o.key().equals("k2") && run != null) revoked++;
                 else if (o.path().startsWith("/book/") && run != null && run.server().startsWith("old-")) old++;
                 else if (o.key().equals("k1") && (o.status() == 404 || o.status() == 401)) refused++;
                 else { isWrong = false; right++; }
-                if (isWrong) { last = o.sentAt(); Lab.log("  %s: %s %s key %s sent at %d ms: %d, run by %s", gateways.get(i).id, o.request(), o.path(), o.key(), o.sentAt(), o.status(), run == null ? "nobody" : run.server()); }
+                if (isWrong) last = o.sentAt();
             }
             Lab.log("%s: of the requests sent later than %d ms after the acknowledgement of version 4 (%d ms): %d run by the old service, %d run with the key that was taken away, %d refused on the new route, %d right; last wrong one %d ms after the acknowledgement",
                 gateways.get(i).id, CONFIG_MS, fourth, old, revoked, refused, right, last == 0 ? 0 : last - fourth);
