Log how long the store had not answered when a part is lost or regained

Without the age of the last answer, the log cannot tell a watch whose answer was lost from a list that fails again and again, or from an old configuration that a peer relayed.

--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/FleetTask.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/FleetTask.kt
@@ -25,6 +25,7 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
+import kotlin.time.Instant
 
 /** Known state of the fleet, kept up to date from the store and, while the store is unavailable, from peers. */
 public interface Fleet {
@@ -92,6 +93,7 @@
     private val messages = Channel<FleetMessage>(QUEUED_MESSAGES)
     private val published = MutableStateFlow(tracker.state(dependencies.clock.now()))
     private var unavailableParts = emptySet<FleetPart>()
+    private val answeredAt = HashMap<FleetPart, Instant>()
 
     override val state: StateFlow<FleetState> = published
 
@@ -126,22 +128,17 @@
         val now = dependencies.clock.now()
         when (message) {
             is FleetMessage.Listed -> {
-                markAvailable(message.part)
+                recordAnswer(message.part, message.content.revision, now)
                 tracker.listed(message.part, message.content, now)
                 logChanges(message.part, message.content)
             }
             is FleetMessage.Changed -> {
-                markAvailable(message.part)
+                recordAnswer(message.part, message.changes.revision, now)
                 tracker.changed(message.part, message.changes, now)
                 logChanges(message.part, message.changes)
             }
             is FleetMessage.Failed -> {
-                if (message.part !in
-                    unavailableParts
-                ) {
-                    logger.warn("fleet: {} unavailable: {}", message.part, message.error.message)
-                }
-                unavailableParts = unavailableParts + message.part
+                recordFailure(message.part, message.error, now)
                 tracker.failed(message.part, now)
             }
             is FleetMessage.Relayed -> tracker.relayed(message.view, now)
@@ -149,12 +146,34 @@
         }
     }
 
-    private fun markAvailable(part: FleetPart) {
-        if (part !in unavailableParts) return
-        unavailableParts = unavailableParts - part
-        logger.info("fleet: {} available again", part)
+    private fun recordAnswer(
+        part: FleetPart,
+        revision: Long,
+        now: Instant,
+    ) {
+        if (part in unavailableParts) {
+            unavailableParts = unavailableParts - part
+            logger.info("fleet: {} available again at revision {}, {}", part, revision, silence(part, now))
+        }
+        answeredAt[part] = now
+    }
+
+    private fun recordFailure(
+        part: FleetPart,
+        error: StoreError,
+        now: Instant,
+    ) {
+        if (part !in unavailableParts) {
+            logger.warn("fleet: {} unavailable, {}: {}", part, silence(part, now), error.message)
+        }
+        unavailableParts = unavailableParts + part
     }
 
+    private fun silence(
+        part: FleetPart,
+        now: Instant,
+    ): String = answeredAt[part]?.let { "${(now - it).inWholeMilliseconds} ms after its last answer" } ?: "not read yet"
+
     private fun logChanges(
         part: FleetPart,
         changes: FleetChanges,
