Notice within 2.4 s that the answer to a watch was lost

Cause: the answer to its watch of the configuration was lost in the silence, and the connection stayed open. The gateway waited for the rest of the watch, 10 s, and for another second until it counted the answer as lost; until then it took its configuration for current, so it asked no peer and did not refuse. The list of endpoints and that of drained domains are followed in the same way. Evidence: the log line of, 'CONFIGURATION unavailable, 11001 ms after its last answer', 87 ms before the part was available again. Ruled out by it: failing lists with backoff (none failed) and an old configuration from a peer (none was asked).

Change: the new setting max-silence (3 s) bounds how long a lost answer may leave a change of the configuration or of an endpoint unknown. Their watches wait 2.04 s, and an answer counts as lost 0.36 s later, which leaves 0.6 s to read the part again. Drained domains have 1.6 times as long, as a domain must be empty 5 s after the operator's call. FleetTask itself enforces the limits, whatever the client of the store does. TCP keep-alive would not do, as the host of a silent store answers its probes.

--- a/bench/src/main/kotlin/org/cicadaturn/bench/path/PathSetup.kt
+++ b/bench/src/main/kotlin/org/cicadaturn/bench/path/PathSetup.kt
@@ -97,7 +97,7 @@
 private val wireSettings = WireSettings(WIRE_KEY, 1.seconds, 1.seconds, 3.seconds)
 
 private fun storeSettings(address: NetworkAddress): StoreSettings =
-    StoreSettings(address, 2.seconds, 30.seconds, 5.seconds)
+    StoreSettings(address, 2.seconds, 30.seconds, 3.seconds, 5.seconds)
 
 private fun endpointFile(
     platform: NetworkAddress,
--- a/daemons/src/test/kotlin/org/cicadaturn/daemons/control/RunningSystem.kt
+++ b/daemons/src/test/kotlin/org/cicadaturn/daemons/control/RunningSystem.kt
@@ -55,7 +55,7 @@
 private val loopback = NetworkAddress("127.0.0.1", 0)
 private val domain = FailureDomainId("kolkata")
 private val wire = WireSettings("correct-horse-battery", 2.seconds, 1.seconds, 3.seconds)
-private val storeSettings = StoreSettings(loopback, 2.seconds, 30.seconds, 50.milliseconds)
+private val storeSettings = StoreSettings(loopback, 2.seconds, 30.seconds, 3.seconds, 50.milliseconds)
 
 /** Timeout for a test that hangs; no assertion depends on its value. */
 internal val HANG_TIMEOUT = 1.minutes
--- a/daemons/src/test/kotlin/org/cicadaturn/daemons/system/SystemOptions.kt
+++ b/daemons/src/test/kotlin/org/cicadaturn/daemons/system/SystemOptions.kt
@@ -109,7 +109,14 @@
 private fun storeSettings(
     options: SystemOptions,
     address: NetworkAddress,
-): StoreSettings = StoreSettings(address, timeout = options.storeTimeout, watchWait = 1.seconds, peerWait = 1.seconds)
+): StoreSettings =
+    StoreSettings(
+        address,
+        timeout = options.storeTimeout,
+        watchWait = 1.seconds,
+        maxSilence = 3.seconds,
+        peerWait = 1.seconds,
+    )
 
 internal fun endpointFile(
     options: SystemOptions,
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/FleetTask.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/FleetTask.kt
@@ -1,5 +1,7 @@
 package org.cicadaturn.tasks.gateway
 
+import arrow.core.Either
+import arrow.core.left
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
@@ -11,6 +13,7 @@
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.selects.onTimeout
 import kotlinx.coroutines.selects.select
+import kotlinx.coroutines.withTimeoutOrNull
 import org.apache.logging.log4j.LogManager
 import org.cicadaturn.decisions.gateway.FleetChange
 import org.cicadaturn.decisions.gateway.FleetChanges
@@ -18,11 +21,11 @@
 import org.cicadaturn.decisions.gateway.FleetState
 import org.cicadaturn.decisions.gateway.fleetTracker
 import org.cicadaturn.decisions.retry.Backoff
+import org.cicadaturn.decisions.retry.WatchTimes
 import org.cicadaturn.schema.generated.FleetView
 import org.cicadaturn.schema.generated.GatewayPeer
 import org.cicadaturn.tasks.store.StoreError
 import kotlin.time.Clock
-import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.Instant
@@ -41,13 +44,13 @@
  *
  * @property self entry of this process in the list of peers
  * @property fetchPeerView returns the view of one of the given peers, or null if none answers
- * @property watchWait longest time for which a watch call waits for a change
+ * @property watchTimes returns the times of the watch of a part
  */
 public class FleetDependencies(
     public val store: FleetStore,
     public val self: GatewayPeer,
     public val fetchPeerView: suspend (List<GatewayPeer>) -> FleetView?,
-    public val watchWait: Duration,
+    public val watchTimes: (FleetPart) -> WatchTimes,
     public val backoff: Backoff,
     public val clock: Clock,
 )
@@ -204,14 +207,7 @@
         var failures = 0
         while (true) {
             val from = revision
-            val answer =
-                if (from ==
-                    null
-                ) {
-                    dependencies.store.list(part)
-                } else {
-                    dependencies.store.watch(part, from, dependencies.watchWait)
-                }
+            val answer = if (from == null) dependencies.store.list(part) else watch(part, from)
             answer.fold(
                 { error ->
                     // A failed watch may have missed changes that the store no longer keeps, so a list follows.
@@ -231,6 +227,15 @@
         }
     }
 
+    private suspend fun watch(
+        part: FleetPart,
+        revision: Long,
+    ): Either<StoreError, FleetChanges> {
+        val times = dependencies.watchTimes(part)
+        return withTimeoutOrNull(times.limit) { dependencies.store.watch(part, revision, times.wait) }
+            ?: StoreError.Unanswered("no answer to a watch within ${times.limit}").left()
+    }
+
     private fun messageOf(
         part: FleetPart,
         changes: FleetChanges,
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/GatewayNode.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/GatewayNode.kt
@@ -14,12 +14,15 @@
 import org.cicadaturn.decisions.dispatch.dispatcher
 import org.cicadaturn.decisions.experts.placementLease
 import org.cicadaturn.decisions.gateway.BalancerOptions
+import org.cicadaturn.decisions.gateway.FleetPart
 import org.cicadaturn.decisions.gateway.RouteTable
 import org.cicadaturn.decisions.gateway.endpointBalancer
+import org.cicadaturn.decisions.gateway.fleetWatchTimes
 import org.cicadaturn.decisions.gateway.routeTable
 import org.cicadaturn.decisions.quarantine.lossWeights
 import org.cicadaturn.decisions.quarantine.segmentQuarantine
 import org.cicadaturn.decisions.quarantine.trialRegistry
+import org.cicadaturn.decisions.retry.WatchTimes
 import org.cicadaturn.decisions.retry.fullJitterBackoff
 import org.cicadaturn.schema.generated.CallerLimits
 import org.cicadaturn.schema.generated.FailureDomainId
@@ -98,7 +101,7 @@
                 store = dependencies.store,
                 self = peer,
                 fetchPeerView = peerViewFetcher(connector, settings.peerListen, settings.seeds, dependencies.random),
-                watchWait = file.store.watchWait,
+                watchTimes = ::watchTimesOf,
                 backoff = fullJitterBackoff(MIN_STORE_BACKOFF, MAX_STORE_BACKOFF, dependencies.random),
                 clock = dependencies.clock,
             ),
@@ -150,6 +153,9 @@
                 "admin" to adminListener.address,
             )
 
+    private fun watchTimesOf(part: FleetPart): WatchTimes =
+        fleetWatchTimes(part, file.store.watchWait, file.store.maxSilence, file.store.timeout)
+
     private fun balancerOptions(): BalancerOptions =
         BalancerOptions(
             self = peer.id,
--- a/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/FleetFollowTest.kt
+++ b/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/FleetFollowTest.kt
@@ -4,30 +4,54 @@
 import arrow.core.left
 import arrow.core.right
 import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.ExperimentalCoroutinesApi
 import kotlinx.coroutines.awaitCancellation
+import kotlinx.coroutines.delay
 import kotlinx.coroutines.flow.first
+import kotlinx.coroutines.test.TestScope
+import kotlinx.coroutines.test.currentTime
 import kotlinx.coroutines.test.runTest
 import org.cicadaturn.decisions.gateway.FleetChange
 import org.cicadaturn.decisions.gateway.FleetChanges
 import org.cicadaturn.decisions.gateway.FleetPart
+import org.cicadaturn.decisions.gateway.fleetWatchTimes
 import org.cicadaturn.decisions.retry.Backoff
+import org.cicadaturn.schema.generated.AdmissionState
 import org.cicadaturn.schema.generated.CallerLimits
+import org.cicadaturn.schema.generated.EndpointId
 import org.cicadaturn.schema.generated.FailureDomainId
+import org.cicadaturn.schema.generated.FleetView
 import org.cicadaturn.schema.generated.GatewayPeer
+import org.cicadaturn.schema.generated.LiveEndpoint
 import org.cicadaturn.schema.generated.NetworkAddress
 import org.cicadaturn.schema.generated.ProcessId
 import org.cicadaturn.schema.generated.RoutingConfiguration
+import org.cicadaturn.schema.generated.ServiceId
 import org.cicadaturn.tasks.store.StoreError
 import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.DynamicTest
 import org.junit.jupiter.api.Test
+import org.junit.jupiter.api.TestFactory
 import kotlin.time.Clock
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
+import kotlin.time.Instant
 
 class FleetFollowTest {
     private val unavailableStore: FleetStore = FixedFleetStore(content = null)
 
+    private fun dependencies(
+        store: FleetStore,
+        clock: Clock = Clock.System,
+    ): FleetDependencies {
+        val peer = GatewayPeer(ProcessId("g"), NetworkAddress("127.0.0.1", 1), FailureDomainId("a"))
+        return FleetDependencies(store, peer, {
+            null
+        }, { fleetWatchTimes(it, 10.seconds, 3.seconds, CLIENT_TIMEOUT) }, Backoff { 10.milliseconds }, clock)
+    }
+
     private fun configured(version: Long) =
         FleetChange.Configured(RoutingConfiguration(version, emptyList(), emptyList(), null, CallerLimits()))
 
@@ -63,10 +87,7 @@
     fun `a failed watch is followed by a list`() =
         runTest {
             val store = CompactingStore()
-            val peer = GatewayPeer(ProcessId("g"), NetworkAddress("127.0.0.1", 1), FailureDomainId("a"))
-            val dependencies =
-                FleetDependencies(store, peer, { null }, 10.seconds, Backoff { 10.milliseconds }, Clock.System)
-            val fleet = startFleet(backgroundScope, dependencies)
+            val fleet = startFleet(backgroundScope, dependencies(store))
             val state = fleet.state.first { (it.view.configuration?.version ?: 0L) > 1L }
             assertEquals(2L, state.view.configuration?.version)
         }
@@ -87,18 +108,121 @@
     @Test
     fun `a defect does not end the following`() =
         runTest {
-            val peer = GatewayPeer(ProcessId("g"), NetworkAddress("127.0.0.1", 1), FailureDomainId("a"))
-            val dependencies =
-                FleetDependencies(
-                    DefectiveStore(),
-                    peer,
-                    { null },
-                    10.seconds,
-                    Backoff { 10.milliseconds },
-                    Clock.System,
-                )
-            val fleet = startFleet(backgroundScope, dependencies)
+            val fleet = startFleet(backgroundScope, dependencies(DefectiveStore()))
             val state = fleet.state.first { it.view.configuration != null }
             assertEquals(1L, state.view.configuration?.version)
         }
+
+    /** Store whose answers are lost while it is silent: a call that begins or would be answered then gets no answer. */
+    private inner class SilentStore(
+        private val clock: Clock,
+        private val silence: ClosedRange<Instant>,
+        private val changedAt: Instant,
+    ) : FleetStore by unavailableStore {
+        private fun contentOf(part: FleetPart): FleetChanges {
+            val isChanged = clock.now() >= changedAt
+            val change =
+                when (part) {
+                    FleetPart.CONFIGURATION -> configured(if (isChanged) 2 else 1)
+                    FleetPart.ENDPOINTS -> listed(if (isChanged) AdmissionState.DRAINED else AdmissionState.IN_SERVICE)
+                    FleetPart.DRAINED_DOMAINS -> drainedDomain.takeIf { isChanged }
+                    else -> null
+                }
+            return FleetChanges(if (isChanged) 2 else 1, listOfNotNull(change))
+        }
+
+        private suspend fun answer(
+            content: FleetChanges,
+            start: Instant,
+            limit: Duration,
+        ): Either<StoreError, FleetChanges> {
+            val end = clock.now()
+            if (start in silence || end in silence) {
+                delay(start + limit - end)
+                return StoreError.Unanswered("no answer").left()
+            }
+            return content.right()
+        }
+
+        override suspend fun list(part: FleetPart): Either<StoreError, FleetChanges> =
+            answer(contentOf(part), clock.now(), CLIENT_TIMEOUT)
+
+        override suspend fun watch(
+            part: FleetPart,
+            revision: Long,
+            wait: Duration,
+        ): Either<StoreError, FleetChanges> {
+            val start = clock.now()
+            val untilChange = (changedAt - start).takeIf { revision < 2 } ?: Duration.INFINITE
+            delay(minOf(wait, untilChange))
+            val limit = wait + CLIENT_TIMEOUT
+            if (untilChange <= wait) return answer(contentOf(part), start, limit)
+            return answer(FleetChanges(revision, emptyList()), start, limit)
+        }
+    }
+
+    @OptIn(ExperimentalCoroutinesApi::class)
+    private fun TestScope.virtualClock(): Clock =
+        object : Clock {
+            override fun now(): Instant = Instant.fromEpochMilliseconds(currentTime)
+        }
+
+    private fun listed(state: AdmissionState) =
+        FleetChange.EndpointListed(
+            LiveEndpoint(
+                id = EndpointId("e"),
+                service = ServiceId("s"),
+                address = NetworkAddress("127.0.0.1", 1),
+                failureDomain = FailureDomainId("a"),
+                state = state,
+                slots = 1,
+                coldFor = Duration.ZERO,
+            ),
+        )
+
+    private val drainedDomain = FleetChange.DomainDrained(FailureDomainId("a"))
+
+    private fun isChanged(
+        part: FleetPart,
+        view: FleetView,
+    ): Boolean =
+        when (part) {
+            FleetPart.CONFIGURATION -> view.configuration?.version == 2L
+            FleetPart.ENDPOINTS -> view.endpoints.single().state == AdmissionState.DRAINED
+            else -> view.drainedDomains.isNotEmpty()
+        }
+
+    /**
+     * Guards against a process that serves with an old configuration, or sends requests to a draining endpoint, until
+     * a watch whose answer was lost has run into its limit.
+     */
+    @TestFactory
+    fun `a change whose answer to a watch was lost is known in time`() =
+        // Three seconds after the silence, a process must know all; drained domains five seconds after their change.
+        mapOf(
+            FleetPart.CONFIGURATION to 3.seconds,
+            FleetPart.ENDPOINTS to 3.seconds,
+            FleetPart.DRAINED_DOMAINS to 4_500.milliseconds,
+        ).flatMap { (part, limit) ->
+            // The silence begins at different moments of a watch; the change falls into it.
+            (0..9).map { tenths ->
+                DynamicTest.dynamicTest("$part, silence from 20.$tenths s") {
+                    runTest {
+                        val clock = virtualClock()
+                        val start = clock.now()
+                        val silentFrom = start + 20.seconds + 100.milliseconds * tenths
+                        val silentUntil = silentFrom + 1.seconds
+                        val store = SilentStore(clock, silentFrom..silentUntil, silentFrom + 500.milliseconds)
+                        val fleet = startFleet(backgroundScope, dependencies(store, clock))
+                        delay(silentUntil - start + limit)
+                        assertTrue(isChanged(part, fleet.state.value.view), "known $limit after the silence")
+                    }
+                }
+            }
+        }
+
+    private companion object {
+        /** Longest time of a call of the store's client, without the wait of a watch. */
+        val CLIENT_TIMEOUT = 1.seconds
+    }
 }
--- a/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/TestGateway.kt
+++ b/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/TestGateway.kt
@@ -172,7 +172,7 @@
 private val testFile =
     GatewayFile(
         process = ProcessSettings("g1", "h1", "a", anyPort, "text", "info", 8.seconds, null),
-        store = StoreSettings(anyPort, 1.seconds, 10.seconds, 5.seconds),
+        store = StoreSettings(anyPort, 1.seconds, 10.seconds, 3.seconds, 5.seconds),
         gateway = GatewaySettings(anyPort, anyPort, anyPort, emptyList(), 1.5, 5.0, 0.2, 100.0, 10.seconds),
     )
 
