--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/configuration/StoreWatch.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/configuration/StoreWatch.kt
@@ -1,20 +1,23 @@
 package org.cicadaturn.tasks.configuration
 
+import arrow.core.Either
+import arrow.core.left
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.withTimeoutOrNull
 import org.apache.logging.log4j.LogManager
 import org.cicadaturn.decisions.configuration.ConfigurationSource
 import org.cicadaturn.decisions.retry.Backoff
+import org.cicadaturn.decisions.retry.WatchTimes
 import org.cicadaturn.schema.generated.StoredObject
 import org.cicadaturn.schema.generated.Version
 import org.cicadaturn.tasks.store.ObjectStore
 import org.cicadaturn.tasks.store.StoreError
-import kotlin.time.Duration
 
 /** Reads the configuration from the store and watches it for changes, with one long poll at a time. */
 internal class StoreWatch(
     private val store: ObjectStore,
     private val configurationManager: ConfigurationManager,
-    private val wait: Duration,
+    private val times: WatchTimes,
     private val backoff: Backoff,
 ) {
     private val log = LogManager.getLogger("config")
@@ -49,12 +52,16 @@
             list.version
         }
 
-    private suspend fun awaitChange(lastVersion: Version) =
-        store.watch(CONFIGURATION_KEY, lastVersion, wait).map { events ->
+    private suspend fun awaitChange(lastVersion: Version): Either<StoreError, Version> {
+        val answer =
+            withTimeoutOrNull(times.limit) { store.watch(CONFIGURATION_KEY, lastVersion, times.wait) }
+                ?: StoreError.Unanswered("no answer to a watch within ${times.limit}").left()
+        return answer.map { events ->
             val last = events.events.lastOrNull { it.key == CONFIGURATION_KEY }
             last?.value?.let { offer(StoredObject(last.key, last.version, it)) }
             events.version
         }
+    }
 
     private suspend fun offer(stored: StoredObject) {
         decodeConfiguration(stored.value).fold(
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/entry/EntryNode.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/entry/EntryNode.kt
@@ -15,6 +15,7 @@
 import org.apache.logging.log4j.LogManager
 import org.cicadaturn.decisions.retry.Backoff
 import org.cicadaturn.decisions.retry.fullJitterBackoff
+import org.cicadaturn.decisions.retry.watchTimes
 import org.cicadaturn.decisions.routing.EndpointChooser
 import org.cicadaturn.decisions.routing.endpointDirectory
 import org.cicadaturn.decisions.routing.retryBudget
@@ -134,8 +135,8 @@
             }
         }
         scope.launch { updateConfigurationMetrics() }
-        val watch =
-            StoreWatch(dependencies.store, configurationManager, file.store.watchWait, backoff(MAX_STORE_BACKOFF))
+        val times = watchTimes(file.store.watchWait, file.store.maxSilence)
+        val watch = StoreWatch(dependencies.store, configurationManager, times, backoff(MAX_STORE_BACKOFF))
         scope.launch { watch.run() }
         connect()
         val content = AdminContent(::isReady, { Json.encodeToString(dump()) }, dependencies.registry)
