Refuse in a planned stop what cannot end before the process

Cause: a stopping gateway waited for the requests in progress until its end but never compared the time left with the time that a request takes, and at its end it closed the connections of those still in progress.

A stopping gateway now answers 503 with Retry-After, before sending it, to a request that would probably not end in time: if one and a half times the longest time of the last 30 to 60 s, or the request's own limit if that is shorter, exceeds the time left. Repeatable requests are judged by the mean time, as their callers can repeat them after a cut but may have no attempt left after a refusal. What is still in progress at the end gets 504, which promises nothing, or 503 if it was not sent.

PlannedStopTest failed before in 2 of 3 cases, both with a connection that closed without an answer: 'a request that cannot end before the process is refused as not run' and 'a request in progress at the end of the process gets an answer that promises nothing'.

--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/GatewayNode.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/GatewayNode.kt
@@ -52,6 +52,7 @@
 import kotlin.time.Clock
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
+import kotlin.time.Instant
 
 /**
  * Dependencies of a gateway process.
@@ -86,7 +87,8 @@
     private val file: GatewayFile,
     private val dependencies: GatewayDependencies,
 ) : Node,
-    RequestTracker {
+    RequestTracker,
+    Shutdown {
     private val settings = file.gateway
     private val exceptionHandler =
         CoroutineExceptionHandler { _, cause -> logger.error("gateway: a task failed", cause) }
@@ -133,12 +135,17 @@
                 clock = dependencies.clock,
                 random = dependencies.random,
                 journal = journal,
+                shutdown = this,
+                times = startRequestTimeRecord(scope, dependencies.clock),
             ),
         )
     private var routes: RouteTable? = null
     private var stopping = false
     private var inProgress = 0
     override val drainStarted = Job()
+    override var endsAt: Instant? = null
+        private set
+    override val lastCall = Job()
     private lateinit var callerListener: HttpListener
     private lateinit var readyListener: HttpListener
     private lateinit var peerListener: HttpListener
@@ -293,18 +300,25 @@
             logger.info("gateway: stopping with {} requests in progress", inProgress)
             stopping = true
             lease.release()
-            val start = dependencies.clock.now()
-            val latest = start + file.process.stopTimeout - STOP_RESERVE
+            val end = dependencies.clock.now() + file.process.stopTimeout - STOP_RESERVE
+            endsAt = end
             delay(UNREADY_TIME)
             callerListener.close()
             drainStarted.complete()
-            while (inProgress > 0 && dependencies.clock.now() < latest) delay(STOP_POLL)
+            awaitRequests(until = end)
+            val unfinished = inProgress
+            lastCall.complete()
+            awaitRequests(until = end + LAST_CALL_TIME)
             val cut = inProgress
-            logger.info("gateway: ends with {} requests cut", cut)
+            logger.info("gateway: ends with {} requests unfinished and {} cut", unfinished, cut)
             scope.cancel()
             cut
         }
 
+    private suspend fun awaitRequests(until: Instant) {
+        while (inProgress > 0 && dependencies.clock.now() < until) delay(STOP_POLL)
+    }
+
     private companion object {
         val logger = LogManager.getLogger(GatewayNode::class.java)
 
@@ -318,9 +332,12 @@
         val UNREADY_TIME = 3.seconds
         val STOP_POLL = 20.milliseconds
 
-        /** Time before the stop timeout at which the process ends, as the platform kills it at the timeout. */
+        /** Time before the stop timeout at which requests are ended, as the platform kills the process at the timeout. */
         val STOP_RESERVE = 700.milliseconds
 
+        /** Time to answer the requests that are in progress when the process ends. */
+        val LAST_CALL_TIME = 200.milliseconds
+
         /**
          * Longest random delay of a takeover of the lease, which keeps candidates from writing at the same time. The
          * delay is short, as a group may stay held until a process has taken the lease over.
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/RequestExecution.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/RequestExecution.kt
@@ -1,7 +1,9 @@
 package org.cicadaturn.tasks.gateway
 
+import kotlinx.coroutines.async
+import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
-import kotlinx.coroutines.flow.first
+import kotlinx.coroutines.selects.select
 import kotlinx.coroutines.withTimeoutOrNull
 import org.cicadaturn.decisions.dispatch.DispatchRequest
 import org.cicadaturn.decisions.gateway.Admission
@@ -10,6 +12,7 @@
 import org.cicadaturn.decisions.gateway.EndpointRequest
 import org.cicadaturn.decisions.gateway.EndpointUse
 import org.cicadaturn.decisions.gateway.NextStep
+import org.cicadaturn.decisions.gateway.canEndBefore
 import org.cicadaturn.decisions.gateway.finalStep
 import org.cicadaturn.decisions.gateway.maxHoldTime
 import org.cicadaturn.decisions.gateway.nextStep
@@ -44,6 +47,7 @@
     private val balancer = dependencies.balancer
     private val clock = dependencies.clock
     private val route: Route = admission.route
+    private val isRepeatable = route.kind == RouteKind.IDEMPOTENT || route.resumable
     private val id = request.head.headers.valueOf(dialect.requestId)
     private val prompt = dialect.promptOf(request.head.headers)
     private val gate = PromptGate(dependencies.quarantine, service, admission.organisation, prompt, clock)
@@ -77,28 +81,56 @@
     suspend fun run(): RequestEnd {
         balancer.arrived(service)
         try {
-            val end = withTimeoutOrNull(remaining().coerceAtLeast(1.milliseconds)) { attempts() }
+            val end = withTimeoutOrNull(remaining().coerceAtLeast(1.milliseconds)) { attemptsUntilLastCall() }
             return (end ?: expire()).copy(service = service)
         } finally {
             gate.close()
         }
     }
 
-    private suspend fun expire(): RequestEnd =
-        when {
-            answer.isBegun -> answer.cut("deadline passed within the answer")
-            sends > 0 -> answer.sendError(GATEWAY_TIMEOUT, "deadline passed", emptyList())
-            else -> answer.refuse(DEFAULT_RETRY_DELAY, "deadline passed before an endpoint was found")
+    /** Returns null if the process ends before the request. */
+    private suspend fun attemptsUntilLastCall(): RequestEnd? =
+        coroutineScope {
+            val end = async { attempts() }
+            select {
+                end.onAwait { it }
+                dependencies.shutdown.lastCall.onJoin { null.also { end.cancel() } }
+            }
+        }
+
+    /** Ends the request, whose time is over or whose process ends. */
+    private suspend fun expire(): RequestEnd {
+        val cause = if (dependencies.shutdown.lastCall.isCompleted) "the process ends" else "deadline passed"
+        return when {
+            answer.isBegun -> answer.cut("$cause within the answer")
+            sends > 0 -> answer.sendError(GATEWAY_TIMEOUT, cause, emptyList())
+            else -> answer.refuse(DEFAULT_RETRY_DELAY, "$cause before an endpoint was found")
         }
+    }
+
+    /** Returns false if the process is stopping and would probably end within the request. */
+    private fun canEndBeforeShutdown(): Boolean {
+        val end = dependencies.shutdown.endsAt ?: return true
+        val recent = dependencies.times.recent.value[service]
+        return canEndBefore(end - clock.now(), remaining(), recent, isRepeatable)
+    }
+
+    private suspend fun refuseForShutdown(last: AttemptEnd): RequestEnd {
+        val step = finalStep(last, history())
+        record("shutdown", null, "the process ends before the request could", step)
+        return finish(step, "the process is stopping", retryDelay(remaining(), Duration.ZERO))
+    }
 
     private suspend fun attempts(): RequestEnd {
         var last = AttemptEnd.NOT_SENT
         while (true) {
+            if (!canEndBeforeShutdown()) return refuseForShutdown(last)
             val verdict = gate.pass(holdTime())
             if (verdict != Verdict.Clear) return holdBack(verdict, last)
             when (val placement = place()) {
                 is Placement.Placed -> {
-                    if (!gate.isOpen()) {
+                    // Both may have changed while the request waited for its place.
+                    if (!gate.isOpen() || !canEndBeforeShutdown()) {
                         balancer.finished(placement.endpoint.id, EndpointUse.Abandoned)
                         continue
                     }
@@ -121,12 +153,14 @@
         }
     }
 
-    private fun answered(endpoint: LiveEndpoint): RequestEnd =
-        answer.result().copy(
+    private fun answered(endpoint: LiveEndpoint): RequestEnd {
+        dependencies.times.answered(service, clock.now() - placedAt)
+        return answer.result().copy(
             endpoint = endpoint.id,
             placedAfter = placedAt - request.arrivedAt,
             begunAfter = begunAt?.let { it - request.arrivedAt },
         )
+    }
 
     /** Ends the request without sending it, or sending it again, because of [verdict]. */
     private suspend fun holdBack(
@@ -249,7 +283,6 @@
         onProgress: (AnswerProgress) -> Unit,
     ): AttemptRequest {
         val remaining = remaining()
-        val isRepeatable = route.kind == RouteKind.IDEMPOTENT || route.resumable
         val canTryAnother = triedEndpoints.size < route.attempts
         val limit =
             when {
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/RequestHandler.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/RequestHandler.kt
@@ -32,6 +32,7 @@
  * Dependencies of the handling of requests.
  *
  * @property routes returns the route table of the current configuration, or null if none is known
+ * @property times times of earlier requests, which tell how long the next ones may take
  */
 internal class RequestDependencies(
     val fleet: StateFlow<FleetState>,
@@ -44,6 +45,8 @@
     val clock: Clock,
     val random: Random,
     val journal: RequestJournal,
+    val shutdown: Shutdown,
+    val times: RequestTimeRecord,
 )
 
 /** Handles requests: admission, choice of endpoints, attempts and the answer. */
--- /dev/null
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/Shutdown.kt
@@ -0,0 +1,76 @@
+package org.cicadaturn.tasks.gateway
+
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.flow.MutableStateFlow
+import kotlinx.coroutines.flow.StateFlow
+import kotlinx.coroutines.launch
+import org.cicadaturn.decisions.gateway.RequestTimes
+import org.cicadaturn.decisions.gateway.requestTimeTracker
+import org.cicadaturn.schema.generated.ServiceId
+import kotlin.time.Clock
+import kotlin.time.Duration
+import kotlin.time.Instant
+
+/** Planned end of the process, as far as requests must know it. */
+internal interface Shutdown {
+    /** Time at which the process ends, or null if it is not stopping. */
+    val endsAt: Instant?
+
+    /** Completes when the requests that are still in progress must be answered, as the process ends. */
+    val lastCall: Job
+}
+
+/** Task that keeps the recent times from the sending of a request to the end of its answer. */
+internal interface RequestTimeRecord {
+    /** Recent times by service. */
+    val recent: StateFlow<Map<ServiceId, RequestTimes>>
+
+    /** Records that a request to [service] was answered [time] after it was sent. */
+    fun answered(
+        service: ServiceId,
+        time: Duration,
+    )
+}
+
+/** Starts the task in [scope]. */
+internal fun startRequestTimeRecord(
+    scope: CoroutineScope,
+    clock: Clock,
+): RequestTimeRecord = RequestTimeTask(clock).also { scope.launch { it.processMessages() } }
+
+private class RequestTimeTask(
+    private val clock: Clock,
+) : RequestTimeRecord {
+    private class Answered(
+        val service: ServiceId,
+        val time: Duration,
+    )
+
+    // Bounded; while it is full, times are dropped, as the others tell nearly the same.
+    private val messages = Channel<Answered>(QUEUED_TIMES)
+    private val published = MutableStateFlow(emptyMap<ServiceId, RequestTimes>())
+
+    override val recent: StateFlow<Map<ServiceId, RequestTimes>> = published
+
+    override fun answered(
+        service: ServiceId,
+        time: Duration,
+    ) {
+        messages.trySend(Answered(service, time))
+    }
+
+    suspend fun processMessages() {
+        val tracker = requestTimeTracker()
+        for (message in messages) {
+            val now = clock.now()
+            tracker.answered(message.service, message.time, now)
+            published.value = tracker.current(now)
+        }
+    }
+
+    private companion object {
+        const val QUEUED_TIMES = 256
+    }
+}
--- /dev/null
+++ b/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/PlannedStopTest.kt
@@ -0,0 +1,87 @@
+package org.cicadaturn.tasks.gateway
+
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.async
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.runBlocking
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+import java.io.OutputStream
+import java.net.Socket
+import java.util.concurrent.CountDownLatch
+import java.util.concurrent.TimeUnit
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** Tests what callers get during a planned stop, whose requests end 4.3 s after its start here. */
+class PlannedStopTest {
+    private val stopTimeout = 5.seconds
+
+    private val answersAfterTwoSeconds: (RawRequest, OutputStream) -> Boolean = { r, out ->
+        CountDownLatch(1).await(2, TimeUnit.SECONDS)
+        answerOk(r, out)
+    }
+
+    /** Guards against a request that is passed on late in a stop and cut without an answer at its end. */
+    @Test
+    fun `a request that cannot end before the process is refused as not run`() {
+        ScriptedEndpoint(answersAfterTwoSeconds).use { endpoint ->
+            TestGateway(listOf(endpoint), stopTimeout).use { gateway ->
+                runBlocking(Dispatchers.IO) {
+                    val stop = async { gateway.stop() }
+                    delay(1.seconds)
+                    Socket("127.0.0.1", gateway.port).use { socket ->
+                        socket.soTimeout = 10_000
+                        val bytes = request("/patient/x").encodeToByteArray()
+                        socket.getOutputStream().write(bytes, 0, bytes.size - 1)
+                        delay(2.seconds)
+                        socket.getOutputStream().write(bytes, bytes.size - 1, 1)
+                        val answer = readAnswer(socket)
+                        assertEquals(503, answer.status)
+                        assertTrue(answer.head.contains("Retry-After", ignoreCase = true))
+                        assertEquals(0, endpoint.requests.size)
+                    }
+                    stop.await()
+                }
+            }
+        }
+    }
+
+    /** Guards against a stop that refuses requests which can still be served. */
+    @Test
+    fun `a request that can end before the process is served`() {
+        ScriptedEndpoint(::answerOk).use { endpoint ->
+            TestGateway(listOf(endpoint), stopTimeout).use { gateway ->
+                runBlocking(Dispatchers.IO) {
+                    assertEquals(200, exchange(gateway.port, request("/patient/x")).status)
+                    val stop = async { gateway.stop() }
+                    delay(2_500.milliseconds)
+                    assertEquals(200, exchange(gateway.port, request("/patient/x", id = "r2")).status)
+                    stop.await()
+                }
+            }
+        }
+    }
+
+    /** Guards against a connection that is closed without an answer because its endpoint takes longer than expected. */
+    @Test
+    fun `a request in progress at the end of the process gets an answer that promises nothing`() {
+        val slowsDown: (RawRequest, OutputStream) -> Boolean = { r, out ->
+            if (r.id == "r2") CountDownLatch(1).await(5, TimeUnit.SECONDS)
+            answerOk(r, out)
+        }
+        ScriptedEndpoint(slowsDown).use { endpoint ->
+            TestGateway(listOf(endpoint), stopTimeout).use { gateway ->
+                runBlocking(Dispatchers.IO) {
+                    assertEquals(200, exchange(gateway.port, request("/patient/x")).status)
+                    val stop = async { gateway.stop() }
+                    delay(2_500.milliseconds)
+                    val answer = exchange(gateway.port, request("/patient/x", id = "r2"))
+                    assertTrue(answer.isComplete && answer.status in setOf(502, 504), "status ${answer.status}")
+                    stop.await()
+                }
+            }
+        }
+    }
+}
--- a/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/TestGateway.kt
+++ b/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/TestGateway.kt
@@ -35,6 +35,7 @@
 /** Gateway process on loopback in front of [endpoints]; if they are null, its store is unavailable. */
 internal class TestGateway(
     endpoints: List<ScriptedEndpoint>?,
+    stopTimeout: Duration = 8.seconds,
 ) : AutoCloseable {
     private val runtime = httpRuntime()
     private val dependencies =
@@ -48,7 +49,7 @@
             wallClock = Clock.System,
             random = Random(1),
         )
-    private val node: Node = runBlocking { gatewayNode(testFile, dependencies) }
+    private val node: Node = runBlocking { gatewayNode(testFile(stopTimeout), dependencies) }
     val port: Int get() = node.listeners.getValue("listen").port
     val readyPort: Int get() = node.listeners.getValue("ready").port
 
@@ -169,9 +170,9 @@
 
 private val anyPort = NetworkAddress("127.0.0.1", 0)
 
-private val testFile =
+private fun testFile(stopTimeout: Duration) =
     GatewayFile(
-        process = ProcessSettings("g1", "h1", "a", anyPort, "text", "info", 8.seconds, null),
+        process = ProcessSettings("g1", "h1", "a", anyPort, "text", "info", stopTimeout, null),
         store = StoreSettings(anyPort, 1.seconds, 10.seconds, 3.seconds, 5.seconds),
         gateway = GatewaySettings(anyPort, anyPort, anyPort, emptyList(), 1.5, 5.0, 0.2, 100.0, 10.seconds),
     )
@@ -181,6 +182,7 @@
         listOf(
             route("safe", RouteKind.IDEMPOTENT, attempts = 2),
             route("once", RouteKind.AT_MOST_ONCE, attempts = 1),
+            route("patient", RouteKind.AT_MOST_ONCE, attempts = 1, timeout = 9.seconds),
             route("stream", RouteKind.STREAM, attempts = 2, resumable = true),
         )
     val configuration =
@@ -213,6 +215,7 @@
     kind: RouteKind,
     attempts: Int,
     resumable: Boolean = false,
+    timeout: Duration = 3.seconds,
 ) = Route(
     name = name,
     host = "shop.example",
@@ -220,7 +223,7 @@
     kind = kind,
     resumable = resumable,
     shares = listOf(ServiceShare(ServiceId("s"), 1)),
-    timeout = 3.seconds,
+    timeout = timeout,
     latencyTarget = 100.milliseconds,
     attempts = attempts,
 )
