Bound the memory for the answers of all endpoints together

An answer is buffered up to 256 kB, so that a failed attempt can be repeated, and nothing bounded the buffers of all attempts: 400 answers of 240 kB that do not end took the 64 MB of heap, and the gateway answered no other request any more.

BodyMemory, a semaphore over blocks of 4 kB, is shared by all connections; the new setting body-memory (16 MiB) is a quarter of the heap of the deployment. An answer that gets no more memory is passed on as it arrives, as one over 256 kB is already; a failure's body or an event without end counts as broken.

--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/AttemptExecution.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/AttemptExecution.kt
@@ -26,6 +26,7 @@
     private val balancer: Balancer,
     private val dialect: GatewayDialect,
     private val clock: Clock,
+    private val memory: BodyMemory.Reservation,
 ) {
     private val link = connection.link
     private var surplusAnswers = 0
@@ -82,7 +83,7 @@
                 !isSurplus(part) || surplusAnswers == MAX_SURPLUS_ANSWERS -> return received
             }
             surplusAnswers += 1
-            if (readBody(BUFFER_LIMIT) == null) return WaitResult.Ended
+            if (readBody() == null) return WaitResult.Ended
         }
     }
 
@@ -109,7 +110,7 @@
     }
 
     private suspend fun handleFailure(head: ResponseHead): AttemptResult {
-        val body = readBody(BUFFER_LIMIT) ?: return failed(AttemptEnd.BROKEN, "failure ${head.status} was cut")
+        val body = readBody() ?: return failed(AttemptEnd.BROKEN, "failure ${head.status} was cut")
         allowReuse(head)
         val isNotExecuted = head.headers.valueOf(dialect.notExecuted) != null || head.status == MISDIRECTED_REQUEST
         if (isNotExecuted) {
@@ -141,7 +142,7 @@
     }
 
     private suspend fun relayBody(head: ResponseHead): AttemptResult {
-        val buffered = ByteArrayOutputStream()
+        var buffered = ByteArrayOutputStream()
         var isStreamed = false
         while (true) {
             val received = awaitPart(attempt.gapLimit)
@@ -157,9 +158,11 @@
                 received == WaitResult.Ended -> return disconnected("answer was cut", EndpointUse.Failed)
                 else -> return failed(AttemptEnd.BROKEN, "unreadable answer")
             }
-            if (!isStreamed && buffered.size() > BUFFER_LIMIT) {
+            if (!isStreamed && !canBuffer(buffered.size())) {
                 isStreamed = true
                 if (!sink.sendPiece(head, buffered.toByteArray())) return AttemptResult.Delivered
+                buffered = ByteArrayOutputStream(0)
+                memory.close()
             }
         }
         allowReuse(head)
@@ -182,7 +185,7 @@
             when {
                 part is HttpPart.Data -> {
                     val complete = splitter.add(part.bytes)
-                    if (splitter.pendingBytes > BUFFER_LIMIT) return failed(AttemptEnd.BROKEN, "event without end")
+                    if (!canKeepEvent(splitter.pendingBytes)) return failed(AttemptEnd.BROKEN, "event without end")
                     if (!sendEvents(head, complete, waitedSince)) return AttemptResult.Delivered
                 }
                 part == HttpPart.End -> break
@@ -253,9 +256,14 @@
         withTimeoutOrNull(limit) { link.receive()?.let { WaitResult.Part(it) } ?: WaitResult.Ended }
             ?: WaitResult.Stalled
 
-    private suspend fun readBody(limit: Int): ByteArray? {
+    private fun canBuffer(bytes: Int): Boolean = bytes <= BUFFER_LIMIT && memory.tryGrowTo(bytes)
+
+    /** A stream needs no memory of the process for the beginning of an event of usual size. */
+    private fun canKeepEvent(bytes: Int): Boolean = bytes <= USUAL_EVENT_BYTES || canBuffer(bytes)
+
+    private suspend fun readBody(): ByteArray? {
         val body = ByteArrayOutputStream()
-        while (body.size() <= limit) {
+        while (canBuffer(body.size())) {
             when (val part = (awaitPart(attempt.gapLimit) as? WaitResult.Part)?.part) {
                 is HttpPart.Data -> body.write(part.bytes)
                 HttpPart.End -> return body.toByteArray()
@@ -297,6 +305,9 @@
         /** Longest answer in bytes that is buffered until complete, so that a failed attempt can be repeated. */
         const val BUFFER_LIMIT = 262_144
 
+        /** An event holds a few tokens. */
+        const val USUAL_EVENT_BYTES = 4_096
+
         /** Surplus answers that are skipped before the connection counts as broken. */
         const val MAX_SURPLUS_ANSWERS = 2
 
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/Exchange.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/Exchange.kt
@@ -95,6 +95,7 @@
     private val balancer: Balancer,
     private val dialect: GatewayDialect,
     private val clock: Clock,
+    private val memory: BodyMemory,
 ) {
     /** Runs [attempt] to its end and reports to the balancer how the endpoint was used. */
     suspend fun run(
@@ -105,6 +106,7 @@
         var use: EndpointUse = EndpointUse.Abandoned
         var connection: EndpointConnection? = null
         var keepAliveTime: Duration? = null
+        val reservation = memory.reservation()
         try {
             val start = clock.now()
             connection = open(attempt)
@@ -113,12 +115,13 @@
                 return AttemptResult.Failed(AttemptEnd.NOT_SENT, "no connection after ${clock.now() - start}")
             }
             val sent = connection.link.sendRequest(attempt.head, attempt.body)
-            val execution = AttemptExecution(attempt, connection, sink, sent, balancer, dialect, clock)
+            val execution = AttemptExecution(attempt, connection, sink, sent, balancer, dialect, clock, reservation)
             val result = execution.run()
             use = execution.use
             keepAliveTime = execution.keepAliveTime
             return result
         } finally {
+            reservation.close()
             balancer.finished(id, use)
             if (connection != null && keepAliveTime != null) {
                 val requestIds = connection.requestIds + listOfNotNull(attempt.requestId)
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/GatewayNode.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/GatewayNode.kt
@@ -114,7 +114,8 @@
     private val rankClient =
         dependencies.rankClient(connector, startConnectionPool(scope, fleet, dependencies.clock))
     private val balancer = startRequestBalancer()
-    private val exchange = Exchange(connector, pool, balancer, dependencies.dialect, dependencies.clock)
+    private val memory = BodyMemory(settings.bodyMemory)
+    private val exchange = Exchange(connector, pool, balancer, dependencies.dialect, dependencies.clock, memory)
     private val lease = startPlacementLease()
     private val journal = requestJournal()
     private val registry = PrometheusRegistry()
--- a/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/ScriptedEndpoint.kt
+++ b/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/ScriptedEndpoint.kt
@@ -26,14 +26,20 @@
 /** Thrown by a script to end its connection with a reset. */
 internal class ResetConnection : RuntimeException()
 
+/** Endpoint that listens on [port] of the loopback address. */
+internal interface TestEndpoint {
+    val port: Int
+}
+
 /** Endpoint on loopback that answers each request with [script], which returns false to close the connection. */
 internal class ScriptedEndpoint(
     private val script: (RawRequest, OutputStream) -> Boolean,
-) : AutoCloseable {
+) : TestEndpoint,
+    AutoCloseable {
     private val server = ServerSocket(0, 50, InetAddress.getLoopbackAddress())
     private val sockets = CopyOnWriteArrayList<Socket>()
     val requests = CopyOnWriteArrayList<RawRequest>()
-    val port: Int get() = server.localPort
+    override val port: Int get() = server.localPort
 
     /** Number of connections that were made to it. */
     val connections: Int get() = sockets.size
--- a/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/TestGateway.kt
+++ b/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/TestGateway.kt
@@ -32,16 +32,21 @@
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
-/** Gateway process on loopback in front of [endpoints]; if they are null, its store is unavailable. */
+/**
+ * Gateway on loopback in front of [endpoints]; if they are null, its store is unavailable.
+ *
+ * @param bodyBytes longest body of a request
+ */
 internal class TestGateway(
-    endpoints: List<ScriptedEndpoint>?,
+    endpoints: List<TestEndpoint>?,
     stopTimeout: Duration = 8.seconds,
+    bodyBytes: Int = 2_000,
 ) : AutoCloseable {
     private val runtime = httpRuntime()
     private val dependencies =
         GatewayDependencies(
             runtime = runtime,
-            store = FixedFleetStore(endpoints?.let(::contentFor)),
+            store = FixedFleetStore(endpoints?.let { contentFor(it, bodyBytes) }),
             rankClient = { _, _ -> NoRankClient },
             dialect = testDialect,
             clock = Clock.System,
@@ -174,10 +179,25 @@
     GatewayFile(
         process = ProcessSettings("g1", "h1", "a", anyPort, "text", "info", stopTimeout, null),
         store = StoreSettings(anyPort, 1.seconds, 10.seconds, 3.seconds, 5.seconds),
-        gateway = GatewaySettings(anyPort, anyPort, anyPort, emptyList(), 1.5, 5.0, 0.2, 100.0, 10.seconds),
+        gateway =
+            GatewaySettings(
+                anyPort,
+                anyPort,
+                anyPort,
+                emptyList(),
+                1.5,
+                5.0,
+                0.2,
+                100.0,
+                10.seconds,
+                16 * 1024 * 1024,
+            ),
     )
 
-private fun contentFor(endpoints: List<ScriptedEndpoint>): List<FleetChange> {
+private fun contentFor(
+    endpoints: List<TestEndpoint>,
+    bodyBytes: Int,
+): List<FleetChange> {
     val routes =
         listOf(
             route("safe", RouteKind.IDEMPOTENT, attempts = 2),
@@ -191,7 +211,7 @@
             routes = routes,
             services = listOf(RoutedService(ServiceId("s"), 400)),
             tenancies = listOf(Tenancy(OrganisationId("org"), listOf("key"))),
-            limits = CallerLimits(bodyBytes = 2_000),
+            limits = CallerLimits(bodyBytes = bodyBytes),
         )
     return listOf(FleetChange.Configured(configuration)) +
         endpoints.mapIndexed { i, e ->
