Bound the memory for the bodies of all requests together

Cause: each body was kept whole, in a buffer that doubles and is copied at its end, and only the length of one body was limited. When the gateway wakes, the uploads of all connections arrive at once. The OutOfMemoryError then ends the event loop thread, on which everything runs.

A body now needs memory of the process before it is read. If there is none, its connection is not read for up to half a second, one request at a time in order of arrival; then the body is read without being kept, and the request gets 503 with Retry-After. A body of known length is not copied any more.

--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/CallerConnection.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/CallerConnection.kt
@@ -15,6 +15,7 @@
 import java.io.ByteArrayOutputStream
 import kotlin.time.Clock
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Instant
 
 /** Serves the requests of one caller connection in sequence. */
@@ -27,6 +28,7 @@
     private val clock: Clock,
     private val limits: () -> CallerLimits,
     private val tracker: RequestTracker,
+    private val memory: BodyMemory,
 ) {
     private var isIdle = true
 
@@ -79,27 +81,64 @@
             return false.also { sendError(BAD_REQUEST) }
         }
         if (head.headers.valueOf("Expect") != null) link.sendContinue()
-        val body = readBody() ?: return false
-        if (body.size > limits().bodyBytes) return false.also { sendError(TOO_LARGE) }
-        return answer(CallerRequest(head, body, arrivedAt), arrivedAt)
+        return memory.reservation().use { reservation ->
+            when (val received = receiveBody(head, limits(), reservation)) {
+                is ReceivedBody.Complete -> answer(CallerRequest(head, received.bytes, arrivedAt), arrivedAt)
+                ReceivedBody.TooLong -> false.also { sendError(TOO_LARGE) }
+                ReceivedBody.NoMemory -> refuse(head, arrivedAt)
+                is ReceivedBody.Malformed -> false.also { sendError(received.status) }
+                ReceivedBody.Cut -> false
+            }
+        }
     }
 
-    /**
-     * Returns the body, or null if it is incomplete or malformed. Reading stops as soon as the body exceeds the limit,
-     * so the part read of such a body is longer than the limit.
-     */
-    private suspend fun readBody(): ByteArray? {
-        val body = ByteArrayOutputStream()
-        val bounds = limits()
+    private suspend fun refuse(
+        head: RequestHead,
+        arrivedAt: Instant,
+    ): Boolean {
+        val answer = CallerAnswer(link, tracker::asksToReconnect, head.closesConnection)
+        val end = answer.refuse(DEFAULT_RETRY_DELAY, "the memory for bodies is used up")
+        record(CallerRequest(head, ByteArray(0), arrivedAt), end, clock.now() - arrivedAt)
+        return end.keepsConnection
+    }
+
+    private suspend fun receiveBody(
+        head: RequestHead,
+        bounds: CallerLimits,
+        reservation: BodyMemory.Reservation,
+    ): ReceivedBody {
+        val length = head.headers.valueOf("Content-Length")?.toIntOrNull() ?: 0
+        val expected = length.coerceAtMost(bounds.bodyBytes)
+        if (!reservation.growTo(expected, MEMORY_WAIT)) return discardBody(bounds)
+        val body = BodyBuffer(expected)
         while (body.size() <= bounds.bodyBytes) {
             when (val part = withTimeoutOrNull(bounds.idleTimeout) { link.receive() }) {
-                is HttpPart.Data -> body.write(part.bytes)
-                HttpPart.End -> return body.toByteArray()
-                is HttpPart.Malformed -> return null.also { sendError(part.status) }
-                else -> return null
+                is HttpPart.Data ->
+                    if (reservation.tryGrowTo(body.size() + part.bytes.size)) {
+                        body.write(part.bytes)
+                    } else {
+                        return discardBody(bounds)
+                    }
+                HttpPart.End -> return ReceivedBody.Complete(body.bytes())
+                is HttpPart.Malformed -> return ReceivedBody.Malformed(part.status)
+                else -> return ReceivedBody.Cut
+            }
+        }
+        return ReceivedBody.TooLong
+    }
+
+    /** Reads the rest of a body without keeping it, as a connection closed before would take the answer with it. */
+    private suspend fun discardBody(bounds: CallerLimits): ReceivedBody {
+        var discarded = 0
+        while (discarded <= bounds.bodyBytes) {
+            when (val part = withTimeoutOrNull(bounds.idleTimeout) { link.receive() }) {
+                is HttpPart.Data -> discarded += part.bytes.size
+                HttpPart.End -> return ReceivedBody.NoMemory
+                is HttpPart.Malformed -> return ReceivedBody.Malformed(part.status)
+                else -> return ReceivedBody.Cut
             }
         }
-        return body.toByteArray()
+        return ReceivedBody.TooLong
     }
 
     /** Answers [request] and cancels the work for it as soon as the caller closes the connection. */
@@ -145,9 +184,37 @@
     private companion object {
         const val BAD_REQUEST = 400
         const val TOO_LARGE = 413
+
+        /** Callers abandon a request that is not read within a second. */
+        val MEMORY_WAIT = 500.milliseconds
     }
 }
 
+/** Result of reading the body of a request. */
+private sealed interface ReceivedBody {
+    class Complete(
+        val bytes: ByteArray,
+    ) : ReceivedBody
+
+    data object TooLong : ReceivedBody
+
+    /** The body was read but not kept, as the memory for bodies was used up. */
+    data object NoMemory : ReceivedBody
+
+    class Malformed(
+        val status: Int,
+    ) : ReceivedBody
+
+    data object Cut : ReceivedBody
+}
+
+/** Buffer that does not copy a body of the [expected] length. */
+private class BodyBuffer(
+    expected: Int,
+) : ByteArrayOutputStream(expected) {
+    fun bytes(): ByteArray = if (count == buf.size) buf else toByteArray()
+}
+
 /** Counts the requests in progress of a process and states whether callers should use another process. */
 internal interface RequestTracker {
     /** Returns true while answers ask the caller for a new connection, which leads to another process. */
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/GatewayNode.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/GatewayNode.kt
@@ -266,6 +266,7 @@
             dependencies.clock,
             ::limits,
             this,
+            memory,
         ).serve()
     }
 
--- a/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/MemoryBoundTest.kt
+++ b/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/MemoryBoundTest.kt
@@ -1,11 +1,14 @@
 package org.cicadaturn.tasks.gateway
 
 import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertTrue
 import org.junit.jupiter.api.Test
 import java.io.OutputStream
 import java.net.Socket
+import java.util.concurrent.ConcurrentLinkedQueue
 import java.util.concurrent.CountDownLatch
 import java.util.concurrent.TimeUnit
+import kotlin.concurrent.thread
 
 /** Tests that what one process keeps for all its connections together fits into the heap of the deployment. */
 class MemoryBoundTest {
@@ -61,6 +64,50 @@
         while (endpoint.requests.size < count && System.nanoTime() < end) Thread.sleep(10)
     }
 
+    /** Guards against uploads that take the whole heap together, after which the process answers nothing any more. */
+    @Test
+    fun `many long uploads at once leave other requests served`() {
+        val slow: (RawRequest, OutputStream) -> Boolean = { r, out ->
+            if (r.id != "sound") CountDownLatch(1).await(1, TimeUnit.SECONDS)
+            answerOk(r, out)
+        }
+        ScriptedEndpoint(slow).use { endpoint ->
+            GatewayProcess(endpoint).use { gateway ->
+                val statuses = ConcurrentLinkedQueue<Int>()
+                val uploads =
+                    (1..120).map { i ->
+                        thread(isDaemon = true) {
+                            statuses +=
+                                runCatching { upload(gateway.port, "up$i") }.getOrDefault(0)
+                        }
+                    }
+                Thread.sleep(ANSWER_TIME_MS)
+                assertEquals(200, exchange(gateway.port, request("/once/x", id = "sound")).status)
+                uploads.forEach { it.join(15_000) }
+                assertEquals(120, statuses.size, "uploads that ended")
+                assertTrue(
+                    statuses.all { it == 200 || it == 503 },
+                    "statuses ${statuses.groupingBy { it }.eachCount()}",
+                )
+                assertTrue(statuses.count { it == 200 } >= 10, "statuses ${statuses.groupingBy { it }.eachCount()}")
+            }
+        }
+    }
+
+    private fun upload(
+        port: Int,
+        id: String,
+    ): Int =
+        Socket("127.0.0.1", port).use { socket ->
+            socket.soTimeout = 12_000
+            val head =
+                "POST /patient/x HTTP/1.1\r\nHost: shop.example\r\nX-Id: $id\r\nAuthorization: Bearer key\r\n" +
+                    "Content-Length: 1000000\r\n\r\n"
+            socket.getOutputStream().write(head.encodeToByteArray())
+            socket.getOutputStream().write(ByteArray(1_000_000))
+            readAnswer(socket).status
+        }
+
     private companion object {
         /** Time for the gateway to read what the endpoint or the callers have sent; no verdict depends on it. */
         const val ANSWER_TIME_MS = 1_500L
