Let the answers of ranks share the memory for bodies

Answers of more than 64 kB now need memory from BodyMemory, like those of other endpoints. The answers of the store (4 MB) and of peers (8 MB) are not bounded together, as few are read at a time and neither is an endpoint.

--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/BodyMemory.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/BodyMemory.kt
@@ -14,7 +14,7 @@
  *
  * @param bytes memory for all bodies together
  */
-internal class BodyMemory(
+public class BodyMemory(
     bytes: Int,
 ) {
     private val blockCount = (bytes / BLOCK_BYTES).coerceAtLeast(1)
@@ -24,14 +24,14 @@
     private val turn = Mutex()
 
     /** Returns a reservation without memory. The caller closes it when the body is not needed any more. */
-    fun reservation(): Reservation = Reservation()
+    public fun reservation(): Reservation = Reservation()
 
     /** Memory of one body. Has one owner and is not safe for concurrent use. */
-    inner class Reservation : AutoCloseable {
+    public inner class Reservation : AutoCloseable {
         private var held = 0
 
         /** Reserves memory for a body of [bytes] in total and returns true, or returns false if there is not enough. */
-        fun tryGrowTo(bytes: Int): Boolean {
+        public fun tryGrowTo(bytes: Int): Boolean {
             val needed = blocksFor(bytes)
             while (held < needed) {
                 if (!blocks.tryAcquire()) return false
@@ -41,7 +41,7 @@
         }
 
         /** Reserves memory as [tryGrowTo] does, but waits for it for up to [limit]. */
-        suspend fun growTo(
+        public suspend fun growTo(
             bytes: Int,
             limit: Duration,
         ): Boolean {
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/GatewayNode.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/GatewayNode.kt
@@ -57,7 +57,7 @@
 /**
  * Dependencies of a gateway process.
  *
- * @property rankClient returns the client for the ranks of groups, which uses the given connections
+ * @property rankClient returns the client for the ranks of groups, which uses the given connections and memory
  * @property clock monotonic clock with an arbitrary origin
  * @property suspendAwareClock clock that also advances while the machine is suspended
  * @property wallClock time of day
@@ -65,7 +65,7 @@
 public class GatewayDependencies(
     public val runtime: HttpRuntime,
     public val store: FleetStore,
-    public val rankClient: (HttpConnector, ConnectionPool) -> RankClient,
+    public val rankClient: (HttpConnector, ConnectionPool, BodyMemory) -> RankClient,
     public val dialect: GatewayDialect,
     public val clock: Clock,
     public val suspendAwareClock: Clock,
@@ -109,12 +109,12 @@
             ),
         )
     private val pool = startConnectionPool(scope, fleet, dependencies.clock)
+    private val memory = BodyMemory(settings.bodyMemory)
 
     // Has a pool of its own, so that a surplus answer to a caller's request is never read as the answer of a rank.
     private val rankClient =
-        dependencies.rankClient(connector, startConnectionPool(scope, fleet, dependencies.clock))
+        dependencies.rankClient(connector, startConnectionPool(scope, fleet, dependencies.clock), memory)
     private val balancer = startRequestBalancer()
-    private val memory = BodyMemory(settings.bodyMemory)
     private val exchange = Exchange(connector, pool, balancer, dependencies.dialect, dependencies.clock, memory)
     private val lease = startPlacementLease()
     private val journal = requestJournal()
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/http/HttpConnector.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/http/HttpConnector.kt
@@ -91,21 +91,25 @@
 )
 
 /**
- * Sends a request with [head] and [body] and returns the complete answer, or null if none arrived within [timeout] or
- * its body is longer than [answerLimit] bytes.
+ * Sends a request with [head] and [body] and returns the complete answer, or null if none arrived within [timeout],
+ * its body is longer than [answerLimit] bytes or [reserve] returns false for its length so far.
  */
 public suspend fun HttpLink.call(
     head: RequestHead,
     body: ByteArray,
     timeout: Duration,
     answerLimit: Int,
+    reserve: (Int) -> Boolean = { true },
 ): HttpAnswer? =
     withTimeoutOrNull(timeout) {
         sendRequest(head, body)
-        receiveAnswer(answerLimit)
+        receiveAnswer(answerLimit, reserve)
     }
 
-private suspend fun HttpLink.receiveAnswer(limit: Int): HttpAnswer? {
+private suspend fun HttpLink.receiveAnswer(
+    limit: Int,
+    reserve: (Int) -> Boolean,
+): HttpAnswer? {
     val head = (receive() as? HttpPart.Response)?.head ?: return null
     val body = ByteArrayOutputStream()
     while (true) {
@@ -114,7 +118,7 @@
             HttpPart.End -> return HttpAnswer(head, body.toByteArray())
             else -> return null
         }
-        if (body.size() > limit) return null
+        if (body.size() > limit || !reserve(body.size())) return null
     }
 }
 
--- a/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/TestGateway.kt
+++ b/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/TestGateway.kt
@@ -47,7 +47,7 @@
         GatewayDependencies(
             runtime = runtime,
             store = FixedFleetStore(endpoints?.let { contentFor(it, bodyBytes) }),
-            rankClient = { _, _ -> NoRankClient },
+            rankClient = { _, _, _ -> NoRankClient },
             dialect = testDialect,
             clock = Clock.System,
             suspendAwareClock = Clock.System,
