Move the head of a forwarded request out of RequestExecution.kt

No change of behaviour but that the hop-by-hop filter and the names that the gateway sets are applied in one place.

--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/RequestExecution.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/RequestExecution.kt
@@ -20,7 +20,6 @@
 import org.cicadaturn.decisions.quarantine.Verdict
 import org.cicadaturn.schema.generated.AnswerProgress
 import org.cicadaturn.schema.generated.EndpointId
-import org.cicadaturn.schema.generated.Header
 import org.cicadaturn.schema.generated.LiveEndpoint
 import org.cicadaturn.schema.generated.RequestLine
 import org.cicadaturn.schema.generated.Route
@@ -28,7 +27,6 @@
 import org.cicadaturn.schema.generated.ServiceId
 import org.cicadaturn.tasks.http.RequestHead
 import org.cicadaturn.tasks.http.ResponseHead
-import org.cicadaturn.tasks.http.endToEnd
 import org.cicadaturn.tasks.http.valueOf
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -308,31 +306,15 @@
     private fun headFor(
         endpoint: LiveEndpoint,
         remaining: Duration,
-    ): RequestHead {
-        val setByGateway =
-            setOf(
-                dialect.deadlineMillis,
-                dialect.organisation,
-                dialect.expectedEndpoint,
-            ).map { it.lowercase() }
-        val isKeyed = dependencies.routes()?.configuration?.tenancies != null
-        val resumeFrom = answer.lastEventId
-        val forwarded =
-            request.head.headers.endToEnd().filter {
-                val name = it.name.lowercase()
-                name !in setByGateway &&
-                    !(isKeyed && name == "authorization") &&
-                    !(resumeFrom != null && name == dialect.lastEventId.lowercase())
-            }
-        val added =
-            listOfNotNull(
-                Header(dialect.deadlineMillis, remaining.inWholeMilliseconds.coerceAtLeast(1).toString()),
-                Header(dialect.expectedEndpoint, endpoint.id.text),
-                admission.organisation?.let { Header(dialect.organisation, it.text) },
-                resumeFrom?.let { Header(dialect.lastEventId, it.toString()) },
-            )
-        return RequestHead(request.head.method, request.head.target, forwarded + added)
-    }
+    ): RequestHead =
+        dialect.forwardedHead(
+            request.head,
+            endpoint.id,
+            remaining,
+            admission.organisation,
+            isKeyed = dependencies.routes()?.configuration?.tenancies != null,
+            resumeFrom = answer.lastEventId,
+        )
 
     private fun history(): AttemptHistory =
         AttemptHistory(
