Serve small bodies while large ones use the memory up

Found on reading: while uploads use the memory for bodies up, a refusal by an endpoint, of some 30 bytes, could not be read either and counted as broken, so that a request which had not run was answered 502; and requests of usual size waited behind the uploads and were refused. Bodies of up to 4 kB now need no memory: 16 MB with all 4,000 connections.

--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/AttemptExecution.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/AttemptExecution.kt
@@ -185,7 +185,7 @@
             when {
                 part is HttpPart.Data -> {
                     val complete = splitter.add(part.bytes)
-                    if (!canKeepEvent(splitter.pendingBytes)) return failed(AttemptEnd.BROKEN, "event without end")
+                    if (!canBuffer(splitter.pendingBytes)) return failed(AttemptEnd.BROKEN, "event without end")
                     if (!sendEvents(head, complete, waitedSince)) return AttemptResult.Delivered
                 }
                 part == HttpPart.End -> break
@@ -258,9 +258,6 @@
 
     private fun canBuffer(bytes: Int): Boolean = bytes <= BUFFER_LIMIT && memory.tryGrowTo(bytes)
 
-    /** A stream needs no memory of the process for the beginning of an event of usual size. */
-    private fun canKeepEvent(bytes: Int): Boolean = bytes <= USUAL_EVENT_BYTES || canBuffer(bytes)
-
     private suspend fun readBody(): ByteArray? {
         val body = ByteArrayOutputStream()
         while (canBuffer(body.size())) {
@@ -305,9 +302,6 @@
         /** Longest answer in bytes that is buffered until complete, so that a failed attempt can be repeated. */
         const val BUFFER_LIMIT = 262_144
 
-        /** An event holds a few tokens. */
-        const val USUAL_EVENT_BYTES = 4_096
-
         /** Surplus answers that are skipped before the connection counts as broken. */
         const val MAX_SURPLUS_ANSWERS = 2
 
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/BodyMemory.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/BodyMemory.kt
@@ -10,7 +10,8 @@
  * Memory of a process for the bodies of requests and answers on all its connections.
  *
  * A limit for each body alone does not bound the process, as thousands of bodies may arrive at once: after a freeze, or
- * from a faulty endpoint.
+ * from a faulty endpoint. Bodies of up to [SMALL_BYTES] need no memory, so that usual requests are served while large
+ * bodies use all of it up.
  *
  * @param bytes memory for all bodies together
  */
@@ -45,8 +46,9 @@
             bytes: Int,
             limit: Duration,
         ): Boolean {
-            if (!turn.isLocked && tryGrowTo(bytes)) return true
             val needed = blocksFor(bytes)
+            if (held >= needed) return true
+            if (!turn.isLocked && tryGrowTo(bytes)) return true
             withTimeoutOrNull(limit) {
                 turn.withLock {
                     while (held < needed) {
@@ -59,7 +61,10 @@
         }
 
         /** Returns the number of blocks; a body larger than the whole memory gets all of it. */
-        private fun blocksFor(bytes: Int): Int = ((bytes + BLOCK_BYTES - 1) / BLOCK_BYTES).coerceAtMost(blockCount)
+        private fun blocksFor(bytes: Int): Int {
+            if (bytes <= SMALL_BYTES) return 0
+            return ((bytes + BLOCK_BYTES - 1) / BLOCK_BYTES).coerceAtMost(blockCount)
+        }
 
         override fun close() {
             while (held > 0) {
@@ -70,7 +75,9 @@
     }
 
     private companion object {
-        /** Most requests have one block or two. */
         const val BLOCK_BYTES = 4_096
+
+        /** With 4,000 connections, small bodies take 16 MB at most. */
+        const val SMALL_BYTES = 4_096
     }
 }
