--- a/decisions/src/main/kotlin/org/cicadaturn/decisions/gateway/FleetWatch.kt
+++ b/decisions/src/main/kotlin/org/cicadaturn/decisions/gateway/FleetWatch.kt
@@ -27,5 +27,5 @@
         FleetPart.PEERS, FleetPart.QUARANTINE -> WatchTimes(longestWait, longestWait + timeout)
     }
 
-/** A failure domain must get no more requests 5 s after the operator's call, while an endpoint has 2 s for its drain. */
+/** A failure domain may get requests until 5 s after the operator's call, so its watch may be lost for longer. */
 private const val DRAIN_SILENCE_FACTOR = 1.6
--- a/decisions/src/main/kotlin/org/cicadaturn/decisions/gateway/ShutdownPolicy.kt
+++ b/decisions/src/main/kotlin/org/cicadaturn/decisions/gateway/ShutdownPolicy.kt
@@ -5,7 +5,7 @@
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.Instant
 
-/** Times from the sending of a request to the end of its answer. */
+/** Mean and longest of the times from the sending of a request to the end of its answer. */
 public data class RequestTimes(
     val mean: Duration,
     val longest: Duration,
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/RequestExecution.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/RequestExecution.kt
@@ -92,7 +92,10 @@
             val end = async { attempts() }
             select {
                 end.onAwait { it }
-                dependencies.shutdown.lastCall.onJoin { null.also { end.cancel() } }
+                dependencies.shutdown.lastCall.onJoin {
+                    end.cancel()
+                    null
+                }
             }
         }
 
