--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/BodyMemory.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/BodyMemory.kt
@@ -19,6 +19,9 @@
     bytes: Int,
 ) {
     private val blockCount = (bytes / BLOCK_BYTES).coerceAtLeast(1)
+
+    // A semaphore and not a task with messages: it holds only a count, and a message for each part of each body would
+    // cost more than reading that part.
     private val blocks = Semaphore(blockCount)
 
     // One at a time waits for blocks, as two that each hold a part of what they need could wait for each other.
