Log what the answer of an endpoint looked like

Lines about attempts and ends now have contentType, framing, firstEvent, lastEvent and skippedEvents.

--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/AttemptExecution.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/AttemptExecution.kt
@@ -1,7 +1,9 @@
 package org.cicadaturn.tasks.gateway
 
 import kotlinx.coroutines.Deferred
+import org.cicadaturn.decisions.gateway.AnswerForm
 import org.cicadaturn.decisions.gateway.AttemptEnd
+import org.cicadaturn.decisions.gateway.BodyFraming
 import org.cicadaturn.decisions.gateway.EndpointUse
 import org.cicadaturn.decisions.gateway.EventBatch
 import org.cicadaturn.decisions.gateway.StreamEvent
@@ -37,6 +39,9 @@
     /** Number of events received; null before the head of a stream. */
     private var events: Int? = null
 
+    /** What the answer looks like; null before the head of a success. */
+    private var form: AnswerForm? = null
+
     var use: EndpointUse = EndpointUse.Abandoned
 
     /** True if the endpoint has sent bytes that are no answer or belong to another request. */
@@ -70,6 +75,7 @@
         if (defect != null) return outOfStep(defect)
         dialect.loadOf(head.headers)?.let { balancer.loadReported(attempt.endpoint.id, it) }
         if (head.status !in SUCCESS_STATUSES) return handleFailure(head)
+        form = AnswerForm(head.headers.valueOf("Content-Type"), head.framing)
         if (sink.isBegun && !isEventStream(head)) return failed(AttemptEnd.BROKEN, "the answer is no stream")
         balancer.accepted(attempt.endpoint.id)
         attempt.onProgress(AnswerProgress.HEAD)
@@ -121,7 +127,7 @@
     ): AttemptResult {
         use = EndpointUse.Answered(clock.now() - start)
         sink.sendAnswer(head, body)
-        return AttemptResult.Delivered
+        return AttemptResult.Delivered(form)
     }
 
     private suspend fun relayBody(head: ResponseHead): AttemptResult {
@@ -132,7 +138,7 @@
             val part = (received as? WaitResult.Part)?.part
             when {
                 part is HttpPart.Data && !isStreamed -> buffered.write(part.bytes)
-                part is HttpPart.Data -> if (!sink.sendPiece(head, part.bytes)) return AttemptResult.Delivered
+                part is HttpPart.Data -> if (!sink.sendPiece(head, part.bytes)) return AttemptResult.Delivered(form)
                 part == HttpPart.End -> break
                 received == WaitResult.Stalled -> return failed(
                     AttemptEnd.STALLED,
@@ -143,7 +149,7 @@
             }
             if (!isStreamed && !parts.canBuffer(buffered.size())) {
                 isStreamed = true
-                if (!sink.sendPiece(head, buffered.toByteArray())) return AttemptResult.Delivered
+                if (!sink.sendPiece(head, buffered.toByteArray())) return AttemptResult.Delivered(form)
                 buffered = ByteArrayOutputStream(0)
                 memory.close()
             }
@@ -165,7 +171,7 @@
         use = EndpointUse.Answered(clock.now() - start)
         attempt.onProgress(AnswerProgress.RUNNING)
         if (isStreamed) sink.sendEnd(head) else sink.sendAnswer(head, rest)
-        return AttemptResult.Delivered
+        return AttemptResult.Delivered(form)
     }
 
     private suspend fun relayEvents(head: ResponseHead): AttemptResult {
@@ -209,7 +215,7 @@
         pendingBytes: Int,
         waitedSince: Instant,
     ): AttemptResult? {
-        if (!sendEvents(head, batch.sound, waitedSince)) return AttemptResult.Delivered
+        if (!sendEvents(head, batch.sound, waitedSince)) return AttemptResult.Delivered(form)
         val defect = batch.defect ?: "event without end".takeIf { !parts.canBuffer(pendingBytes) }
         return defect?.let { failed(AttemptEnd.BROKEN, it, canContinue = batch.canContinue) }
     }
@@ -229,6 +235,7 @@
                 recordPause(clock.now() - waitedSince)
             }
             events = (events ?: 0) + 1
+            event.id?.let { form = form?.plusEvent(it) }
             if (!sink.sendEvent(head, event)) return false
         }
         if (complete.isNotEmpty()) lastEventAt = clock.now()
@@ -241,7 +248,7 @@
         allowReuse(head)
         attempt.onProgress(AnswerProgress.RUNNING)
         sink.sendEnd(head)
-        return AttemptResult.Delivered
+        return AttemptResult.Delivered(form)
     }
 
     /**
@@ -249,7 +256,7 @@
      * connection ends the stream, it may as well have been cut.
      */
     private fun isEmptyRest(head: ResponseHead): Boolean =
-        (sink.isBegun || attempt.events.after != null) && !head.endsWithConnection
+        (sink.isBegun || attempt.events.after != null) && head.framing != BodyFraming.CONNECTION
 
     private fun recordPause(pause: Duration) {
         attempt.pauseTarget?.let { balancer.paced(attempt.endpoint.id, pause / it) }
@@ -290,6 +297,7 @@
             end,
             detail,
             events = events,
+            form = form,
             isDisconnected = isDisconnected,
             canContinue = canContinue,
         )
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/Exchange.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/Exchange.kt
@@ -1,5 +1,6 @@
 package org.cicadaturn.tasks.gateway
 
+import org.cicadaturn.decisions.gateway.AnswerForm
 import org.cicadaturn.decisions.gateway.AttemptEnd
 import org.cicadaturn.decisions.gateway.EndpointUse
 import org.cicadaturn.decisions.gateway.StreamEvent
@@ -84,8 +85,13 @@
 
 /** Result of an attempt. */
 internal sealed interface AttemptResult {
+    /** What the answer looked like; null if it is no success. */
+    val form: AnswerForm?
+
     /** The sink has received the complete answer, or the caller is gone. */
-    data object Delivered : AttemptResult
+    class Delivered(
+        override val form: AnswerForm?,
+    ) : AttemptResult
 
     /**
      * The attempt failed.
@@ -100,6 +106,7 @@
         val detail: String,
         val failure: Pair<ResponseHead, ByteArray>? = null,
         val events: Int? = null,
+        override val form: AnswerForm? = null,
         val isDisconnected: Boolean = false,
         val canContinue: Boolean = true,
     ) : AttemptResult
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/RequestExecution.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/RequestExecution.kt
@@ -7,6 +7,7 @@
 import kotlinx.coroutines.withTimeoutOrNull
 import org.cicadaturn.decisions.dispatch.DispatchRequest
 import org.cicadaturn.decisions.gateway.Admission
+import org.cicadaturn.decisions.gateway.AnswerForm
 import org.cicadaturn.decisions.gateway.AttemptEnd
 import org.cicadaturn.decisions.gateway.AttemptHistory
 import org.cicadaturn.decisions.gateway.EndpointRequest
@@ -137,10 +138,10 @@
                         continue
                     }
                     val result = attempt(placement.endpoint)
-                    if (result !is AttemptResult.Failed) return answered(placement.endpoint)
+                    if (result !is AttemptResult.Failed) return answered(placement.endpoint, result.form)
                     last = result.end
                     val step = if (result.canContinue) nextStep(result.end, history()) else NextStep.CUT
-                    record("attempt", placement.endpoint, result.detail, step, result.events)
+                    record("attempt", placement.endpoint, result.detail, step, result)
                     if (step == NextStep.HOLD) delay(minOf(holdTime(), HOLD_PAUSE * sends))
                     if (step != NextStep.REPEAT && step != NextStep.HOLD) {
                         return finish(step, result.detail, retryDelay(remaining()))
@@ -155,13 +156,17 @@
         }
     }
 
-    private fun answered(endpoint: LiveEndpoint): RequestEnd {
+    private fun answered(
+        endpoint: LiveEndpoint,
+        form: AnswerForm?,
+    ): RequestEnd {
         dependencies.times.answered(service, clock.now() - placedAt)
         return answer.result().copy(
             endpoint = endpoint.id,
             placedAfter = placedAt - request.arrivedAt,
             begunAfter = begunAt?.let { it - request.arrivedAt },
             earlierRequests = earlierRequests,
+            form = form,
         )
     }
 
@@ -206,7 +211,7 @@
         endpoint: LiveEndpoint?,
         detail: String,
         step: NextStep?,
-        events: Int? = null,
+        result: AttemptResult.Failed? = null,
     ) {
         val state = dependencies.fleet.value
         dependencies.journal(
@@ -223,8 +228,13 @@
                 sends = sends,
                 remainingMs = remaining().inWholeMilliseconds,
                 prompt = promptText(prompt),
-                events = events,
+                events = result?.events,
                 earlierRequests = endpoint?.let { earlierRequests },
+                contentType = result?.form?.contentType,
+                framing = result?.form?.framing?.name,
+                firstEvent = result?.form?.firstEvent,
+                lastEvent = result?.form?.lastEvent,
+                skippedEvents = result?.form?.skippedEvents,
                 detail = detail,
                 step = step?.name,
             ),
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/http/HttpMessages.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/http/HttpMessages.kt
@@ -1,5 +1,6 @@
 package org.cicadaturn.tasks.http
 
+import org.cicadaturn.decisions.gateway.BodyFraming
 import org.cicadaturn.schema.generated.Header
 
 /**
@@ -28,9 +29,17 @@
     val headers: List<Header>,
     val closesConnection: Boolean = false,
 ) {
-    /** True if only the end of the connection tells where the body ends, so that a cut cannot always be told from it. */
-    val endsWithConnection: Boolean
-        get() = headers.valueOf("Content-Length") == null && headers.valueOf("Transfer-Encoding") == null
+    /** What marks the end of the body, if the message has one. */
+    val framing: BodyFraming
+        get() {
+            val encodings = headers.filter { it.name.equals("Transfer-Encoding", ignoreCase = true) }
+            return when {
+                encodings.singleOrNull()?.value.equals("chunked", ignoreCase = true) -> BodyFraming.CHUNKED
+                encodings.isNotEmpty() -> BodyFraming.UNKNOWN
+                headers.valueOf("Content-Length") != null -> BodyFraming.LENGTH
+                else -> BodyFraming.CONNECTION
+            }
+        }
 }
 
 /** Returns the first value of the header [name], whose case is ignored, or null. */
