--- a/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/ScriptedEndpoint.kt
+++ b/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/ScriptedEndpoint.kt
@@ -15,12 +15,7 @@
 ) {
     val id: String? get() = header("X-Id")
 
-    fun header(name: String): String? =
-        head
-            .lines()
-            .firstOrNull { it.startsWith("$name:", ignoreCase = true) }
-            ?.substringAfter(':')
-            ?.trim()
+    fun header(name: String): String? = headerIn(head, name)
 }
 
 /** Thrown by a script to end its connection with a reset. */
@@ -48,6 +43,8 @@
         thread(isDaemon = true) {
             while (!server.isClosed) {
                 val socket = runCatching { server.accept() }.getOrNull() ?: break
+                // Each write of a script is to arrive by itself.
+                socket.tcpNoDelay = true
                 sockets += socket
                 thread(isDaemon = true) { runCatching { serve(socket) } }
             }
@@ -97,15 +94,15 @@
     return head.toString()
 }
 
-internal fun lengthIn(head: String): Int =
+internal fun lengthIn(head: String): Int = headerIn(head, "Content-Length")?.toInt() ?: 0
+
+/** Returns the value of the first header [name] in [head], or null. */
+internal fun headerIn(
+    head: String,
+    name: String,
+): String? =
     head
         .lines()
-        .firstOrNull {
-            it.startsWith(
-                "content-length:",
-                ignoreCase = true,
-            )
-        }?.substringAfter(':')
+        .firstOrNull { it.startsWith("$name:", ignoreCase = true) }
+        ?.substringAfter(':')
         ?.trim()
-        ?.toInt()
-        ?: 0
--- a/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/TestGateway.kt
+++ b/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/TestGateway.kt
@@ -131,7 +131,8 @@
     }
 }
 
-private fun readLine(input: java.io.InputStream): String? {
+/** Returns the next line from [input] without its end, or null if the input ends before. */
+internal fun readLine(input: java.io.InputStream): String? {
     val line = StringBuilder()
     while (!line.endsWith("\r\n")) {
         val next = input.read()
@@ -213,6 +214,7 @@
             route("once", RouteKind.AT_MOST_ONCE, attempts = 1),
             route("patient", RouteKind.AT_MOST_ONCE, attempts = 1, timeout = 9.seconds),
             route("stream", RouteKind.STREAM, attempts = 2, resumable = true),
+            route("stream-once", RouteKind.STREAM, attempts = 2),
         )
     val configuration =
         RoutingConfiguration(
