Never join a body that broke off with that of another endpoint

What callers saw: on a route of bodies that may be repeated, an endpoint that answered with an event stream and broke off was followed by the events of another endpoint's run, from the next higher number on, in one answer that ended as complete.

Cause: a request that may run twice was sent to another endpoint after a broken answer even if the caller already had a part of it. What then came was only compared by the type that the endpoint declared.

Now an answer that has begun is cut, unless the route is one of streams that may be resumed.

--- a/decisions/src/main/kotlin/org/cicadaturn/decisions/gateway/AttemptPolicy.kt
+++ b/decisions/src/main/kotlin/org/cicadaturn/decisions/gateway/AttemptPolicy.kt
@@ -78,7 +78,9 @@
     end: AttemptEnd,
     history: AttemptHistory,
 ): NextStep {
-    val isRepeatable = history.kind == RouteKind.IDEMPOTENT || (history.kind == RouteKind.STREAM && history.isResumable)
+    val isResumable = history.kind == RouteKind.STREAM && history.isResumable
+    // A body that has begun cannot be continued by another run.
+    val isRepeatable = isResumable || (history.kind == RouteKind.IDEMPOTENT && !history.isAnswerBegun)
     val isSafe = end == AttemptEnd.NOT_SENT || end == AttemptEnd.NOT_EXECUTED || isRepeatable
     val hasTime = history.remaining > MIN_TIME_TO_REPEAT
     val hasAttempts = history.endpointsTried < history.maxEndpoints && history.unsentAttempts <= MAX_UNSENT_ATTEMPTS
--- a/decisions/src/test/kotlin/org/cicadaturn/decisions/gateway/AttemptPolicyTest.kt
+++ b/decisions/src/test/kotlin/org/cicadaturn/decisions/gateway/AttemptPolicyTest.kt
@@ -55,6 +55,7 @@
             Case(AttemptEnd.BROKEN, history(once, mayHaveRun = true), NextStep.FAIL),
             Case(AttemptEnd.STALLED, history(once, mayHaveRun = true), NextStep.FAIL),
             Case(AttemptEnd.BROKEN, history(idempotent, mayHaveRun = true), NextStep.REPEAT),
+            Case(AttemptEnd.BROKEN, history(idempotent, mayHaveRun = true, isAnswerBegun = true), NextStep.CUT),
             Case(AttemptEnd.FAILED, history(idempotent, endpointsTried = 2, mayHaveRun = true), NextStep.PASS_FAILURE),
             Case(AttemptEnd.NOT_EXECUTED, history(idempotent, endpointsTried = 2, mayHaveRun = true), NextStep.FAIL),
             Case(AttemptEnd.NOT_EXECUTED, history(idempotent, endpointsTried = 2), NextStep.REFUSE),
