--- a/decisions/src/main/kotlin/org/cicadaturn/decisions/gateway/EventSequence.kt
+++ b/decisions/src/main/kotlin/org/cicadaturn/decisions/gateway/EventSequence.kt
@@ -41,7 +41,7 @@
     override fun accept(arrived: List<StreamEvent>): EventBatch {
         val sound = mutableListOf<StreamEvent>()
         for (event in arrived) {
-            val lines = linesOf(event)
+            val lines = event.lines ?: return EventBatch(sound, "event that is not UTF-8", canContinueBefore(event))
             if (lines.all { it.startsWith(':') || fieldNameIn(it) == RETRY }) continue
             if (isFirst && after != null && event.id == after) {
                 isFirst = false
@@ -76,14 +76,6 @@
     }
 }
 
-private fun linesOf(event: StreamEvent): List<String> =
-    event.bytes
-        .decodeToString()
-        .lineSequence()
-        .map { it.removeSuffix("\r") }
-        .filter { it.isNotEmpty() }
-        .toList()
-
 /** Returns the name of the field in [line], or null if there is none; only a known field may lack its colon. */
 private fun fieldNameIn(line: String): String? {
     if (':' !in line) return line.takeIf { it in KNOWN_FIELDS }
