Judge an answer by what its route expects, not by what it declares

Cause: AttemptExecution verified events only if the endpoint declared an event stream. An answer with another content type or none, and with any successful status, was a body, and nothing of it was verified, whatever the route. The declared type was also compared by its beginning (`text/event-streams` passed) and by its first header. A transfer encoding other than chunked, or one in HTTP/1.0, counted as framed.

ExpectedAnswer says in one place, from the request and its route alone, what an answer must be: its owner, status, content type, encoding and framing. On a route of streams only a whole answer (200) that is declared as one event stream is read, as numbered events; everything else counts as broken and nothing of it is passed on: a stream that may be resumed goes on at another endpoint, any other request gets 502, as it may have run. On other routes an event stream is passed on as bytes, as it arrives; events of such routes are no longer compared with each other, as their numbers say nothing there.

A fixture of UnsoundEventTest sends the length of its streams now, so that it still tests its pieces and not the end of a connection.

--- a/decisions/src/main/kotlin/org/cicadaturn/decisions/gateway/EventSequence.kt
+++ b/decisions/src/main/kotlin/org/cicadaturn/decisions/gateway/EventSequence.kt
@@ -1,5 +1,14 @@
 package org.cicadaturn.decisions.gateway
 
+/**
+ * What the events of an answer must be.
+ *
+ * @property after number of the last event that the caller has; null if the answer must begin with the first event
+ */
+public data class ExpectedEvents(
+    val after: Long? = null,
+)
+
 /**
  * Events that have arrived together, as far as they can be passed on.
  *
@@ -20,16 +29,12 @@
 }
 
 /**
- * Returns a sequence of events whose numbers increase, at the start of an answer that goes on behind the event [after],
- * or at the first event of a run if [after] is null.
+ * Returns a sequence of events whose numbers increase, at the start of an answer whose events must be as [expected].
  *
  * An event without a number, or with one that is not above the last, is garbage or belongs to another run. Numbers may
- * have gaps. Comments, which keep a connection alive, are left out, and so is the event [after] itself.
+ * have gaps. Comments, which keep a connection alive, are left out, and so is the event that the caller has if the answer begins with it.
  */
-public fun numberedEventSequence(after: Long? = null): EventSequence = NumberedEventSequence(after)
-
-/** Returns a sequence that accepts any events. */
-public fun anyEventSequence(): EventSequence = EventSequence { EventBatch(it) }
+public fun eventSequence(expected: ExpectedEvents): EventSequence = NumberedEventSequence(expected.after)
 
 private class NumberedEventSequence(
     private val after: Long?,
--- /dev/null
+++ b/decisions/src/main/kotlin/org/cicadaturn/decisions/gateway/ExpectedAnswer.kt
@@ -0,0 +1,133 @@
+package org.cicadaturn.decisions.gateway
+
+/**
+ * Head of an answer, as far as it decides what is passed on.
+ *
+ * @property contentTypes all declared content types
+ * @property isEncoded true if the content is declared as encoded
+ * @property requestId request identifier that the endpoint echoes; null if it echoes none
+ * @property isSigned true if the endpoint has signed the answer
+ */
+public data class AnswerHead(
+    val status: Int,
+    val framing: BodyFraming,
+    val contentTypes: List<String> = emptyList(),
+    val isEncoded: Boolean = false,
+    val requestId: String? = null,
+    val isSigned: Boolean = false,
+)
+
+/**
+ * What the answer to an attempt must be.
+ *
+ * It follows from the request and its route alone, so that an answer cannot choose by what it declares how it is
+ * verified.
+ *
+ * @property requestId identifier that the endpoint must echo; null if the caller sent none
+ * @property followsOthers true if the connection has carried other requests, whose answers may come late
+ * @property continuesAnswer true if the caller already has a part of an answer, which only events can continue
+ * @property events what the events must be; null if a body is expected
+ */
+public data class ExpectedAnswer(
+    val requestId: String?,
+    val followsOthers: Boolean,
+    val continuesAnswer: Boolean,
+    val events: ExpectedEvents?,
+)
+
+/** How an answer is read, judged by its head. */
+public sealed interface AnswerVerdict {
+    /** A failure of the endpoint, of which the whole body is read before anything is passed on. */
+    public data object Failure : AnswerVerdict
+
+    /**
+     * A success that is passed on as bytes.
+     *
+     * @property isIncremental true if the bytes are passed on as they arrive
+     */
+    public data class Body(
+        val isIncremental: Boolean,
+    ) : AnswerVerdict
+
+    /** A success whose events must be as [expected]. */
+    public data class Events(
+        val expected: ExpectedEvents,
+    ) : AnswerVerdict
+
+    /**
+     * An answer of which nothing is passed on.
+     *
+     * @property isOutOfStep true if the bytes may belong to another request, so that the connection cannot be trusted
+     */
+    public data class Unsound(
+        val defect: String,
+        val isOutOfStep: Boolean = false,
+    ) : AnswerVerdict
+}
+
+/** Returns how the answer with [head] is read where this one is expected. */
+public fun ExpectedAnswer.verdictOn(head: AnswerHead): AnswerVerdict {
+    val isSuccess = head.status in SUCCESS_STATUSES
+    ownershipDefectOf(head, isSuccess)?.let { return AnswerVerdict.Unsound(it, isOutOfStep = true) }
+    if (!isSuccess) return AnswerVerdict.Failure
+    if (events != null) return streamVerdictOn(head, events)
+    if (continuesAnswer) return AnswerVerdict.Unsound("a body cannot continue an answer")
+    return AnswerVerdict.Body(isIncremental = head.isEventStream)
+}
+
+/** Returns why the answer may not belong to the request, or why its end cannot be found; null if neither is so. */
+private fun ExpectedAnswer.ownershipDefectOf(
+    head: AnswerHead,
+    isSuccess: Boolean,
+): String? =
+    when {
+        head.framing == BodyFraming.UNKNOWN -> "answer with an unknown transfer encoding"
+        requestId != null && head.requestId != null && head.requestId != requestId ->
+            "answer to another request ${head.requestId}"
+        requestId != null && head.requestId == null && isSuccess -> "answer without a request id"
+        // On a connection that served other requests, the failure may be a surplus answer to one of them.
+        head.requestId == null && followsOthers -> "failure without a request id"
+        isSuccess && !head.isSigned -> "answer without a signature"
+        isSuccess && head.isEncoded -> "answer with a content encoding"
+        else -> null
+    }
+
+private fun streamVerdictOn(
+    head: AnswerHead,
+    events: ExpectedEvents,
+): AnswerVerdict =
+    when {
+        head.status != WHOLE_ANSWER -> AnswerVerdict.Unsound("status ${head.status} where an event stream is due")
+        !head.isEventStream ->
+            AnswerVerdict.Unsound("content type ${head.contentTypes} where an event stream is due")
+        else -> AnswerVerdict.Events(events)
+    }
+
+private val AnswerHead.isEventStream: Boolean
+    get() =
+        contentTypes
+            .singleOrNull()
+            ?.substringBefore(';')
+            ?.trim()
+            .equals(EVENT_STREAM, ignoreCase = true)
+
+/**
+ * Returns why a stream whose body has ended is not complete, or null if it is.
+ *
+ * @param isInsideEvent true if its last event is incomplete
+ * @param hasEvents true if it had events
+ */
+public fun ExpectedEvents.endDefectOf(
+    framing: BodyFraming,
+    isInsideEvent: Boolean,
+    hasEvents: Boolean,
+): String? =
+    when {
+        isInsideEvent -> "stream ended inside an event"
+        !hasEvents && (after == null || framing == BodyFraming.CONNECTION) -> "stream ended without an event"
+        else -> null
+    }
+
+private val SUCCESS_STATUSES = 200..299
+private const val WHOLE_ANSWER = 200
+private const val EVENT_STREAM = "text/event-stream"
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/AttemptExecution.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/AttemptExecution.kt
@@ -2,14 +2,18 @@
 
 import kotlinx.coroutines.Deferred
 import org.cicadaturn.decisions.gateway.AnswerForm
+import org.cicadaturn.decisions.gateway.AnswerVerdict
 import org.cicadaturn.decisions.gateway.AttemptEnd
 import org.cicadaturn.decisions.gateway.BodyFraming
 import org.cicadaturn.decisions.gateway.EndpointUse
 import org.cicadaturn.decisions.gateway.EventBatch
+import org.cicadaturn.decisions.gateway.ExpectedAnswer
+import org.cicadaturn.decisions.gateway.ExpectedEvents
 import org.cicadaturn.decisions.gateway.StreamEvent
-import org.cicadaturn.decisions.gateway.anyEventSequence
+import org.cicadaturn.decisions.gateway.endDefectOf
+import org.cicadaturn.decisions.gateway.eventSequence
 import org.cicadaturn.decisions.gateway.eventSplitter
-import org.cicadaturn.decisions.gateway.numberedEventSequence
+import org.cicadaturn.decisions.gateway.verdictOn
 import org.cicadaturn.schema.generated.AnswerProgress
 import org.cicadaturn.tasks.http.HttpPart
 import org.cicadaturn.tasks.http.ResponseHead
@@ -71,33 +75,37 @@
                 is HttpPart.Malformed -> return outOfStep("unreadable answer: ${part.detail}")
                 else -> return outOfStep("unexpected bytes")
             }
-        val defect = defectOf(head)
-        if (defect != null) return outOfStep(defect)
+        val verdict = expectedAnswer().verdictOn(dialect.answerHead(head))
+        if (verdict is AnswerVerdict.Unsound) return unsound(head, verdict)
         dialect.loadOf(head.headers)?.let { balancer.loadReported(attempt.endpoint.id, it) }
-        if (head.status !in SUCCESS_STATUSES) return handleFailure(head)
-        form = AnswerForm(head.headers.valueOf("Content-Type"), head.framing)
-        if (sink.isBegun && !isEventStream(head)) return failed(AttemptEnd.BROKEN, "the answer is no stream")
+        if (verdict == AnswerVerdict.Failure) return handleFailure(head)
+        form = formOf(head)
         balancer.accepted(attempt.endpoint.id)
         attempt.onProgress(AnswerProgress.HEAD)
-        return if (isEventStream(head)) relayEvents(head) else relayBody(head)
+        return when (verdict) {
+            is AnswerVerdict.Events -> relayEvents(head, verdict.expected)
+            else -> relayBody(head, isIncremental = verdict == AnswerVerdict.Body(isIncremental = true))
+        }
     }
 
-    /** Returns why an answer with [head] must not be passed on, or null if it may. */
-    private fun defectOf(head: ResponseHead): String? {
-        val echoed = head.headers.valueOf(dialect.requestId)
-        val isSuccess = head.status in SUCCESS_STATUSES
-        return when {
-            attempt.requestId != null && echoed != null && echoed != attempt.requestId ->
-                "answer to another request $echoed"
-            attempt.requestId != null && echoed == null && isSuccess -> "answer without a request id"
-            // On a connection that served other requests, the failure may be a surplus answer to one of them.
-            echoed == null && connection.requestIds.isNotEmpty() -> "failure without a request id"
-            isSuccess && head.headers.valueOf(dialect.signature) == null -> "answer without a signature"
-            isSuccess && head.headers.valueOf("Content-Encoding") != null -> "answer with a content encoding"
-            else -> null
-        }
+    private fun expectedAnswer(): ExpectedAnswer =
+        ExpectedAnswer(
+            requestId = attempt.requestId,
+            followsOthers = connection.requestIds.isNotEmpty(),
+            continuesAnswer = sink.isBegun,
+            events = attempt.events,
+        )
+
+    private fun unsound(
+        head: ResponseHead,
+        verdict: AnswerVerdict.Unsound,
+    ): AttemptResult {
+        form = formOf(head)
+        return if (verdict.isOutOfStep) outOfStep(verdict.defect) else failed(AttemptEnd.BROKEN, verdict.defect)
     }
 
+    private fun formOf(head: ResponseHead): AnswerForm = AnswerForm(head.headers.valueOf("Content-Type"), head.framing)
+
     private suspend fun handleFailure(head: ResponseHead): AttemptResult {
         val body = parts.readBody() ?: return failed(AttemptEnd.BROKEN, "failure ${head.status} was cut")
         allowReuse(head)
@@ -130,9 +138,12 @@
         return AttemptResult.Delivered(form)
     }
 
-    private suspend fun relayBody(head: ResponseHead): AttemptResult {
+    private suspend fun relayBody(
+        head: ResponseHead,
+        isIncremental: Boolean,
+    ): AttemptResult {
         var buffered = ByteArrayOutputStream()
-        var isStreamed = false
+        var isStreamed = isIncremental
         while (true) {
             val received = parts.awaitPart(attempt.gapLimit)
             val part = (received as? WaitResult.Part)?.part
@@ -174,16 +185,12 @@
         return AttemptResult.Delivered(form)
     }
 
-    private suspend fun relayEvents(head: ResponseHead): AttemptResult {
+    private suspend fun relayEvents(
+        head: ResponseHead,
+        expected: ExpectedEvents,
+    ): AttemptResult {
         val splitter = eventSplitter()
-        val sequence =
-            if (attempt.events.areNumbered) {
-                numberedEventSequence(
-                    attempt.events.after,
-                )
-            } else {
-                anyEventSequence()
-            }
+        val sequence = eventSequence(expected)
         events = 0
         while (true) {
             val limit = if (hasEvents) attempt.gapLimit else attempt.firstByteLimit
@@ -204,8 +211,8 @@
                 else -> return outOfStep("unreadable stream")
             }
         }
-        if (splitter.isInsideEvent) return failed(AttemptEnd.BROKEN, "stream ended inside an event")
-        return endEvents(head)
+        val defect = expected.endDefectOf(head.framing, splitter.isInsideEvent, hasEvents) ?: return endEvents(head)
+        return if (head.framing == BodyFraming.CONNECTION) disconnected(defect) else failed(AttemptEnd.BROKEN, defect)
     }
 
     /** Passes on the sound events of [batch]; returns how the attempt ends, or null if it goes on. */
@@ -244,20 +251,12 @@
     }
 
     private suspend fun endEvents(head: ResponseHead): AttemptResult {
-        if (!hasEvents && !isEmptyRest(head)) return disconnected("stream ended without an event")
         allowReuse(head)
         attempt.onProgress(AnswerProgress.RUNNING)
         sink.sendEnd(head)
         return AttemptResult.Delivered(form)
     }
 
-    /**
-     * Returns true if a stream without events is the rest of one whose last event the caller has. If the end of the
-     * connection ends the stream, it may as well have been cut.
-     */
-    private fun isEmptyRest(head: ResponseHead): Boolean =
-        (sink.isBegun || attempt.events.after != null) && head.framing != BodyFraming.CONNECTION
-
     private fun recordPause(pause: Duration) {
         attempt.pauseTarget?.let { balancer.paced(attempt.endpoint.id, pause / it) }
     }
@@ -312,7 +311,6 @@
 
         const val MISDIRECTED_REQUEST = 421
         const val SERVER_ERROR = 500
-        val SUCCESS_STATUSES = 200..299
 
         /** Statuses that callers take as a statement that the request was not run. */
         val NOT_EXECUTED_STATUSES = setOf(408, 421, 429, 503)
@@ -335,8 +333,5 @@
     return seconds.seconds * KEEP_ALIVE_FRACTION
 }
 
-private fun isEventStream(head: ResponseHead): Boolean =
-    head.headers.valueOf("Content-Type")?.startsWith("text/event-stream") == true
-
 /** Fraction of the announced idle time that is used, as the endpoint starts to count it before this process does. */
 private const val KEEP_ALIVE_FRACTION = 0.6
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/CallerAnswer.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/CallerAnswer.kt
@@ -67,12 +67,8 @@
         head: ResponseHead,
         event: StreamEvent,
     ): Boolean {
-        val id = event.id
-        val last = lastEventId
-        // An endpoint that resumes a stream may start before the requested event; events already sent are dropped.
-        if (id != null && last != null && id <= last) return true
         begin(head)
-        if (id != null) lastEventId = id
+        lastEventId = event.id
         return caller.sendData(event.bytes)
     }
 
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/Exchange.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/Exchange.kt
@@ -3,6 +3,7 @@
 import org.cicadaturn.decisions.gateway.AnswerForm
 import org.cicadaturn.decisions.gateway.AttemptEnd
 import org.cicadaturn.decisions.gateway.EndpointUse
+import org.cicadaturn.decisions.gateway.ExpectedEvents
 import org.cicadaturn.decisions.gateway.StreamEvent
 import org.cicadaturn.schema.generated.AnswerProgress
 import org.cicadaturn.schema.generated.LiveEndpoint
@@ -23,7 +24,7 @@
  * @property firstByteLimit longest wait for the answer, or for the first event of a stream
  * @property gapLimit longest wait for the next event or piece
  * @property canBeAbandoned true if the limits are there to try another endpoint, and not the deadline of the caller
- * @property events what is expected of the events if the answer is a stream
+ * @property events what the events must be; null if the answer must be a body
  * @property pauseTarget pause between events up to which callers value a stream fully; null if there is none
  * @property remaining time left until the deadline
  * @property onConnected called with the number of requests that the connection to the endpoint has carried before
@@ -38,24 +39,13 @@
     val firstByteLimit: Duration,
     val gapLimit: Duration,
     val canBeAbandoned: Boolean,
-    val events: ExpectedEvents,
+    val events: ExpectedEvents?,
     val pauseTarget: Duration?,
     val remaining: Duration,
     val onConnected: (earlierRequests: Int) -> Unit,
     val onProgress: (AnswerProgress) -> Unit,
 )
 
-/**
- * What is expected of the events of a stream.
- *
- * @property areNumbered true if their numbers increase
- * @property after number of the last event that the caller has; null if the stream is to begin with its first event
- */
-internal data class ExpectedEvents(
-    val areNumbered: Boolean,
-    val after: Long?,
-)
-
 /** Receives the parts of an answer as soon as they can be passed on to the caller. */
 internal interface AnswerSink {
     /** True once a part of an answer may have reached the caller; what follows must continue it. */
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/GatewayDialect.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/GatewayDialect.kt
@@ -1,8 +1,11 @@
 package org.cicadaturn.tasks.gateway
 
+import org.cicadaturn.decisions.gateway.AnswerHead
 import org.cicadaturn.decisions.gateway.LoadSample
 import org.cicadaturn.schema.generated.Header
 import org.cicadaturn.schema.generated.PromptSegmentId
+import org.cicadaturn.tasks.http.ResponseHead
+import org.cicadaturn.tasks.http.valueOf
 
 /**
  * Names and formats of the headers that the callers and endpoints of a platform use.
@@ -30,3 +33,14 @@
     val promptOf: (List<Header>) -> List<PromptSegmentId>,
     val loadOf: (List<Header>) -> LoadSample?,
 )
+
+/** Returns what decides how the answer with [head] is read. */
+internal fun GatewayDialect.answerHead(head: ResponseHead): AnswerHead =
+    AnswerHead(
+        status = head.status,
+        framing = head.framing,
+        contentTypes = head.headers.filter { it.name.equals("Content-Type", ignoreCase = true) }.map { it.value },
+        isEncoded = head.headers.valueOf("Content-Encoding") != null,
+        requestId = head.headers.valueOf(requestId),
+        isSigned = head.headers.valueOf(signature) != null,
+    )
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/RequestExecution.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/RequestExecution.kt
@@ -12,6 +12,7 @@
 import org.cicadaturn.decisions.gateway.AttemptHistory
 import org.cicadaturn.decisions.gateway.EndpointRequest
 import org.cicadaturn.decisions.gateway.EndpointUse
+import org.cicadaturn.decisions.gateway.ExpectedEvents
 import org.cicadaturn.decisions.gateway.NextStep
 import org.cicadaturn.decisions.gateway.canEndBefore
 import org.cicadaturn.decisions.gateway.finalStep
@@ -314,7 +315,7 @@
             firstByteLimit = minOf(limit, remaining - ANSWER_RESERVE).coerceAtLeast(1.milliseconds),
             gapLimit = minOf(limit, remaining - ANSWER_RESERVE).coerceAtLeast(1.milliseconds),
             canBeAbandoned = route.kind == RouteKind.STREAM && limit == STREAM_STALL_TIMEOUT,
-            events = ExpectedEvents(areNumbered = route.kind == RouteKind.STREAM, after = lastReceivedEvent()),
+            events = expectedEvents(),
             pauseTarget = route.pauseTarget,
             remaining = remaining,
             onConnected = { earlierRequests = it },
@@ -335,6 +336,12 @@
             resumeFrom = answer.lastEventId,
         )
 
+    /** Returns what the events of the next answer must be, or null if it has none. */
+    private fun expectedEvents(): ExpectedEvents? {
+        if (route.kind != RouteKind.STREAM || request.head.method == "HEAD") return null
+        return ExpectedEvents(lastReceivedEvent())
+    }
+
     /** Returns the number of the last event that the caller has, from this request or from an earlier one. */
     private fun lastReceivedEvent(): Long? {
         if (!route.resumable) return null
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/http/AnswerDecoder.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/http/AnswerDecoder.kt
@@ -4,6 +4,7 @@
 import io.netty.channel.ChannelHandlerContext
 import io.netty.handler.codec.DecoderResult
 import io.netty.handler.codec.http.HttpDecoderConfig
+import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpMessage
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpResponseDecoder
@@ -62,8 +63,9 @@
 
     private fun headDecoded(response: HttpResponse) {
         isInterim = response.status().codeClass() == HttpStatusClass.INFORMATIONAL
-        if (response.decoderResult().isSuccess && isJoined(response)) {
-            response.decoderResult = DecoderResult.failure(IllegalArgumentException("a status line within a head"))
+        val defect = defectOf(response)
+        if (response.decoderResult().isSuccess && defect != null) {
+            response.decoderResult = DecoderResult.failure(IllegalArgumentException(defect))
         }
         head.clear()
         isWithinBody = true
@@ -74,9 +76,20 @@
         if (!isInterim) isAwaitingAnswer = false
     }
 
-    /** Returns true if [response] begins with a part of another one: its head then contains a second status line. */
-    private fun isJoined(response: HttpResponse): Boolean =
-        response.protocolVersion() !in VERSIONS || STATUS_LINE.find(head.trimStart(), startIndex = 1) != null
+    /**
+     * Returns why [response] cannot be read, or null. The head of one that begins with a part of another one contains a
+     * second status line. HTTP/1.0 has no transfer encodings, so such an answer is framed otherwise than it says.
+     */
+    private fun defectOf(response: HttpResponse): String? {
+        val version = response.protocolVersion()
+        return when {
+            version !in VERSIONS -> "protocol $version"
+            STATUS_LINE.find(head.trimStart(), startIndex = 1) != null -> "a status line within a head"
+            version == HttpVersion.HTTP_1_0 && response.headers().contains(HttpHeaderNames.TRANSFER_ENCODING) ->
+                "a transfer encoding in HTTP/1.0"
+            else -> null
+        }
+    }
 
     override fun isContentAlwaysEmpty(message: HttpMessage): Boolean =
         isHeadRequest || super.isContentAlwaysEmpty(message)
--- a/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/ScriptedAnswers.kt
+++ b/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/ScriptedAnswers.kt
@@ -29,6 +29,13 @@
     out: OutputStream,
 ): Boolean = out.text(okHead(request, "Content-Length: 2") + "ok")
 
+/** Returns a whole event stream with [events] and its length. */
+internal fun streamAnswer(
+    request: RawRequest,
+    signature: String,
+    events: String,
+): String = streamHead(request, signature).replace("\r\n\r\n", "\r\nContent-Length: ${events.length}\r\n\r\n") + events
+
 /** Returns the head of an event stream without a length. */
 internal fun streamHead(
     request: RawRequest,
