Do not take the end of a connection for the end of a stream

Cause: the end of the connection counted as the end of the body, as it does for other answers. An endpoint that fails ends its connection too, and between two events nothing shows the difference.

Such a stream is now incomplete to the gateway: one that may be resumed goes on at another endpoint behind its last event; any other is cut, so that the caller sees that events may be missing.

StreamFaultTest: both new cases failed before. Its fixtures for whole streams, and that of the endpoint that resumes one, send a length now: without it they were not distinguishable from cut ones.

--- a/decisions/src/main/kotlin/org/cicadaturn/decisions/gateway/ExpectedAnswer.kt
+++ b/decisions/src/main/kotlin/org/cicadaturn/decisions/gateway/ExpectedAnswer.kt
@@ -124,7 +124,9 @@
 ): String? =
     when {
         isInsideEvent -> "stream ended inside an event"
-        !hasEvents && (after == null || framing == BodyFraming.CONNECTION) -> "stream ended without an event"
+        // An endpoint that fails also ends its connection, so events may be missing.
+        framing == BodyFraming.CONNECTION -> "only the end of the connection ended the stream"
+        !hasEvents && after == null -> "stream ended without an event"
         else -> null
     }
 
--- a/decisions/src/test/kotlin/org/cicadaturn/decisions/gateway/ExpectedAnswerTest.kt
+++ b/decisions/src/test/kotlin/org/cicadaturn/decisions/gateway/ExpectedAnswerTest.kt
@@ -64,7 +64,7 @@
         assertNull(continues.endDefectOf(BodyFraming.CHUNKED, isInsideEvent = false, hasEvents = false))
         assertNotNull(begins.endDefectOf(BodyFraming.CHUNKED, isInsideEvent = false, hasEvents = false))
         assertNotNull(begins.endDefectOf(BodyFraming.CHUNKED, isInsideEvent = true, hasEvents = true))
-        assertNotNull(continues.endDefectOf(BodyFraming.CONNECTION, isInsideEvent = false, hasEvents = false))
+        assertNotNull(begins.endDefectOf(BodyFraming.CONNECTION, isInsideEvent = false, hasEvents = true))
     }
 
     private operator fun List<String>.times(n: Int): List<String> = List(n) { this }.flatten()
--- a/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/StreamFaultTest.kt
+++ b/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/StreamFaultTest.kt
@@ -21,7 +21,7 @@
         }
         val continues: (RawRequest, OutputStream) -> Boolean = { r, out ->
             val from = r.header("Last-Event-Id")?.toInt() ?: 0
-            !out.text(streamHead(r, "second") + (from + 1..5).joinToString("") { event(it) })
+            !out.text(streamAnswer(r, "second", (from + 1..5).joinToString("") { event(it) }))
         }
         ScriptedEndpoint(breaks).use { first ->
             ScriptedEndpoint(continues).use { second ->
@@ -89,7 +89,10 @@
     @Test
     fun `a stream without a length that ends before its first event is not complete`() {
         val ends: (RawRequest, OutputStream) -> Boolean = { r, out -> !out.text(streamHead(r, "first")) }
-        val answers: (RawRequest, OutputStream) -> Boolean = { r, out -> !out.text(streamHead(r, "second") + event(1)) }
+        val answers: (
+            RawRequest,
+            OutputStream,
+        ) -> Boolean = { r, out -> !out.text(streamAnswer(r, "second", event(1))) }
         ScriptedEndpoint(ends).use { first ->
             ScriptedEndpoint(answers).use { second ->
                 TestGateway(listOf(first, second)).use { gateway ->
@@ -101,6 +104,36 @@
         }
     }
 
+    /** Guards against a stream that was cut between two events and looks complete, as only its connection ends it. */
+    @Test
+    fun `a stream that only the end of its connection ends goes on at another endpoint`() {
+        val ends: (RawRequest, OutputStream) -> Boolean = { r, out -> !out.text(streamHead(r, "s") + event(1)) }
+        val continues: (RawRequest, OutputStream) -> Boolean = { r, out -> !out.text(streamAnswer(r, "t", event(2))) }
+        ScriptedEndpoint(ends).use { first ->
+            ScriptedEndpoint(continues).use { second ->
+                TestGateway(listOf(first, second)).use { gateway ->
+                    val answer = exchange(gateway.port, request("/stream/x"))
+                    assertEquals(event(1) + event(2), answer.body)
+                    assertTrue(answer.isComplete)
+                    assertEquals("1", second.requests.single().header("Last-Event-Id"))
+                }
+            }
+        }
+    }
+
+    /** As above, where no endpoint can tell whether events are missing. */
+    @Test
+    fun `a stream that only the end of its connection ends does not look complete`() {
+        val ends: (RawRequest, OutputStream) -> Boolean = { r, out -> !out.text(streamHead(r, "s") + event(1)) }
+        ScriptedEndpoint(ends).use { endpoint ->
+            TestGateway(listOf(endpoint)).use { gateway ->
+                val answer = exchange(gateway.port, request("/stream/x"))
+                assertEquals(event(1), answer.body)
+                assertFalse(answer.isComplete)
+            }
+        }
+    }
+
     /** Guards against memory that grows with an event that never ends. */
     @Test
     fun `a stream whose event does not end is given up`() {
