Move the requests of attempts out of RequestExecution.kt

What an attempt sends and expects is now in AttemptRequests, and the log fields of an answer are set in one place. AnswerForm is named AnswerSummary, as it is only logged.

--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/AttemptExecution.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/AttemptExecution.kt
@@ -1,7 +1,7 @@
 package org.cicadaturn.tasks.gateway
 
 import kotlinx.coroutines.Deferred
-import org.cicadaturn.decisions.gateway.AnswerForm
+import org.cicadaturn.decisions.gateway.AnswerSummary
 import org.cicadaturn.decisions.gateway.AnswerVerdict
 import org.cicadaturn.decisions.gateway.AttemptEnd
 import org.cicadaturn.decisions.gateway.BodyFraming
@@ -44,7 +44,7 @@
     private var events: Int? = null
 
     /** What the answer looks like; null before the head of a success. */
-    private var form: AnswerForm? = null
+    private var summary: AnswerSummary? = null
 
     var use: EndpointUse = EndpointUse.Abandoned
 
@@ -79,7 +79,7 @@
         if (verdict is AnswerVerdict.Unsound) return unsound(head, verdict)
         dialect.loadOf(head.headers)?.let { balancer.loadReported(attempt.endpoint.id, it) }
         if (verdict == AnswerVerdict.Failure) return handleFailure(head)
-        form = formOf(head)
+        summary = summaryOf(head)
         balancer.accepted(attempt.endpoint.id)
         attempt.onProgress(AnswerProgress.HEAD)
         return when (verdict) {
@@ -100,11 +100,12 @@
         head: ResponseHead,
         verdict: AnswerVerdict.Unsound,
     ): AttemptResult {
-        form = formOf(head)
+        summary = summaryOf(head)
         return if (verdict.isOutOfStep) outOfStep(verdict.defect) else failed(AttemptEnd.BROKEN, verdict.defect)
     }
 
-    private fun formOf(head: ResponseHead): AnswerForm = AnswerForm(head.headers.valueOf("Content-Type"), head.framing)
+    private fun summaryOf(head: ResponseHead): AnswerSummary =
+        AnswerSummary(head.headers.valueOf("Content-Type"), head.framing)
 
     private suspend fun handleFailure(head: ResponseHead): AttemptResult {
         val body = parts.readBody() ?: return failed(AttemptEnd.BROKEN, "failure ${head.status} was cut")
@@ -135,7 +136,7 @@
     ): AttemptResult {
         use = EndpointUse.Answered(clock.now() - start)
         sink.sendAnswer(head, body)
-        return AttemptResult.Delivered(form)
+        return AttemptResult.Delivered(summary)
     }
 
     private suspend fun relayBody(
@@ -149,7 +150,7 @@
             val part = (received as? WaitResult.Part)?.part
             when {
                 part is HttpPart.Data && !isStreamed -> buffered.write(part.bytes)
-                part is HttpPart.Data -> if (!sink.sendPiece(head, part.bytes)) return AttemptResult.Delivered(form)
+                part is HttpPart.Data -> if (!sink.sendPiece(head, part.bytes)) return AttemptResult.Delivered(summary)
                 part == HttpPart.End -> break
                 received == WaitResult.Stalled -> return failed(
                     AttemptEnd.STALLED,
@@ -160,7 +161,7 @@
             }
             if (!isStreamed && !parts.canBuffer(buffered.size())) {
                 isStreamed = true
-                if (!sink.sendPiece(head, buffered.toByteArray())) return AttemptResult.Delivered(form)
+                if (!sink.sendPiece(head, buffered.toByteArray())) return AttemptResult.Delivered(summary)
                 buffered = ByteArrayOutputStream(0)
                 memory.close()
             }
@@ -182,7 +183,7 @@
         use = EndpointUse.Answered(clock.now() - start)
         attempt.onProgress(AnswerProgress.RUNNING)
         if (isStreamed) sink.sendEnd(head) else sink.sendAnswer(head, rest)
-        return AttemptResult.Delivered(form)
+        return AttemptResult.Delivered(summary)
     }
 
     private suspend fun relayEvents(
@@ -222,7 +223,7 @@
         pendingBytes: Int,
         waitedSince: Instant,
     ): AttemptResult? {
-        if (!sendEvents(head, batch.sound, waitedSince)) return AttemptResult.Delivered(form)
+        if (!sendEvents(head, batch.sound, waitedSince)) return AttemptResult.Delivered(summary)
         val defect = batch.defect ?: "event without end".takeIf { !parts.canBuffer(pendingBytes) }
         return defect?.let { failed(AttemptEnd.BROKEN, it, canContinue = batch.canContinue) }
     }
@@ -242,7 +243,7 @@
                 recordPause(clock.now() - waitedSince)
             }
             events = (events ?: 0) + 1
-            event.id?.let { form = form?.plusEvent(it) }
+            event.id?.let { summary = summary?.plusEvent(it) }
             if (!sink.sendEvent(head, event)) return false
         }
         if (complete.isNotEmpty()) lastEventAt = clock.now()
@@ -254,7 +255,7 @@
         allowReuse(head)
         attempt.onProgress(AnswerProgress.RUNNING)
         sink.sendEnd(head)
-        return AttemptResult.Delivered(form)
+        return AttemptResult.Delivered(summary)
     }
 
     private fun recordPause(pause: Duration) {
@@ -296,7 +297,7 @@
             end,
             detail,
             events = events,
-            form = form,
+            summary = summary,
             isDisconnected = isDisconnected,
             canContinue = canContinue,
         )
--- /dev/null
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/AttemptRequests.kt
@@ -0,0 +1,103 @@
+package org.cicadaturn.tasks.gateway
+
+import org.cicadaturn.decisions.gateway.Admission
+import org.cicadaturn.decisions.gateway.ExpectedEvents
+import org.cicadaturn.schema.generated.AnswerProgress
+import org.cicadaturn.schema.generated.LiveEndpoint
+import org.cicadaturn.schema.generated.RouteKind
+import org.cicadaturn.tasks.http.RequestHead
+import org.cicadaturn.tasks.http.valueOf
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+
+/** Attempts to get the [answer] to [request], which was admitted. */
+internal class AttemptRequests(
+    private val request: CallerRequest,
+    private val admission: Admission.Admitted,
+    private val answer: CallerAnswer,
+    private val dependencies: RequestDependencies,
+) {
+    private val dialect = dependencies.dialect
+    private val route = admission.route
+    private val isRepeatable = route.kind == RouteKind.IDEMPOTENT || route.resumable
+
+    /**
+     * Returns the next attempt, at [endpoint].
+     *
+     * @param remaining time left until the deadline of the caller
+     * @param canTryAnother true if the request may still be sent to a further endpoint
+     */
+    fun to(
+        endpoint: LiveEndpoint,
+        remaining: Duration,
+        canTryAnother: Boolean,
+        onConnected: (earlierRequests: Int) -> Unit,
+        onProgress: (AnswerProgress) -> Unit,
+    ): AttemptRequest {
+        val limit =
+            when {
+                !isRepeatable || !canTryAnother -> remaining
+                route.kind == RouteKind.STREAM -> STREAM_STALL_TIMEOUT
+                else -> route.latencyTarget * SLOW_ANSWER_FACTOR
+            }
+        val waitLimit = minOf(limit, remaining - ANSWER_RESERVE).coerceAtLeast(1.milliseconds)
+        return AttemptRequest(
+            endpoint = endpoint,
+            kind = if (isRepeatable) route.kind else RouteKind.AT_MOST_ONCE,
+            head = headFor(endpoint, remaining),
+            body = request.body,
+            requestId = request.head.headers.valueOf(dialect.requestId),
+            firstByteLimit = waitLimit,
+            gapLimit = waitLimit,
+            canBeAbandoned = route.kind == RouteKind.STREAM && limit == STREAM_STALL_TIMEOUT,
+            events = expectedEvents(),
+            pauseTarget = route.pauseTarget,
+            remaining = remaining,
+            onConnected = onConnected,
+            onProgress = onProgress,
+        )
+    }
+
+    private fun headFor(
+        endpoint: LiveEndpoint,
+        remaining: Duration,
+    ): RequestHead =
+        dialect.forwardedHead(
+            request.head,
+            endpoint.id,
+            remaining,
+            admission.organisation,
+            isKeyed = dependencies.routes()?.configuration?.tenancies != null,
+            resumeFrom = answer.lastEventId,
+        )
+
+    /** Returns what the events of the next answer must be, or null if it must be a body. */
+    private fun expectedEvents(): ExpectedEvents? {
+        if (route.kind != RouteKind.STREAM || request.head.method == "HEAD") return null
+        return ExpectedEvents(dependencies.eventNumbering, lastReceivedEvent())
+    }
+
+    /** Returns the number of the last event that the caller has, from this request or from an earlier one. */
+    private fun lastReceivedEvent(): Long? {
+        if (!route.resumable) return null
+        return answer.lastEventId ?: request.head.headers
+            .valueOf(dialect.lastEventId)
+            ?.trim()
+            ?.toLongOrNull()
+    }
+
+    private companion object {
+        /**
+         * Longest gap in a stream before it is resumed at another endpoint. Callers abandon a stream after a gap of
+         * two seconds, and the resumption must fit into this time. A group that lost a rank answers again after a
+         * stall of 1.5 s, and its other endpoints cannot answer earlier.
+         */
+        val STREAM_STALL_TIMEOUT = 1_600.milliseconds
+
+        /** Time before the deadline that is left for the answer to the caller. */
+        val ANSWER_RESERVE = 10.milliseconds
+
+        /** Multiple of the latency target after which a repeatable request is sent to another endpoint. */
+        const val SLOW_ANSWER_FACTOR = 4
+    }
+}
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/CallerAnswer.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/CallerAnswer.kt
@@ -1,6 +1,6 @@
 package org.cicadaturn.tasks.gateway
 
-import org.cicadaturn.decisions.gateway.AnswerForm
+import org.cicadaturn.decisions.gateway.AnswerSummary
 import org.cicadaturn.decisions.gateway.StreamEvent
 import org.cicadaturn.schema.generated.EndpointId
 import org.cicadaturn.schema.generated.Header
@@ -17,7 +17,7 @@
  * @property placedAfter time from the arrival until the request was placed at the endpoint that answered
  * @property begunAfter time from the arrival until the answer began
  * @property earlierRequests number of requests that the connection to the endpoint had carried before
- * @property form what the answer of the endpoint looked like; null if it was no success
+ * @property summary what the answer of the endpoint looked like; null if it was no success
  */
 internal data class RequestEnd(
     val status: Int,
@@ -28,7 +28,7 @@
     val placedAfter: Duration? = null,
     val begunAfter: Duration? = null,
     val earlierRequests: Int? = null,
-    val form: AnswerForm? = null,
+    val summary: AnswerSummary? = null,
 )
 
 /** Answer to one request, written to the connection of the caller. */
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/CallerConnection.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/CallerConnection.kt
@@ -173,17 +173,12 @@
                 endpoint = end.endpoint?.text,
                 prompt = promptText(dialect.promptOf(request.head.headers)),
                 earlierRequests = end.earlierRequests,
-                contentType = end.form?.contentType,
-                framing = end.form?.framing?.name,
-                firstEvent = end.form?.firstEvent,
-                lastEvent = end.form?.lastEvent,
-                skippedEvents = end.form?.skippedEvents,
                 status = end.status,
                 detail = end.reason,
                 placedMs = end.placedAfter?.inWholeMilliseconds,
                 firstMs = end.begunAfter?.inWholeMilliseconds,
                 ms = time.inWholeMilliseconds,
-            ),
+            ).withAnswer(end.summary),
         )
     }
 
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/Exchange.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/Exchange.kt
@@ -1,6 +1,6 @@
 package org.cicadaturn.tasks.gateway
 
-import org.cicadaturn.decisions.gateway.AnswerForm
+import org.cicadaturn.decisions.gateway.AnswerSummary
 import org.cicadaturn.decisions.gateway.AttemptEnd
 import org.cicadaturn.decisions.gateway.EndpointUse
 import org.cicadaturn.decisions.gateway.ExpectedEvents
@@ -76,11 +76,11 @@
 /** Result of an attempt. */
 internal sealed interface AttemptResult {
     /** What the answer looked like; null if it is no success. */
-    val form: AnswerForm?
+    val summary: AnswerSummary?
 
     /** The sink has received the complete answer, or the caller is gone. */
     class Delivered(
-        override val form: AnswerForm?,
+        override val summary: AnswerSummary?,
     ) : AttemptResult
 
     /**
@@ -96,7 +96,7 @@
         val detail: String,
         val failure: Pair<ResponseHead, ByteArray>? = null,
         val events: Int? = null,
-        override val form: AnswerForm? = null,
+        override val summary: AnswerSummary? = null,
         val isDisconnected: Boolean = false,
         val canContinue: Boolean = true,
     ) : AttemptResult
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/RequestExecution.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/RequestExecution.kt
@@ -7,12 +7,11 @@
 import kotlinx.coroutines.withTimeoutOrNull
 import org.cicadaturn.decisions.dispatch.DispatchRequest
 import org.cicadaturn.decisions.gateway.Admission
-import org.cicadaturn.decisions.gateway.AnswerForm
+import org.cicadaturn.decisions.gateway.AnswerSummary
 import org.cicadaturn.decisions.gateway.AttemptEnd
 import org.cicadaturn.decisions.gateway.AttemptHistory
 import org.cicadaturn.decisions.gateway.EndpointRequest
 import org.cicadaturn.decisions.gateway.EndpointUse
-import org.cicadaturn.decisions.gateway.ExpectedEvents
 import org.cicadaturn.decisions.gateway.NextStep
 import org.cicadaturn.decisions.gateway.canEndBefore
 import org.cicadaturn.decisions.gateway.finalStep
@@ -27,7 +26,6 @@
 import org.cicadaturn.schema.generated.Route
 import org.cicadaturn.schema.generated.RouteKind
 import org.cicadaturn.schema.generated.ServiceId
-import org.cicadaturn.tasks.http.RequestHead
 import org.cicadaturn.tasks.http.ResponseHead
 import org.cicadaturn.tasks.http.valueOf
 import kotlin.time.Duration
@@ -50,6 +48,7 @@
     private val isRepeatable = route.kind == RouteKind.IDEMPOTENT || route.resumable
     private val id = request.head.headers.valueOf(dialect.requestId)
     private val prompt = dialect.promptOf(request.head.headers)
+    private val attemptRequests = AttemptRequests(request, admission, answer, dependencies)
     private val gate = PromptGate(dependencies.quarantine, service, admission.organisation, prompt, clock)
     private val deadline = request.arrivedAt + timeLimit()
     private val holdUntil = request.arrivedAt + maxHoldTime(route.kind, timeLimit())
@@ -139,7 +138,7 @@
                         continue
                     }
                     val result = attempt(placement.endpoint)
-                    if (result !is AttemptResult.Failed) return answered(placement.endpoint, result.form)
+                    if (result !is AttemptResult.Failed) return answered(placement.endpoint, result.summary)
                     last = result.end
                     val step = if (result.canContinue) nextStep(result.end, history()) else NextStep.CUT
                     record("attempt", placement.endpoint, result.detail, step, result)
@@ -159,7 +158,7 @@
 
     private fun answered(
         endpoint: LiveEndpoint,
-        form: AnswerForm?,
+        summary: AnswerSummary?,
     ): RequestEnd {
         dependencies.times.answered(service, clock.now() - placedAt)
         return answer.result().copy(
@@ -167,7 +166,7 @@
             placedAfter = placedAt - request.arrivedAt,
             begunAfter = begunAt?.let { it - request.arrivedAt },
             earlierRequests = earlierRequests,
-            form = form,
+            summary = summary,
         )
     }
 
@@ -231,14 +230,9 @@
                 prompt = promptText(prompt),
                 events = result?.events,
                 earlierRequests = endpoint?.let { earlierRequests },
-                contentType = result?.form?.contentType,
-                framing = result?.form?.framing?.name,
-                firstEvent = result?.form?.firstEvent,
-                lastEvent = result?.form?.lastEvent,
-                skippedEvents = result?.form?.skippedEvents,
                 detail = detail,
                 step = step?.name,
-            ),
+            ).withAnswer(result?.summary),
         )
     }
 
@@ -268,7 +262,15 @@
         placedAt = clock.now()
         earlierRequests = null
         val observation = gate.observe(endpoint)
-        val result = dependencies.exchange.run(attemptRequest(endpoint) { recordProgress(observation, it) }, answer)
+        val attempt =
+            attemptRequests.to(
+                endpoint,
+                remaining(),
+                canTryAnother = triedEndpoints.size < route.attempts,
+                onConnected = { earlierRequests = it },
+                onProgress = { recordProgress(observation, it) },
+            )
+        val result = dependencies.exchange.run(attempt, answer)
         observation.ended()
         if (result !is AttemptResult.Failed) return result
         if (result.isDisconnected && prompt.size > 1) observation.lost()
@@ -294,63 +296,6 @@
         observation.advance(progress)
     }
 
-    private fun attemptRequest(
-        endpoint: LiveEndpoint,
-        onProgress: (AnswerProgress) -> Unit,
-    ): AttemptRequest {
-        val remaining = remaining()
-        val canTryAnother = triedEndpoints.size < route.attempts
-        val limit =
-            when {
-                !isRepeatable || !canTryAnother -> remaining
-                route.kind == RouteKind.STREAM -> STREAM_STALL_TIMEOUT
-                else -> route.latencyTarget * SLOW_ANSWER_FACTOR
-            }
-        return AttemptRequest(
-            endpoint = endpoint,
-            kind = if (isRepeatable) route.kind else RouteKind.AT_MOST_ONCE,
-            head = headFor(endpoint, remaining),
-            body = request.body,
-            requestId = id,
-            firstByteLimit = minOf(limit, remaining - ANSWER_RESERVE).coerceAtLeast(1.milliseconds),
-            gapLimit = minOf(limit, remaining - ANSWER_RESERVE).coerceAtLeast(1.milliseconds),
-            canBeAbandoned = route.kind == RouteKind.STREAM && limit == STREAM_STALL_TIMEOUT,
-            events = expectedEvents(),
-            pauseTarget = route.pauseTarget,
-            remaining = remaining,
-            onConnected = { earlierRequests = it },
-            onProgress = onProgress,
-        )
-    }
-
-    private fun headFor(
-        endpoint: LiveEndpoint,
-        remaining: Duration,
-    ): RequestHead =
-        dialect.forwardedHead(
-            request.head,
-            endpoint.id,
-            remaining,
-            admission.organisation,
-            isKeyed = dependencies.routes()?.configuration?.tenancies != null,
-            resumeFrom = answer.lastEventId,
-        )
-
-    /** Returns what the events of the next answer must be, or null if it has none. */
-    private fun expectedEvents(): ExpectedEvents? {
-        if (route.kind != RouteKind.STREAM || request.head.method == "HEAD") return null
-        return ExpectedEvents(dependencies.eventNumbering, lastReceivedEvent())
-    }
-
-    /** Returns the number of the last event that the caller has, from this request or from an earlier one. */
-    private fun lastReceivedEvent(): Long? {
-        if (!route.resumable) return null
-        return answer.lastEventId ?: request.head.headers
-            .valueOf(dialect.lastEventId)
-            ?.trim()
-            ?.toLongOrNull()
-    }
-
     private fun history(): AttemptHistory =
         AttemptHistory(
             kind = route.kind,
@@ -385,13 +330,6 @@
     private companion object {
         val NOT_RUN_ENDS = setOf(AttemptEnd.NOT_SENT, AttemptEnd.NOT_EXECUTED)
 
-        /**
-         * Longest gap in a stream before it is resumed at another endpoint. Callers abandon a stream after a gap of
-         * two seconds, and the resumption must fit into this time. A group that lost a rank answers again after a
-         * stall of 1.5 s, and its other endpoints cannot answer earlier.
-         */
-        val STREAM_STALL_TIMEOUT = 1_600.milliseconds
-
         /** Pause after a refusal, for each time that the request was sent, before it is sent to the same endpoints. */
         val HOLD_PAUSE = 100.milliseconds
 
@@ -401,11 +339,6 @@
         /** Time spent on earlier attempts from which a caller counts as having come back; it rules out network delays. */
         val MIN_RETURN_TIME = 300.milliseconds
 
-        /** Time before the deadline that is left for the answer to the caller. */
-        val ANSWER_RESERVE = 10.milliseconds
-
-        /** Multiple of the latency target after which a repeatable request is sent to another endpoint. */
-        const val SLOW_ANSWER_FACTOR = 4
         const val GATEWAY_TIMEOUT = 504
 
         /** Delay stated to callers whose prompt is quarantined, which lasts for minutes. */
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/RequestJournal.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/RequestJournal.kt
@@ -5,6 +5,7 @@
 import kotlinx.serialization.json.jsonObject
 import org.apache.logging.log4j.LogManager
 import org.apache.logging.log4j.message.StringMapMessage
+import org.cicadaturn.decisions.gateway.AnswerSummary
 import org.cicadaturn.schema.generated.PromptSegmentId
 import org.cicadaturn.schema.generated.RequestLine
 
@@ -18,6 +19,16 @@
 internal fun promptText(segments: List<PromptSegmentId>): String? =
     segments.takeIf { it.isNotEmpty() }?.joinToString(" ") { it.text }
 
+/** Returns this line with what the answer of the endpoint looked like; null if there was no success. */
+internal fun RequestLine.withAnswer(summary: AnswerSummary?): RequestLine =
+    copy(
+        contentType = summary?.contentType,
+        framing = summary?.framing?.name,
+        firstEvent = summary?.firstEvent,
+        lastEvent = summary?.lastEvent,
+        skippedEvents = summary?.skippedEvents,
+    )
+
 private fun messageOf(line: RequestLine): StringMapMessage {
     val message = StringMapMessage()
     message.with("part", "request")
