Remove a group that all of its ranks have left

Cause: a group whose ranks all report the name of another group was kept without ranks, and the next question to it divided by their number.

A rank that reports another group leaves its earlier group in the same way as one that is forgotten, and a group without ranks is removed.

GroupTrackerTest: the new case guards against it.

--- a/decisions/src/main/kotlin/org/cicadaturn/decisions/dispatch/GroupTracker.kt
+++ b/decisions/src/main/kotlin/org/cicadaturn/decisions/dispatch/GroupTracker.kt
@@ -167,9 +167,16 @@
     }
 
     override fun forget(endpoint: EndpointId) {
-        val name = names.remove(endpoint) ?: return
-        groups[name]?.members?.remove(endpoint)
-        if (groups[name]?.members?.isEmpty() == true) groups.remove(name)
+        leave(endpoint, names.remove(endpoint) ?: return)
+    }
+
+    private fun leave(
+        endpoint: EndpointId,
+        name: String,
+    ) {
+        val group = groups[name] ?: return
+        group.members -= endpoint
+        if (group.members.isEmpty()) groups -= name
     }
 
     override fun reported(
@@ -213,7 +220,7 @@
     ): Group {
         val group = groups.getOrPut(name) { Group() }
         val earlier = names.put(endpoint, name)
-        if (earlier != null && earlier != name) groups[earlier]?.members?.remove(endpoint)
+        if (earlier != null && earlier != name) leave(endpoint, earlier)
         group.members += endpoint
         return group
     }
--- a/decisions/src/test/kotlin/org/cicadaturn/decisions/dispatch/GroupTrackerTest.kt
+++ b/decisions/src/test/kotlin/org/cicadaturn/decisions/dispatch/GroupTrackerTest.kt
@@ -116,4 +116,15 @@
         val later = (10..20).flatMap { tracker.endpointsToAsk(start + (it * 100).milliseconds) }
         assertTrue(EndpointId("e0") !in later && EndpointId("e1") in later)
     }
+
+    /** Guards against a division by the number of ranks of a group that all of them have left. */
+    @Test
+    fun `a group whose ranks all report another name is not asked any more`() {
+        val tracker = tracker()
+        tracker.refused(b1, start)
+        tracker.reported(b1, open("c"), start + 10.milliseconds)
+        assertEquals(emptyList<EndpointId>(), tracker.endpointsToAsk(start + 1.seconds))
+        assertNull(tracker.nextAsk(start + 1.seconds))
+        assertEquals(setOf(b1), tracker.ranksOf(b1))
+    }
 }
