End a stream of events before a line that ends with CR alone

A second fault in the same function: an event that arrives in small pieces took time with the square of its length.

Cause: two readings of the same bytes, of which only that of the standard was verified; the splitter copied all pending bytes for each read.

A stream is passed on up to the event with the first such line, and is then broken, so that it goes on at another endpoint where it may. The splitter keeps the pending bytes in a buffer that grows by doubling. EventStream joins the splitter, the sequence and the verification of the end, so that no caller of one can leave out another.

An endpoint that ends its lines with CR alone is not served on routes of streams any more.

--- a/decisions/src/main/kotlin/org/cicadaturn/decisions/gateway/AnswerSummary.kt
+++ b/decisions/src/main/kotlin/org/cicadaturn/decisions/gateway/AnswerSummary.kt
@@ -1,20 +1,5 @@
 package org.cicadaturn.decisions.gateway
 
-/** What marks the end of the body of an answer. */
-public enum class BodyFraming {
-    /** Its length. */
-    LENGTH,
-
-    /** A last chunk. */
-    CHUNKED,
-
-    /** The end of the connection, which does not tell a whole body from one that was cut. */
-    CONNECTION,
-
-    /** A transfer encoding that is not supported. */
-    UNKNOWN,
-}
-
 /**
  * What the success of an endpoint looked like, for logs.
  *
--- a/decisions/src/main/kotlin/org/cicadaturn/decisions/gateway/EventSplitter.kt
+++ b/decisions/src/main/kotlin/org/cicadaturn/decisions/gateway/EventSplitter.kt
@@ -15,9 +15,11 @@
 }
 
 /**
- * Splits the bytes of an event stream into whole events, as the standard for event streams does.
+ * Splits the bytes of an event stream into whole events.
  *
- * A line ends with LF, CR or both, and an event with a blank line. Has one owner and is not safe for concurrent use.
+ * A line ends with LF or CR LF, and an event with a blank line. The standard for event streams also knows lines that
+ * end with CR, but many readers do not, so they would find other events in the same bytes. Has one owner and is not safe
+ * for concurrent use.
  */
 public interface EventSplitter {
     /** True while the last event is incomplete. */
@@ -26,7 +28,10 @@
     /** Number of bytes of the incomplete event. */
     public val pendingBytes: Int
 
-    /** Returns the events that [bytes] complete, in order; takes linear time in the pending and the new bytes. */
+    /** True once a line has ended with CR alone; nothing from its event on can be trusted. */
+    public val hasLoneReturn: Boolean
+
+    /** Returns the events that [bytes] complete, in order; takes time proportional to the number of bytes. */
     public fun add(bytes: ByteArray): List<StreamEvent>
 }
 
@@ -34,71 +39,57 @@
 public fun eventSplitter(): EventSplitter = BlankLineSplitter()
 
 private class BlankLineSplitter : EventSplitter {
-    private var pending = ByteArray(0)
-
-    /** Number of pending bytes that were scanned. */
-    private var scanned = 0
+    /** The first [pendingBytes] of it are those of the incomplete event. */
+    private var buffer = ByteArray(0)
     private var lineStart = 0
-    private var hasLine = false
-
-    /** True if the last byte was a CR, so that an LF behind it belongs to the same line end. */
-    private var isAfterReturn = false
 
-    /** True if the last line ended with CR and LF. */
-    private var endedWithBoth = false
+    /** True if the incomplete event has a whole line. */
+    private var hasLine = false
 
-    override val isInsideEvent: Boolean get() = hasLine
-    override val pendingBytes: Int get() = pending.size
+    override val isInsideEvent: Boolean get() = hasLine || pendingBytes > lineStart
+    override var pendingBytes = 0
+        private set
+    override var hasLoneReturn = false
+        private set
 
     override fun add(bytes: ByteArray): List<StreamEvent> {
-        val all = if (pending.isEmpty()) bytes else pending + bytes
         val events = mutableListOf<StreamEvent>()
+        val scanned = pendingBytes
+        append(bytes)
         var start = 0
-        var i = scanned
-        while (i < all.size && !isHalfOfBlankLine(all, i)) {
-            val isSecondHalf = isAfterReturn && all[i] == LINE_FEED
-            val isBlank = i == lineStart && !isSecondHalf
-            val size = lineEndSize(all, i, isSecondHalf)
-            if (size > 0) {
-                i += size
-                lineStart = i
-                if (isBlank && hasLine) {
-                    events += eventOf(all.copyOfRange(start, i))
-                    start = i
-                    hasLine = false
-                }
-            } else {
-                hasLine = true
-                i += 1
+        for (i in scanned..<pendingBytes) {
+            if (i > start && buffer[i - 1] == CARRIAGE_RETURN && buffer[i] != LINE_FEED) {
+                hasLoneReturn = true
+                break
+            }
+            if (buffer[i] != LINE_FEED) continue
+            val isBlank = i == lineStart || (i == lineStart + 1 && buffer[lineStart] == CARRIAGE_RETURN)
+            if (!isBlank) hasLine = true
+            // A blank line without an event before it belongs to the next event.
+            if (isBlank && hasLine) {
+                events += eventOf(buffer.copyOfRange(start, i + 1))
+                start = i + 1
+                hasLine = false
             }
+            lineStart = i + 1
         }
-        pending = all.copyOfRange(start, all.size)
-        lineStart -= start
-        scanned = i - start
+        drop(start)
         return events
     }
 
-    /** Returns true if the last of [all] is the CR of a blank line whose LF is still to come, as in the line before. */
-    private fun isHalfOfBlankLine(
-        all: ByteArray,
-        i: Int,
-    ): Boolean = i == all.size - 1 && i == lineStart && all[i] == CARRIAGE_RETURN && endedWithBoth
+    private fun append(bytes: ByteArray) {
+        val size = pendingBytes + bytes.size
+        // Doubling the buffer keeps the time for an event in many small pieces proportional to its length.
+        if (size > buffer.size) buffer = buffer.copyOf(maxOf(size, 2 * pendingBytes))
+        bytes.copyInto(buffer, pendingBytes)
+        pendingBytes = size
+    }
 
-    /** Returns the number of bytes of the line end at [i], or 0 if there is none. */
-    private fun lineEndSize(
-        all: ByteArray,
-        i: Int,
-        isSecondHalf: Boolean,
-    ): Int {
-        isAfterReturn = false
-        if (all[i] == LINE_FEED) {
-            endedWithBoth = isSecondHalf
-            return 1
-        }
-        if (all[i] != CARRIAGE_RETURN) return 0
-        endedWithBoth = all.getOrNull(i + 1) == LINE_FEED
-        isAfterReturn = !endedWithBoth
-        return if (endedWithBoth) 2 else 1
+    private fun drop(count: Int) {
+        if (count == 0) return
+        buffer = buffer.copyOfRange(count, pendingBytes)
+        pendingBytes -= count
+        lineStart -= count
     }
 }
 
@@ -109,7 +100,7 @@
         } catch (_: CharacterCodingException) {
             return StreamEvent(bytes, lines = null)
         }
-    return StreamEvent(bytes, text.lineSequence().filter { it.isNotEmpty() }.toList())
+    return StreamEvent(bytes, text.split('\n').map { it.removeSuffix("\r") }.filter { it.isNotEmpty() })
 }
 
 private fun idIn(lines: List<String>): Long? {
--- a/decisions/src/main/kotlin/org/cicadaturn/decisions/gateway/ExpectedAnswer.kt
+++ b/decisions/src/main/kotlin/org/cicadaturn/decisions/gateway/ExpectedAnswer.kt
@@ -1,5 +1,20 @@
 package org.cicadaturn.decisions.gateway
 
+/** What marks the end of the body of an answer. */
+public enum class BodyFraming {
+    /** Its length. */
+    LENGTH,
+
+    /** A last chunk. */
+    CHUNKED,
+
+    /** The end of the connection, which does not tell a whole body from one that was cut. */
+    CONNECTION,
+
+    /** A transfer encoding that is not supported. */
+    UNKNOWN,
+}
+
 /**
  * Head of an answer, as far as it decides what is passed on.
  *
@@ -111,25 +126,6 @@
             ?.trim()
             .equals(EVENT_STREAM, ignoreCase = true)
 
-/**
- * Returns why a stream whose body has ended is not complete, or null if it is.
- *
- * @param isInsideEvent true if its last event is incomplete
- * @param hasEvents true if it had events
- */
-public fun ExpectedEvents.endDefectOf(
-    framing: BodyFraming,
-    isInsideEvent: Boolean,
-    hasEvents: Boolean,
-): String? =
-    when {
-        isInsideEvent -> "stream ended inside an event"
-        // An endpoint that fails also ends its connection, so events may be missing.
-        framing == BodyFraming.CONNECTION -> "only the end of the connection ended the stream"
-        !hasEvents && after == null -> "stream ended without an event"
-        else -> null
-    }
-
 private val SUCCESS_STATUSES = 200..299
 private const val WHOLE_ANSWER = 200
 private const val EVENT_STREAM = "text/event-stream"
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/AttemptExecution.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/AttemptExecution.kt
@@ -10,9 +10,7 @@
 import org.cicadaturn.decisions.gateway.ExpectedAnswer
 import org.cicadaturn.decisions.gateway.ExpectedEvents
 import org.cicadaturn.decisions.gateway.StreamEvent
-import org.cicadaturn.decisions.gateway.endDefectOf
-import org.cicadaturn.decisions.gateway.eventSequence
-import org.cicadaturn.decisions.gateway.eventSplitter
+import org.cicadaturn.decisions.gateway.eventStream
 import org.cicadaturn.decisions.gateway.verdictOn
 import org.cicadaturn.schema.generated.AnswerProgress
 import org.cicadaturn.tasks.http.HttpPart
@@ -190,8 +188,7 @@
         head: ResponseHead,
         expected: ExpectedEvents,
     ): AttemptResult {
-        val splitter = eventSplitter()
-        val sequence = eventSequence(expected)
+        val stream = eventStream(expected)
         events = 0
         while (true) {
             val limit = if (hasEvents) attempt.gapLimit else attempt.firstByteLimit
@@ -202,8 +199,7 @@
             val part = (received as? WaitResult.Part)?.part
             when {
                 part is HttpPart.Data -> {
-                    val batch = sequence.accept(splitter.add(part.bytes))
-                    val end = relayBatch(head, batch, splitter.pendingBytes, waitedSince)
+                    val end = relayBatch(head, stream.accept(part.bytes), stream.pendingBytes, waitedSince)
                     if (end != null) return end
                 }
                 part == HttpPart.End -> break
@@ -212,7 +208,7 @@
                 else -> return outOfStep("unreadable stream")
             }
         }
-        val defect = expected.endDefectOf(head.framing, splitter.isInsideEvent, hasEvents) ?: return endEvents(head)
+        val defect = stream.defectAtEnd(head.framing) ?: return endEvents(head)
         return if (head.framing == BodyFraming.CONNECTION) disconnected(defect) else failed(AttemptEnd.BROKEN, defect)
     }
 
