Look for a second answer in bodies that are not buffered

Cause: the status line of a second answer was searched for only in the part of the body that had been kept.

AnswerBody holds what is kept and passed on, and the search goes over all pieces, across the limits of reads. If a second answer is found and bytes follow the body, the answer is cut, as its parts were already passed on.

--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/AttemptExecution.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/AttemptExecution.kt
@@ -15,9 +15,7 @@
 import org.cicadaturn.schema.generated.AnswerProgress
 import org.cicadaturn.tasks.http.HttpPart
 import org.cicadaturn.tasks.http.ResponseHead
-import org.cicadaturn.tasks.http.containStatusLine
 import org.cicadaturn.tasks.http.valueOf
-import java.io.ByteArrayOutputStream
 import kotlin.time.Clock
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -141,15 +139,17 @@
         head: ResponseHead,
         isIncremental: Boolean,
     ): AttemptResult {
-        var buffered = ByteArrayOutputStream()
-        var isStreamed = isIncremental
+        val body = AnswerBody(isIncremental, parts::canBuffer)
         while (true) {
             val received = parts.awaitPart(attempt.gapLimit)
             val part = (received as? WaitResult.Part)?.part
             when {
-                part is HttpPart.Data && !isStreamed -> buffered.write(part.bytes)
-                part is HttpPart.Data -> if (!sink.sendPiece(head, part.bytes)) return AttemptResult.Delivered(summary)
-                part == HttpPart.End -> break
+                part is HttpPart.Data -> {
+                    val ready = body.add(part.bytes)
+                    if (ready != null && !sink.sendPiece(head, ready)) return AttemptResult.Delivered(summary)
+                    if (body.isPassedOn) memory.close()
+                }
+                part == HttpPart.End -> return endBody(head, body)
                 received == WaitResult.Stalled -> return failed(
                     AttemptEnd.STALLED,
                     "answer paused for ${attempt.gapLimit}",
@@ -157,30 +157,19 @@
                 received == WaitResult.Ended -> return disconnected("answer was cut", EndpointUse.Failed)
                 else -> return outOfStep("unreadable answer")
             }
-            if (!isStreamed && !parts.canBuffer(buffered.size())) {
-                isStreamed = true
-                if (!sink.sendPiece(head, buffered.toByteArray())) return AttemptResult.Delivered(summary)
-                buffered = ByteArrayOutputStream(0)
-                memory.close()
-            }
         }
-        return endBody(head, buffered.toByteArray(), isStreamed)
     }
 
-    /** Ends an answer whose body is complete; [rest] is what was not passed on yet. */
     private suspend fun endBody(
         head: ResponseHead,
-        rest: ByteArray,
-        isStreamed: Boolean,
+        body: AnswerBody,
     ): AttemptResult {
         // A body of which a part was left out has the beginning of what follows on the connection at its end.
-        if (link.hasSurplus && containStatusLine(rest)) {
-            return outOfStep("a second answer within the body")
-        }
+        if (link.hasSurplus && body.hasStatusLine()) return outOfStep("a second answer within the body")
         allowReuse(head)
         use = EndpointUse.Answered(clock.now() - start)
         attempt.onProgress(AnswerProgress.RUNNING)
-        if (isStreamed) sink.sendEnd(head) else sink.sendAnswer(head, rest)
+        if (body.isPassedOn) sink.sendEnd(head) else sink.sendAnswer(head, body.rest())
         return AttemptResult.Delivered(summary)
     }
 
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/http/AnswerDecoder.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/http/AnswerDecoder.kt
@@ -95,11 +95,28 @@
         isHeadRequest || super.isContentAlwaysEmpty(message)
 }
 
-/** Returns true if [bytes], a part of a body, contain a status line, as if a second answer stood within the first. */
-internal fun containStatusLine(bytes: ByteArray): Boolean = STATUS_LINE in String(bytes, Charsets.ISO_8859_1)
+/** Looks for a status line in a body that arrives in pieces, as if a second answer stood within the first. */
+internal class StatusLineSearch {
+    private var tail = ""
+
+    /** True if the pieces so far contain a status line. */
+    var isFound = false
+        private set
+
+    /** Adds the next piece of the body. */
+    fun add(bytes: ByteArray) {
+        if (isFound) return
+        val text = tail + String(bytes, Charsets.ISO_8859_1)
+        isFound = STATUS_LINE in text
+        tail = text.takeLast(MAX_STATUS_LINE_CHARACTERS)
+    }
+}
 
 /** Above the limit of a head, so that only bytes which are no answer are left out. */
 private const val MAX_HEAD_CHARACTERS = 65_536
+
+/** Longest status line that is found across two pieces; servers put one blank before the status. */
+private const val MAX_STATUS_LINE_CHARACTERS = 32
 private val VERSIONS = setOf(HttpVersion.HTTP_1_0, HttpVersion.HTTP_1_1)
 
 /** Status line in any form that the decoder accepts. */
