Refuse an event that contains the head of a second answer

Cause: lines with fields of other names are allowed in an event, since engines add some before the known ones; the header lines of a second answer passed for such fields.

A field of another name behind `id`, `event`, `data` or `retry` breaks the sequence. A copy without any header line still passes as a line of the event.

--- a/decisions/src/main/kotlin/org/cicadaturn/decisions/gateway/EventSequence.kt
+++ b/decisions/src/main/kotlin/org/cicadaturn/decisions/gateway/EventSequence.kt
@@ -86,6 +86,7 @@
         val unknown = lines.firstOrNull { !it.startsWith(':') && fieldNameIn(it) == null }
         return when {
             unknown != null -> "line without a field: ${unknown.take(MAX_DETAIL_CHARACTERS)}"
+            hasFieldBehindKnownOnes(lines) -> "event with the head of another answer"
             lines.count { fieldNameIn(it) == ID } > 1 -> "event with two ids"
             event.id == null -> "event without a numeric id"
             // A reader of the standard does not see such an event, so its number would be missing.
@@ -108,6 +109,15 @@
 /** Returns true for a [line] of which no reader makes an event: a comment or a delay before a reconnection. */
 private fun isWithoutEvent(line: String): Boolean = line.startsWith(':') || fieldNameIn(line) == RETRY
 
+/**
+ * Returns true if a field of another name stands behind one of a stream. An event that broke off within its data and
+ * is followed by a second answer has the headers of that answer there.
+ */
+private fun hasFieldBehindKnownOnes(lines: List<String>): Boolean {
+    val names = lines.filter { !it.startsWith(':') }.map(::fieldNameIn)
+    return names.dropWhile { it !in KNOWN_FIELDS }.any { it !in KNOWN_FIELDS }
+}
+
 /** Returns the name of the field in [line], or null if there is none; only a known field may lack its colon. */
 private fun fieldNameIn(line: String): String? {
     if (':' !in line) return line.takeIf { it in KNOWN_FIELDS }
