Send no body and no last chunk in answers to HEAD

Cause: the encoder of answers did not know the method of the request.

The link tells its encoder whether the request is HEAD; the encoder then leaves out the body. No length is announced for a body that is not known.

--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/http/HttpLink.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/http/HttpLink.kt
@@ -87,11 +87,15 @@
     public fun close()
 }
 
-/** @property decoder decoder of the answers, or null if the other side is a client */
+/**
+ * @property decoder decoder of the answers, or null if the other side is a client
+ * @property encoder encoder of the answers, or null if the other side is a server
+ */
 internal class NettyLink(
     private val channel: Channel,
     private val onFatalError: FatalErrorHandler,
     private val decoder: AnswerDecoder? = null,
+    private val encoder: AnswerEncoder? = null,
 ) : ChannelInboundHandlerAdapter(),
     HttpLink {
     // Unbounded, but filled by one read of the socket at a time, which is requested when the inbox is empty.
@@ -110,6 +114,7 @@
         if (ready == null) channel.read()
         val part = ready ?: inbox.receiveCatching().getOrNull()
         if (part != null) pending -= 1
+        if (part is HttpPart.Request) encoder?.isHeadRequest = part.head.method == "HEAD"
         return part
     }
 
@@ -207,7 +212,9 @@
                 unvalidated,
             )
         fill(response.headers(), head.headers)
-        HttpUtil.setContentLength(response, body.size.toLong())
+        // The length of the body that a GET would get is not known.
+        val isHead = encoder?.isHeadRequest == true
+        if (!isHead || body.isNotEmpty()) HttpUtil.setContentLength(response, body.size.toLong())
         if (head.closesConnection) HttpUtil.setKeepAlive(response, false)
         return awaitWrite(channel.writeAndFlush(response))
     }
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/http/HttpListener.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/http/HttpListener.kt
@@ -9,6 +9,7 @@
 import io.netty.handler.codec.http.HttpDecoderConfig
 import io.netty.handler.codec.http.HttpMessage
 import io.netty.handler.codec.http.HttpRequestDecoder
+import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpResponseEncoder
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.launch
@@ -39,8 +40,9 @@
     val initializer =
         object : ChannelInitializer<SocketChannel>() {
             override fun initChannel(channel: SocketChannel) {
-                val link = NettyLink(channel, runtime.onFatalError)
-                channel.pipeline().addLast(StrictRequestDecoder(headerBytes), HttpResponseEncoder(), link)
+                val encoder = AnswerEncoder()
+                val link = NettyLink(channel, runtime.onFatalError, encoder = encoder)
+                channel.pipeline().addLast(StrictRequestDecoder(headerBytes), encoder, link)
                 scope.launch {
                     try {
                         serve(link)
@@ -94,5 +96,14 @@
         throw IllegalArgumentException("both Transfer-Encoding and Content-Length; send one of them")
 }
 
+/** Encoder of the answers on a connection, which leaves out the body of an answer to HEAD. */
+internal class AnswerEncoder : HttpResponseEncoder() {
+    /** True if the answers that follow are to a request with the method HEAD. */
+    var isHeadRequest = false
+
+    override fun isContentAlwaysEmpty(message: HttpResponse): Boolean =
+        isHeadRequest || super.isContentAlwaysEmpty(message)
+}
+
 /** Length of the accept queue; a restart of callers opens many connections at once. */
 private const val BACKLOG = 512
