Verify only the headers that reach the caller, and the status

Cause: the verdict on the head was made with all headers, and the headers that are passed on were selected later; the status was only compared with the range of successes.

The verdict is made with the end-to-end headers, and a status outside of 200 to 599 is no answer. The execution of an attempt has one branch for each verdict now; the line of the log has type and framing of every answer but a failure of the endpoint, which its documentation now says.

--- a/decisions/src/main/kotlin/org/cicadaturn/decisions/gateway/AnswerSummary.kt
+++ b/decisions/src/main/kotlin/org/cicadaturn/decisions/gateway/AnswerSummary.kt
@@ -1,7 +1,7 @@
 package org.cicadaturn.decisions.gateway
 
 /**
- * What the success of an endpoint looked like, for logs.
+ * What an answer of an endpoint looked like, for logs.
  *
  * @property contentType declared content type, or null if there is none
  * @property firstEvent number of the first event, or null if no event had a number
--- a/decisions/src/main/kotlin/org/cicadaturn/decisions/gateway/ExpectedAnswer.kt
+++ b/decisions/src/main/kotlin/org/cicadaturn/decisions/gateway/ExpectedAnswer.kt
@@ -72,7 +72,7 @@
     /**
      * An answer of which nothing is passed on.
      *
-     * @property isOutOfStep true if the bytes may belong to another request, so that the connection cannot be trusted
+     * @property isOutOfStep true if the bytes may belong to another request, so that no request may follow on the connection
      */
     public data class Unsound(
         val defect: String,
@@ -83,19 +83,20 @@
 /** Returns how the answer with [head] is read where this one is expected. */
 public fun ExpectedAnswer.verdictOn(head: AnswerHead): AnswerVerdict {
     val isSuccess = head.status in SUCCESS_STATUSES
-    ownershipDefectOf(head, isSuccess)?.let { return AnswerVerdict.Unsound(it, isOutOfStep = true) }
+    trustDefectOf(head, isSuccess)?.let { return AnswerVerdict.Unsound(it, isOutOfStep = true) }
     if (!isSuccess) return AnswerVerdict.Failure
     if (events != null) return streamVerdictOn(head, events)
     if (continuesAnswer) return AnswerVerdict.Unsound("a body cannot continue an answer")
     return AnswerVerdict.Body(isIncremental = head.isEventStream)
 }
 
-/** Returns why the answer may not belong to the request, or why its end cannot be found; null if neither is so. */
-private fun ExpectedAnswer.ownershipDefectOf(
+/** Returns why the answer cannot be trusted to be the endpoint's own answer to the request, or null if it can. */
+private fun ExpectedAnswer.trustDefectOf(
     head: AnswerHead,
     isSuccess: Boolean,
 ): String? =
     when {
+        head.status !in FINAL_STATUSES -> "status ${head.status}, which does not exist"
         head.framing == BodyFraming.UNKNOWN -> "answer with an unknown transfer encoding"
         requestId != null && head.requestId != null && head.requestId != requestId ->
             "answer to another request ${head.requestId}"
@@ -126,6 +127,7 @@
             ?.trim()
             .equals(EVENT_STREAM, ignoreCase = true)
 
+private val FINAL_STATUSES = 200..599
 private val SUCCESS_STATUSES = 200..299
 private const val WHOLE_ANSWER = 200
 private const val EVENT_STREAM = "text/event-stream"
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/AttemptExecution.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/AttemptExecution.kt
@@ -39,7 +39,7 @@
     /** Number of events received; null before the head of a stream. */
     private var events: Int? = null
 
-    /** What the answer looks like; null before the head of a success. */
+    /** What the answer looks like; null before its head, and for a failure of the endpoint. */
     private var summary: AnswerSummary? = null
 
     var use: EndpointUse = EndpointUse.Abandoned
@@ -72,18 +72,30 @@
                 else -> return outOfStep("unexpected bytes")
             }
         val verdict = expectedAnswer().verdictOn(dialect.answerHead(head))
-        if (verdict is AnswerVerdict.Unsound) return unsound(head, verdict)
-        dialect.loadOf(head.headers)?.let { balancer.loadReported(attempt.endpoint.id, it) }
-        if (verdict == AnswerVerdict.Failure) return handleFailure(head)
-        summary = summaryOf(head)
-        balancer.accepted(attempt.endpoint.id)
-        attempt.onProgress(AnswerProgress.HEAD)
+        if (verdict !is AnswerVerdict.Unsound) {
+            dialect.loadOf(head.headers)?.let { balancer.loadReported(attempt.endpoint.id, it) }
+        }
+        if (verdict != AnswerVerdict.Failure) summary = summaryOf(head)
         return when (verdict) {
-            is AnswerVerdict.Events -> relayEvents(head, verdict.expected)
-            else -> relayBody(head, isIncremental = verdict == AnswerVerdict.Body(isIncremental = true))
+            is AnswerVerdict.Unsound ->
+                if (verdict.isOutOfStep) outOfStep(verdict.defect) else failed(AttemptEnd.BROKEN, verdict.defect)
+            AnswerVerdict.Failure -> handleFailure(head)
+            is AnswerVerdict.Events -> {
+                accepted()
+                relayEvents(head, verdict.expected)
+            }
+            is AnswerVerdict.Body -> {
+                accepted()
+                relayBody(head, verdict.isIncremental)
+            }
         }
     }
 
+    private fun accepted() {
+        balancer.accepted(attempt.endpoint.id)
+        attempt.onProgress(AnswerProgress.HEAD)
+    }
+
     private fun expectedAnswer(): ExpectedAnswer =
         ExpectedAnswer(
             requestId = attempt.requestId,
@@ -92,14 +104,6 @@
             events = attempt.events,
         )
 
-    private fun unsound(
-        head: ResponseHead,
-        verdict: AnswerVerdict.Unsound,
-    ): AttemptResult {
-        summary = summaryOf(head)
-        return if (verdict.isOutOfStep) outOfStep(verdict.defect) else failed(AttemptEnd.BROKEN, verdict.defect)
-    }
-
     private fun summaryOf(head: ResponseHead): AnswerSummary =
         AnswerSummary(head.headers.valueOf("Content-Type"), head.framing)
 
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/CallerAnswer.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/CallerAnswer.kt
@@ -17,7 +17,7 @@
  * @property placedAfter time from the arrival until the request was placed at the endpoint that answered
  * @property begunAfter time from the arrival until the answer began
  * @property earlierRequests number of requests that the connection to the endpoint had carried before
- * @property summary what the answer of the endpoint looked like; null if it was no success
+ * @property summary what the answer of the endpoint looked like; null if there was none, or a failure
  */
 internal data class RequestEnd(
     val status: Int,
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/Exchange.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/Exchange.kt
@@ -75,7 +75,7 @@
 
 /** Result of an attempt. */
 internal sealed interface AttemptResult {
-    /** What the answer looked like; null if it is no success. */
+    /** What the answer looked like; null if there was no head, or that of a failure. */
     val summary: AnswerSummary?
 
     /** The sink has received the complete answer, or the caller is gone. */
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/GatewayDialect.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/GatewayDialect.kt
@@ -5,6 +5,7 @@
 import org.cicadaturn.schema.generated.Header
 import org.cicadaturn.schema.generated.PromptSegmentId
 import org.cicadaturn.tasks.http.ResponseHead
+import org.cicadaturn.tasks.http.endToEnd
 import org.cicadaturn.tasks.http.valueOf
 
 /**
@@ -34,13 +35,15 @@
     val loadOf: (List<Header>) -> LoadSample?,
 )
 
-/** Returns what decides how the answer with [head] is read. */
-internal fun GatewayDialect.answerHead(head: ResponseHead): AnswerHead =
-    AnswerHead(
+/** Returns what decides how the answer with [head] is read; only headers that reach the caller count. */
+internal fun GatewayDialect.answerHead(head: ResponseHead): AnswerHead {
+    val headers = head.headers.endToEnd()
+    return AnswerHead(
         status = head.status,
         framing = head.framing,
-        contentTypes = head.headers.filter { it.name.equals("Content-Type", ignoreCase = true) }.map { it.value },
+        contentTypes = headers.filter { it.name.equals("Content-Type", ignoreCase = true) }.map { it.value },
         isEncoded = head.headers.valueOf("Content-Encoding") != null,
-        requestId = head.headers.valueOf(requestId),
-        isSigned = head.headers.valueOf(signature) != null,
+        requestId = headers.valueOf(requestId),
+        isSigned = headers.valueOf(signature) != null,
     )
+}
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/RequestJournal.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/RequestJournal.kt
@@ -19,7 +19,7 @@
 internal fun promptText(segments: List<PromptSegmentId>): String? =
     segments.takeIf { it.isNotEmpty() }?.joinToString(" ") { it.text }
 
-/** Returns this line with what the answer of the endpoint looked like; null if there was no success. */
+/** Returns this line with what the answer of the endpoint looked like, or without it if [summary] is null. */
 internal fun RequestLine.withAnswer(summary: AnswerSummary?): RequestLine =
     copy(
         contentType = summary?.contentType,
