Give up an endpoint that sends bytes without an event all the time

Cause: the wait for the next part had a minimum, which each part began anew although the limit was over.

Once the limit has passed by more than the interval of the stall check, the endpoint counts as stalled even if parts arrive.

--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/AnswerParts.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/AnswerParts.kt
@@ -81,7 +81,9 @@
         limit: Duration,
         hasBegun: Boolean,
     ): WaitResult {
-        var received = awaitPart(limit.coerceAtLeast(MIN_WAIT))
+        // Parts that are neither a head nor an event may arrive without end.
+        val isOver = limit < -STALL_CHECK_INTERVAL
+        var received = if (isOver) WaitResult.Stalled else awaitPart(limit.coerceAtLeast(MIN_WAIT))
         while (received == WaitResult.Stalled && attempt.canBeAbandoned) {
             if (balancer.shouldAbandon(attempt.endpoint.id, hasBegun)) break
             received = awaitPart(STALL_CHECK_INTERVAL)
