--- a/daemons/src/test/kotlin/org/cicadaturn/daemons/QuarantineTest.kt
+++ b/daemons/src/test/kotlin/org/cicadaturn/daemons/QuarantineTest.kt
@@ -54,7 +54,7 @@
     fun `the list shows segments with their evidence`() {
         val spec =
             """{"service":"draft","segment":"5c1e","confidence":0.987,"crashes":2,"servers":["i-1"],"since":60000}"""
-        answer = 200 to """{"items":[{"metadata":{"name":"draft.5c1e"},"spec":$spec}],"at":7}"""
+        answer = 200 to """{"items":[{"metadata":{"name":"draft.5c1e"},"spec":$spec}],"truncated":false,"at":7}"""
         val (code, text) = printed { listQuarantine(connection, OutputFormat.TEXT) }
         assertEquals(SUCCESS, code)
         listOf("draft", "5c1e", "0.987", "2", "1970-01-01T00:01:00Z", "i-1").forEach { assertTrue(it in text, text) }
