Use only reports, maps and counts that fit the group

Cause: documents were compared with the call by nothing but the epoch.

A report decides about a switch only if it is of this group, rank and size; a group is balanced once its ranks together list a whole map; counts must be one for each expert, or none.

--- a/decisions/src/main/kotlin/org/cicadaturn/decisions/experts/ExpertMap.kt
+++ b/decisions/src/main/kotlin/org/cicadaturn/decisions/experts/ExpertMap.kt
@@ -26,6 +26,14 @@
     val newInAllSets: Int = Int.MAX_VALUE,
 )
 
+/** Returns true if each expert is on a rank of this map and the ranks hold no others and not more than [bounds] allow. */
+public fun ExpertMap.isWithin(bounds: PlacementBounds): Boolean =
+    sets.all { ranks ->
+        ranks.size == bounds.ranks &&
+            ranks.all { it.size <= bounds.places } &&
+            ranks.flatten().toSet() == (0 until bounds.experts).toSet()
+    }
+
 /**
  * Returns for each set the load of the most loaded rank, relative to the mean over the ranks.
  *
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/experts/ExpertBalancer.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/experts/ExpertBalancer.kt
@@ -14,6 +14,7 @@
 import org.cicadaturn.decisions.experts.PlacementPlan
 import org.cicadaturn.decisions.experts.demandEstimate
 import org.cicadaturn.decisions.experts.interruptedSwitch
+import org.cicadaturn.decisions.experts.isWithin
 import org.cicadaturn.decisions.experts.mapVersions
 import org.cicadaturn.decisions.experts.planPlacement
 import org.cicadaturn.decisions.experts.stepEstimate
@@ -45,7 +46,20 @@
     val epoch: Long,
     val ranks: Map<Int, LiveEndpoint>,
     val profile: ExpertProfile,
-)
+) {
+    val bounds: PlacementBounds =
+        PlacementBounds(profile.experts, ranks.size, profile.places, profile.newPlaces, MAX_NEW_EXPERTS)
+
+    /** Returns true if [report] is of rank [rank] of this group, in any epoch. */
+    fun isReportOf(
+        rank: Int,
+        report: RankReport,
+    ): Boolean = report.group == name && report.rank == rank && report.size == ranks.size
+
+    /** Returns true if [selections] has a count for each expert of the group, or none. */
+    fun isCounted(selections: ExpertSelections): Boolean =
+        selections.counts.isEmpty() || selections.counts.size == profile.sets * profile.experts
+}
 
 /** Discovers groups and starts a task for each of them; used by one coroutine only. */
 private class ExpertBalancer(
@@ -197,8 +211,13 @@
                     .sorted()
                     .map { r -> byRank.getValue(r)!!.experts[s] }
             }
+        val map = ExpertMap(sets)
+        if (!map.isWithin(group.bounds)) {
+            logger.info("experts: {} not balanced: its ranks list no whole map: {}", group.name, sets)
+            return null
+        }
         logger.info("experts: {} epoch {} has {} ranks and map {}", group.name, group.epoch, group.ranks.size, version)
-        return GroupBalancer(group, orders, client, clock, ExpertMap(sets), version, step, demands[group.name])
+        return GroupBalancer(group, orders, client, clock, map, version, step, demands[group.name])
     }
 
     private companion object {
@@ -227,8 +246,6 @@
     private val knownDemand: List<DoubleArray>?,
 ) {
     private val profile = group.profile
-    private val bounds =
-        PlacementBounds(profile.experts, group.ranks.size, profile.places, profile.newPlaces, MAX_NEW_EXPERTS)
     private var rankIndex = 0
     private var switchStep = 0L
     private var lastStep = step
@@ -247,7 +264,7 @@
      * reads would take more than twice its time; returns false if the group has to be discovered again.
      */
     suspend fun restore(): Boolean {
-        val plan = planPlacement(map, knownDemand ?: return true, bounds)
+        val plan = planPlacement(map, knownDemand ?: return true, group.bounds)
         return plan.before - plan.after < MIN_SKEW_GAIN || change(plan)
     }
 
@@ -259,7 +276,7 @@
         if (isIdle) return awaitPasses()
         val rank = group.ranks.keys.sorted()[rankIndex % group.ranks.size]
         val selections = client.selections(group.ranks.getValue(rank)) ?: return false
-        if (selections.epoch != group.epoch) return false
+        if (selections.epoch != group.epoch || !group.isCounted(selections)) return false
         steps.read(selections.step, clock.now())
         lastStep = selections.step
         val hasGrown = demand.add(rank, selections.counts)
@@ -267,7 +284,7 @@
         readsWithoutSelections = 0
         // The ranks stay armed and refuse to copy experts until the pass of the last switch.
         if (selections.step < switchStep) return true
-        val plan = planPlacement(map, demand.choices(), bounds)
+        val plan = planPlacement(map, demand.choices(), group.bounds)
         if (plan.before - plan.after < MIN_SKEW_GAIN) return true
         return change(plan)
     }
@@ -286,7 +303,9 @@
      * A hold whose answer was lost may be executed long after the switch was abandoned, and does not expire.
      */
     private suspend fun awaitPasses(): Boolean {
-        val state = client.report(group.ranks.getValue(GroupOrders.HOLDER))?.state ?: return false
+        val report = client.report(group.ranks.getValue(GroupOrders.HOLDER)) ?: return false
+        if (!group.isReportOf(GroupOrders.HOLDER, report)) return false
+        val state = report.state
         if (state.epoch != group.epoch || state.held != null) return false
         if (state.step > lastStep) readsWithoutSelections = 0
         lastStep = maxOf(lastStep, state.step)
@@ -307,16 +326,15 @@
 
         /** Reduction of the skew below which copies and orders cost more than faster passes save. */
         const val MIN_SKEW_GAIN = 0.3
-
-        /**
-         * New experts of a rank in one change. One takes the least time to copy and gives most of the gain: streams
-         * stall beyond their limit for a third less time than with one new expert for each set (bench placement,
-         * seed 1).
-         */
-        const val MAX_NEW_EXPERTS = 1
     }
 }
 
+/**
+ * New experts of a rank in one change. One takes the least time to copy and gives most of the gain: streams stall beyond
+ * their limit for a third less time than with one new expert for each set (bench placement, seed 1).
+ */
+private const val MAX_NEW_EXPERTS = 1
+
 /** Runs [call] for all [endpoints] concurrently and returns the results that are not null. */
 internal suspend fun <T : Any> gather(
     endpoints: List<LiveEndpoint>,
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/experts/GroupOrders.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/experts/GroupOrders.kt
@@ -135,10 +135,11 @@
 
     /** Returns the state of every rank, or null if one does not answer or the epoch has changed. */
     private suspend fun states(): Map<Int, RankState>? {
-        val reports = gather(group.ranks.values.toList()) { client.report(it) }
-        if (reports.size < group.ranks.size) return null
-        if (reports.values.any { !it.isOpen || it.state.epoch != group.epoch }) return null
-        return reports.values.associate { it.rank to it.state }
+        val reports = reports(isFresh = false)
+        val areComplete =
+            reports.size == group.ranks.size && reports.all { (rank, report) -> group.isReportOf(rank, report) }
+        if (!areComplete || reports.values.any { !it.isOpen || it.state.epoch != group.epoch }) return null
+        return reports.mapValues { it.value.state }
     }
 
     /**
@@ -171,10 +172,19 @@
     /** Returns true if the group has a new epoch or another process has completed the switch. */
     private suspend fun isOver(phase: SwitchPhase): Boolean {
         // An earlier report may be of an earlier epoch, and giving the switch up for it would leave the group held.
-        val states = gather(group.ranks.values.toList()) { client.report(it, isFresh = true) }.values.map { it.state }
-        if (states.any { it.epoch != group.epoch }) return true
+        val reports = reports(isFresh = true)
+        // The ranks of a new epoch may have other numbers.
+        if (reports.values.any { it.group == group.name && it.state.epoch != group.epoch }) return true
         val step = (phase as? SwitchPhase.Arming)?.step ?: return false
-        return states.size == group.ranks.size && states.all { it.step >= step }
+        return group.ranks.keys.all { rank ->
+            reports[rank]?.let { group.isReportOf(rank, it) && it.state.step >= step } ?: false
+        }
+    }
+
+    /** Returns what the endpoint of each rank reports, without those that do not answer. */
+    private suspend fun reports(isFresh: Boolean): Map<Int, RankReport> {
+        val reports = gather(group.ranks.values.toList()) { client.report(it, isFresh) }
+        return group.ranks.mapNotNull { (rank, endpoint) -> reports[endpoint]?.let { rank to it } }.toMap()
     }
 
     private suspend fun send(phase: SwitchPhase): Map<Int, OrderAnswer> =
--- a/tasks/src/test/kotlin/org/cicadaturn/tasks/experts/ExpertBalancerTest.kt
+++ b/tasks/src/test/kotlin/org/cicadaturn/tasks/experts/ExpertBalancerTest.kt
@@ -2,101 +2,23 @@
 
 import kotlinx.coroutines.ExperimentalCoroutinesApi
 import kotlinx.coroutines.delay
-import kotlinx.coroutines.flow.MutableStateFlow
-import kotlinx.coroutines.test.TestScope
 import kotlinx.coroutines.test.currentTime
 import kotlinx.coroutines.test.runTest
 import org.cicadaturn.decisions.experts.OrderAnswer
 import org.cicadaturn.decisions.experts.RankOrder
 import org.cicadaturn.decisions.experts.RankState
-import org.cicadaturn.decisions.gateway.FleetState
-import org.cicadaturn.schema.generated.AdmissionState
-import org.cicadaturn.schema.generated.CallerLimits
-import org.cicadaturn.schema.generated.EndpointId
-import org.cicadaturn.schema.generated.ExpertProfile
-import org.cicadaturn.schema.generated.FailureDomainId
-import org.cicadaturn.schema.generated.FleetView
 import org.cicadaturn.schema.generated.LiveEndpoint
-import org.cicadaturn.schema.generated.NetworkAddress
-import org.cicadaturn.schema.generated.RoutedService
-import org.cicadaturn.schema.generated.RoutingConfiguration
-import org.cicadaturn.schema.generated.ServiceId
-import org.cicadaturn.tasks.gateway.Fleet
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertTrue
 import org.junit.jupiter.api.Test
-import kotlin.time.Clock
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
-import kotlin.time.Instant
 
 @OptIn(ExperimentalCoroutinesApi::class)
 class ExpertBalancerTest {
-    private val service = ServiceId("s")
-    private val endpoints =
-        List(RANKS) {
-            LiveEndpoint(
-                EndpointId("e$it"),
-                service,
-                NetworkAddress("10.0.0.$it", 80),
-                FailureDomainId("a"),
-                AdmissionState.IN_SERVICE,
-                8,
-                Duration.ZERO,
-            )
-        }
-
-    private val fleet =
-        object : Fleet {
-            private val profile = ExpertProfile(1, EXPERTS, 4, 1, 50.milliseconds, 100.milliseconds)
-            private val routed = RoutedService(service, 400, 0.0, profile)
-            private val configuration = RoutingConfiguration(1, emptyList(), listOf(routed), null, CallerLimits())
-            override val state = MutableStateFlow(FleetState(FleetView(configuration, endpoints), true, true))
-
-            override suspend fun ownView() = state.value.view
-        }
-
-    private val lease =
-        object : Lease {
-            override fun token() = 1L
-
-            override fun forfeit() = Unit
-
-            override fun pledge(token: Long) = false
-
-            override fun release() = Unit
-        }
-
-    /** Group of [RANKS] ranks that use the first map as version [inUse]. */
-    private abstract inner class TestRanks(
-        private val inUse: Long = 0,
-    ) : RankClient {
-        protected fun rankOf(endpoint: LiveEndpoint) = endpoints.indexOf(endpoint)
-
-        protected fun reportOf(
-            endpoint: LiveEndpoint,
-            state: RankState,
-        ) = RankReport("g", rankOf(endpoint), RANKS, isOpen = true, state)
-
-        override suspend fun map(endpoint: LiveEndpoint): RankMap =
-            RankMap(inUse, 1, listOf((0 until EXPERTS).filter { it % RANKS == rankOf(endpoint) }))
-    }
-
-    private suspend fun TestScope.balance(
-        ranks: RankClient,
-        time: Duration,
-    ) {
-        val clock =
-            object : Clock {
-                override fun now(): Instant = Instant.fromEpochMilliseconds(currentTime)
-            }
-        startExpertBalancer(backgroundScope, fleet, lease, ranks, clock)
-        delay(time)
-    }
-
     /** Group with shifting demand whose last rank does not answer orders. */
-    private inner class UnresponsiveRank : TestRanks() {
+    private class UnresponsiveRank : TestRanks() {
         val sent = mutableListOf<RankOrder.Prepare>()
         private var reads = 0
         private val counts = DoubleArray(EXPERTS)
@@ -129,7 +51,7 @@
     }
 
     /** Group whose rank 0 does not answer holds and executes one of them after the demand has become even. */
-    private inner class LateHold : TestRanks() {
+    private class LateHold : TestRanks() {
         var held: Long? = null
             private set
         val released = mutableListOf<Long>()
@@ -189,7 +111,7 @@
         }
 
     /** Group whose switch is completed by another process just after the first reports. */
-    private inner class FinishedElsewhere : TestRanks(inUse = 7) {
+    private class FinishedElsewhere : TestRanks(inUse = 7) {
         var arms = 0
             private set
         var reads = 0
@@ -239,7 +161,7 @@
         }
 
     /** Group that is held for a switch of another process, and whose rank 1 sends a report from before it a second time. */
-    private inner class RepeatedReport : TestRanks() {
+    private class RepeatedReport : TestRanks() {
         private val armed = mutableSetOf(0)
         var armedAtRelease: Set<Int>? = null
             private set
@@ -280,7 +202,7 @@
         }
 
     /** Group with a rank that answers orders slowly. */
-    private inner class SlowRank : TestRanks() {
+    private class SlowRank : TestRanks() {
         val switched = mutableListOf<Long>()
         private var reads = 0
         private var step = 0L
@@ -338,7 +260,7 @@
         }
 
     /** Group with a steady demand that is down for a time and returns in epoch 2 with the first map. */
-    private inner class ReturningGroup(
+    private class ReturningGroup(
         private val now: () -> Long,
     ) : TestRanks() {
         var armedAt: Long? = null
@@ -390,8 +312,6 @@
         }
 
     private companion object {
-        const val RANKS = 3
-        const val EXPERTS = 9
         const val READS_PER_SHIFT = 4
         const val DOWN_FROM_MS = 5_000L
         const val UP_FROM_MS = 9_000L
