Verify the versions in answers of the object API

Cause: the version was compared with the expected one only, and not at all for a new object.

A version must be above 0 and, in lists and changes, not above that of the whole answer.

--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/store/HttpObjectStore.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/store/HttpObjectStore.kt
@@ -86,14 +86,14 @@
     override suspend fun get(key: String): Either<StoreError, StoredObject> =
         validated(key) {
             exchange(HttpMethod.Get, STORE_OBJECT_PATH, timeout, { parameter(STORE_KEY, key) }) { answer ->
-                readAnswer<StoredObject>(answer, key) { it.key == key }
+                readAnswer<StoredObject>(answer, key) { it.key == key && it.version > NO_VERSION }
             }
         }
 
     override suspend fun list(prefix: String): Either<StoreError, StoreList> =
         validated(prefix) {
             exchange(HttpMethod.Get, STORE_LIST_PATH, timeout, { parameter(STORE_PREFIX, prefix) }) { answer ->
-                readAnswer<StoreList>(answer, prefix) { list -> list.objects.all { it.key.startsWith(prefix) } }
+                readAnswer<StoreList>(answer, prefix) { it.isOf(prefix) }
             }
         }
 
@@ -109,7 +109,7 @@
                 setBody(TextContent(body, ContentType.Application.Json))
             }
             exchange(HttpMethod.Put, STORE_OBJECT_PATH, timeout, fill) { answer ->
-                readAnswer<StoreWritten>(answer, key) { expected == null || it.version > expected }
+                readAnswer<StoreWritten>(answer, key) { it.version > (expected ?: NO_VERSION) }
             }.map { it.version }
         }
 
@@ -188,10 +188,13 @@
     }
 }
 
+private fun StoreList.isOf(prefix: String): Boolean =
+    objects.all { it.key.startsWith(prefix) && it.version > NO_VERSION && it.version <= version }
+
 private fun StoreEvents.continues(
     prefix: String,
     from: Version,
-): Boolean = version >= from && events.all { it.key.startsWith(prefix) && it.version > from }
+): Boolean = version >= from && events.all { it.key.startsWith(prefix) && it.version > from && it.version <= version }
 
 /** Rejects text that cannot be encoded as UTF-8, as the encoder would silently replace parts of it. */
 private inline fun <T> validated(
@@ -212,6 +215,9 @@
 
 private const val INVALID_STATUS = 400
 
+/** Below the version of any object. */
+private val NO_VERSION = Version(0)
+
 /** Default limit of an answer in bytes, which allows a list of 16 objects of the largest size. */
 private const val MAX_ANSWER_BYTES = 16 * 1024 * 1024
 
