Verify in entry and endpoint processes that an answer is what was asked for

Cause: the declaration of the sender decided what an answer is, and not the request. The end of the connection counted as the end of a body that has no other.

decisions.answer says in one place what the answer to a request must be: status, type, encoding, how its end is proven (RequestedAnswer), and which events make one completion (ChatSequence). The entry process reads events as the standard says and passes on what it has verified, encoded again. An answer that fails before its first event is replaced by that of another endpoint, as far as retries allow; a later failure is resumed, or ends with an error event and a cut. The endpoint process takes a body that ends with its connection only for a chat stream that the entry process verifies (`Open.hasEndMark`), and never for a confirmation; a service that sends no length and no chunks otherwise gets `unknown` for all of its calls.

These belong together, as all of them hang on the one description of the answer.

TokenUsageTest: a parameter.

--- /dev/null
+++ b/daemons/src/test/kotlin/org/cicadaturn/daemons/system/PlainAnswerTest.kt
@@ -0,0 +1,140 @@
+package org.cicadaturn.daemons.system
+
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertFalse
+import org.junit.jupiter.api.Test
+
+private const val JSON = "Content-Type: application/json"
+private const val BOOKED = """{"number":1,"state":"booked"}"""
+
+/** Size above which an entry process sends the head of an answer before its end. */
+private const val STREAMED_BYTES = 3 shl 20
+
+/** Sends requests to a plain service whose answers are framed in ways that leave their end open. */
+class PlainAnswerTest {
+    private fun withBackend(
+        answers: Map<String, ByteArray>,
+        test: suspend (TestSystem, ScriptedBackend) -> Unit,
+    ) {
+        ScriptedBackend(answers).use { backend ->
+            val endpoint = EndpointOptions("orders-1", "fd-1", Backend.Scripted(ORDERS, backend.address))
+            withSystem(SystemOptions(listOf(endpoint), listOf(EntryOptions("entry-1", "fd-1")))) { test(it, backend) }
+        }
+    }
+
+    /** Guards against a part of a confirmation that every later caller of its key gets as the whole. */
+    @Test
+    fun `a confirmation whose end is unproven is unknown and runs once`() {
+        val cut = BOOKED.dropLast(9).encodeToByteArray()
+        val answers = mapOf("cut" to scriptedAnswer(cut, Framing.UNTIL_CLOSE, listOf(JSON)))
+        withBackend(answers) { system, backend ->
+            val replies =
+                List(3) {
+                    val keyed = mapOf("Idempotency-Key" to "k", "X-Deadline-Ms" to "3000")
+                    system.callers.call(system.entry("entry-1"), "POST", "/$ORDERS", keyed, "#cut#")
+                }
+            assertEquals(listOf("unknown"), replies.map { it.result.substringAfter('/') }.distinct(), "$replies")
+            assertEquals(mapOf("cut" to 1), backend.requests)
+        }
+    }
+
+    /** Guards against a part of an answer that a caller takes for the whole. */
+    @Test
+    fun `an answer whose end is unproven is no success`() {
+        val cut = BOOKED.dropLast(9).encodeToByteArray()
+        val answers =
+            mapOf(
+                "cut" to scriptedAnswer(cut, Framing.UNTIL_CLOSE, listOf(JSON)),
+                "old" to scriptedAnswer(cut, Framing.UNTIL_CLOSE, listOf(JSON), version = "HTTP/1.0"),
+                "other coding" to scriptedAnswer(cut, Framing.UNTIL_CLOSE, listOf(JSON, "Transfer-Encoding: identity")),
+            )
+        withBackend(answers) { system, _ ->
+            val caller = StandardCaller()
+            val successes =
+                answers.keys
+                    .flatMap { listOf("GET" to it, "POST" to it) }
+                    .associateWith { (method, name) ->
+                        val path = "/$ORDERS/%23${name.replace(" ", "%20")}%23"
+                        caller.call(
+                            system.entry("entry-1"),
+                            method,
+                            path,
+                            body =
+                                if (method ==
+                                    "POST"
+                                ) {
+                                    "#$name#"
+                                } else {
+                                    ""
+                                },
+                        )
+                    }.filterValues { it.status != 502 }
+            assertEquals(emptyMap<Pair<String, String>, ReceivedAnswer>(), successes)
+        }
+    }
+
+    /** Guards against text of an entry process that becomes a part of an answer of a plain service. */
+    @Test
+    fun `nothing is added to an answer that breaks off`() {
+        val body = ByteArray(STREAMED_BYTES) { 'x'.code.toByte() }
+        val events = "data: one\n\ndata: tw".encodeToByteArray()
+        val answers =
+            mapOf(
+                "large" to scriptedAnswer(body, Framing.CUT_CHUNKED, listOf(JSON)),
+                "events" to scriptedAnswer(events, Framing.CUT_CHUNKED, listOf("Content-Type: text/event-stream")),
+            )
+        withBackend(answers) { system, _ ->
+            val caller = StandardCaller()
+            val large = caller.call(system.entry("entry-1"), "POST", "/$ORDERS", body = "#large#")
+            val stream = caller.call(system.entry("entry-1"), "POST", "/$ORDERS", body = "#events#")
+            assertFalse(large.isWhole)
+            assertEquals("", large.body.trimStart('x'))
+            assertFalse(stream.isWhole)
+            assertEquals("", stream.body.removePrefix(events.decodeToString().take(stream.body.length)))
+        }
+    }
+
+    /** Guards against an event stream that is passed on as such to a caller who accepts only another type. */
+    @Test
+    fun `a caller that does not accept an event stream gets no cut one`() {
+        val events = "data: one\n\n".encodeToByteArray()
+        val answers =
+            mapOf("e" to scriptedAnswer(events, Framing.CUT_CHUNKED, listOf("Content-Type: text/event-stream")))
+        withBackend(answers) { system, _ ->
+            val accept = mapOf("Accept" to "application/json")
+            val answer = StandardCaller().call(system.entry("entry-1"), "POST", "/$ORDERS", accept, "#e#")
+            assertEquals(502 to true, answer.status to answer.isWhole)
+        }
+    }
+
+    /** Guards against answers without a body, or with an unreadable type, that do not reach their caller. */
+    @Test
+    fun `answers with a known end are passed on`() {
+        val answers =
+            mapOf(
+                "length" to scriptedAnswer(BOOKED.encodeToByteArray(), Framing.LENGTH, listOf(JSON)),
+                "head" to "HTTP/1.1 200 OK\r\nContent-Length: 29\r\n\r\n".encodeToByteArray(),
+                "none" to "HTTP/1.1 204 No Content\r\n\r\n".encodeToByteArray(),
+                "unchanged" to "HTTP/1.1 304 Not Modified\r\nContent-Length: 29\r\n\r\n".encodeToByteArray(),
+                "type" to scriptedAnswer(BOOKED.encodeToByteArray(), Framing.LENGTH, listOf("Content-Type: json")),
+            )
+        withBackend(answers) { system, _ ->
+            val caller = StandardCaller()
+            val received =
+                answers.keys.associateWith { name ->
+                    val method = if (name == "head") "HEAD" else "GET"
+                    val answer = caller.call(system.entry("entry-1"), method, "/$ORDERS/%23$name%23")
+                    answer.status to answer.body
+                }
+            val expected =
+                mapOf(
+                    "length" to (200 to BOOKED),
+                    "head" to (200 to ""),
+                    "none" to (204 to ""),
+                    "unchanged" to (304 to ""),
+                    "type" to (200 to BOOKED),
+                )
+            assertEquals(expected, received)
+        }
+    }
+}
--- a/daemons/src/test/kotlin/org/cicadaturn/daemons/system/SystemOptions.kt
+++ b/daemons/src/test/kotlin/org/cicadaturn/daemons/system/SystemOptions.kt
@@ -45,6 +45,12 @@
     data object Orders : Backend {
         override val service = ORDERS
     }
+
+    /** Back end that runs outside of the system and serves [service]. */
+    data class Scripted(
+        override val service: String,
+        val address: NetworkAddress,
+    ) : Backend
 }
 
 /** Options of an endpoint process. */
--- a/daemons/src/test/kotlin/org/cicadaturn/daemons/system/TestSystem.kt
+++ b/daemons/src/test/kotlin/org/cicadaturn/daemons/system/TestSystem.kt
@@ -148,6 +148,8 @@
                 orderServices
                     .getOrPut(endpoint.id) { startOrderService(scope) }
                     .address
+
+            is Backend.Scripted -> backend.address
         }
 
     /** Stores the edited configuration under the next revision, as a confirmed plan does; returns the revision. */
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/endpoint/Backend.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/endpoint/Backend.kt
@@ -17,6 +17,8 @@
 import kotlinx.io.IOException
 import okhttp3.ConnectionPool
 import okhttp3.Dispatcher
+import org.cicadaturn.decisions.answer.hasBody
+import org.cicadaturn.decisions.answer.isEndMarked
 import org.cicadaturn.schema.generated.Frame
 import org.cicadaturn.schema.generated.Header
 import org.cicadaturn.schema.generated.NetworkAddress
@@ -30,6 +32,9 @@
 internal const val CHUNK_BYTES: Int = 64 * 1024
 
 private const val MAX_CONCURRENT_CALLS = 4096
+private const val UNMARKED_END =
+    "the answer has neither a length nor chunks, so that a part of it cannot be told from the whole; " +
+        "make the back end send Content-Length"
 private val CONNECT_TIMEOUT: Duration = 1.seconds
 
 /** Receives the answer of a back end while it arrives. */
@@ -104,7 +109,7 @@
 ): BackendCall =
     BackendCall { open, sink ->
         try {
-            client.prepareRequest { setUpRequest(address, open) }.execute { relay(it, sink) }
+            client.prepareRequest { setUpRequest(address, open) }.execute { relay(it, open, sink) }
         } catch (e: ConnectException) {
             BackendResult.NotRun(detailOf(e))
         } catch (e: ConnectTimeoutException) {
@@ -134,6 +139,8 @@
     method = HttpMethod.parse(open.method)
     url("http://${address.ip}:${address.port}${open.path}")
     endToEnd(open.headers).forEach { headers.append(it.name, it.value) }
+    // Without the header the client asks for gzip and hides the length of what it then decodes.
+    if (HttpHeaders.AcceptEncoding !in headers) headers[HttpHeaders.AcceptEncoding] = "identity"
     headers["X-Attempt-Id"] = open.attempt.text
     headers["X-Request-Id"] = open.request.text
     if (open.body.isNotEmpty()) setBody(open.body)
@@ -141,10 +148,14 @@
 
 private suspend fun relay(
     response: HttpResponse,
+    open: Frame.Open,
     sink: AnswerSink,
 ): BackendResult {
+    val status = response.status.value
     val headers = response.headers.entries().flatMap { (name, values) -> values.map { Header(name, it) } }
-    sink.head(response.status.value, endToEnd(headers))
+    if (!isEndMarked(open.method, status, headers, open.hasEndMark)) return BackendResult.Unknown(UNMARKED_END)
+    sink.head(status, endToEnd(headers))
+    if (!hasBody(open.method, status)) return BackendResult.Complete
     val expectedBytes = response.headers[HttpHeaders.ContentLength]?.toLongOrNull()
     val body = response.bodyAsChannel()
     val buffer = ByteArray(CHUNK_BYTES)
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/endpoint/StoredConfirmations.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/endpoint/StoredConfirmations.kt
@@ -35,8 +35,9 @@
     gate: Gate,
 ): CallResult {
     val sink = BufferingSink()
+    // The answer is stored before anyone has verified the end of its content.
     val result =
-        withTimeoutOrNull(open.timeLeft) { backend.run(open, sink) }
+        withTimeoutOrNull(open.timeLeft) { backend.run(open.copy(hasEndMark = false), sink) }
             ?: return CallResult.Unknown("the back end did not answer before the deadline")
     return when (result) {
         is BackendResult.NotRun -> {
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/entry/AnswerReader.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/entry/AnswerReader.kt
@@ -4,6 +4,9 @@
 import arrow.core.left
 import arrow.core.right
 import kotlinx.coroutines.withTimeoutOrNull
+import org.cicadaturn.decisions.answer.BodyHandling
+import org.cicadaturn.decisions.answer.RequestedAnswer
+import org.cicadaturn.decisions.answer.verifyHead
 import org.cicadaturn.decisions.confirmation.ClaimProof
 import org.cicadaturn.decisions.confirmation.proofOfRefusal
 import org.cicadaturn.decisions.outcome.ErrorKind
@@ -20,8 +23,6 @@
 /** Maximum length of an answer that is buffered before its head is sent to the caller; a longer one is streamed. */
 private const val MAX_BUFFERED_BYTES = 1 shl 20
 
-private const val EVENT_STREAM = "text/event-stream"
-
 /** Answer of a back end, ready to be sent to the caller. */
 internal sealed interface Answer {
     val status: Int
@@ -38,28 +39,36 @@
      * Answer that is forwarded while it arrives.
      *
      * [relay] calls its argument with each part of the body. It returns null after the last part, or the reason why the
-     * answer is incomplete.
+     * answer is incomplete. If [isChat] is true, each part consists of whole events, so that an error event can follow.
      */
     class Streamed(
         override val status: Int,
         override val headers: List<Header>,
+        val isChat: Boolean,
         val relay: suspend (suspend (ByteArray) -> Unit) -> Refusal?,
-    ) : Answer
+    ) : Answer {
+        /** Returns this answer with another [relay]. */
+        fun relayedBy(relay: suspend (suspend (ByteArray) -> Unit) -> Refusal?): Streamed =
+            Streamed(status, headers, isChat, relay)
+    }
 }
 
 /**
- * Reads an answer from the frames of one stream.
+ * Reads an answer from the frames of one stream and verifies that it is what was [expected].
  *
- * A streamed answer is reported as broken if no frame arrives for [stallLimit].
+ * Events of a chat completion are read by [chatEvents], which all attempts of a request share. A streamed answer is
+ * reported as broken if no frame arrives for [stallLimit].
  */
 internal class AnswerReader(
     private val stream: AnswerStream,
+    private val expected: RequestedAnswer,
+    private val chatEvents: ChatEvents,
     private val stallLimit: Duration,
     private val timeLeft: () -> Duration,
 ) {
     private var chunksSinceCredit = 0
 
-    /** True once the end frame has been received. */
+    /** True once the whole answer has been received. */
     var isComplete = false
         private set
 
@@ -82,24 +91,84 @@
         }
     }
 
-    private suspend fun readBody(head: Frame.Head): Either<Refusal, Answer> {
-        val type = head.headers.firstOrNull { it.name.equals("Content-Type", ignoreCase = true) }?.value
-        if (type?.startsWith(EVENT_STREAM) == true) {
-            return Answer.Streamed(head.status, head.headers) { relay(ByteArray(0), it) }.right()
-        }
+    private suspend fun readBody(head: Frame.Head): Either<Refusal, Answer> =
+        expected.verifyHead(head.status, head.headers).fold(
+            { unexpected(it).left() },
+            {
+                when (it) {
+                    BodyHandling.CHAT_EVENTS -> awaitFirstEvents(head)
+                    BodyHandling.STREAMED -> streamed(head, ByteArray(0)).right()
+                    BodyHandling.BUFFERED -> readWhole(head) { true }
+                    BodyHandling.CHAT_OBJECT -> readWhole(head, ::isChatCompletion)
+                }
+            },
+        )
+
+    private fun streamed(
+        head: Frame.Head,
+        first: ByteArray,
+    ): Answer = Answer.Streamed(head.status, head.headers, isChat = false) { relay(first, it) }
+
+    private suspend fun readWhole(
+        head: Frame.Head,
+        isValid: (ByteArray) -> Boolean,
+    ): Either<Refusal, Answer> {
         val body = ByteArrayOutputStream()
         while (true) {
             val frame = next()
             if (frame is Frame.End) {
+                if (!isValid(body.toByteArray())) return unexpected("a body that is no chat completion").left()
                 isComplete = true
                 return Answer.Buffered(head.status, head.headers, body.toByteArray()).right()
             }
             if (frame !is Frame.Chunk) return failureOf(frame).left()
             body.write(frame.data)
             credit()
-            if (body.size() >= MAX_BUFFERED_BYTES) {
-                return Answer.Streamed(head.status, head.headers) { relay(body.toByteArray(), it) }.right()
+            if (body.size() >= MAX_BUFFERED_BYTES) return streamed(head, body.toByteArray()).right()
+        }
+    }
+
+    /** Waits for the first valid events, so that an answer without any can still be replaced by that of another endpoint. */
+    private suspend fun awaitFirstEvents(head: Frame.Head): Either<Refusal, Answer> {
+        chatEvents.beginAnswer()
+        while (true) {
+            val batch = nextEvents().fold({ return it.left() }, { it })
+            if (batch.sound.isNotEmpty()) {
+                return Answer.Streamed(head.status, head.headers, isChat = true) { relayEvents(batch, it) }.right()
             }
+            if (batch.defect != null) return unexpected(batch.defect).left()
+        }
+    }
+
+    private suspend fun nextEvents(limit: Duration = Duration.INFINITE): Either<Refusal, ChatBatch> {
+        val frame = next(limit)
+        if (frame is Frame.End) return unexpected("the stream ended without its end mark").left()
+        if (frame !is Frame.Chunk) return failureOf(frame).left()
+        val batch = chatEvents.accept(frame.data)
+        credit()
+        return batch.right()
+    }
+
+    private suspend fun relayEvents(
+        first: ChatBatch,
+        write: suspend (ByteArray) -> Unit,
+    ): Refusal? {
+        var batch = first
+        while (true) {
+            if (batch.sound.isNotEmpty()) write(batch.sound)
+            batch.defect?.let { return broken(unexpected(it)) }
+            if (chatEvents.isEnded) break
+            batch = nextEvents(stallLimit).fold({ return broken(it) }, { it })
+        }
+        isComplete = true
+        awaitLastFrame()
+        return null
+    }
+
+    /** Waits until the endpoint process has ended the stream, so that it counts the request as finished. */
+    private suspend fun awaitLastFrame() {
+        withTimeoutOrNull(stallLimit) {
+            while (next() is Frame.Chunk) credit()
         }
     }
 
@@ -114,14 +183,18 @@
                 isComplete = true
                 return null
             }
-            if (frame !is Frame.Chunk) {
-                return failureOf(frame).copy(kind = ErrorKind.ANSWER_BROKEN, outcome = Outcome.UNKNOWN)
-            }
+            if (frame !is Frame.Chunk) return broken(failureOf(frame))
             write(frame.data)
             credit()
         }
     }
 
+    private fun broken(failure: Refusal): Refusal =
+        failure.copy(kind = ErrorKind.ANSWER_BROKEN, outcome = Outcome.UNKNOWN)
+
+    private fun unexpected(detail: String): Refusal =
+        Refusal(ErrorKind.ATTEMPT_FAILED, "the answer is not what was asked for: $detail", RETRY, Outcome.UNKNOWN)
+
     private suspend fun next(limit: Duration = Duration.INFINITE): Frame? {
         val timeout = minOf(timeLeft(), limit)
         if (timeout <= Duration.ZERO) return null
@@ -167,6 +240,8 @@
     }
 
     private companion object {
+        const val RETRY = "repeat the request; if it fails again, an operator must replace the endpoint"
+
         val CONNECTION_LOST: Frame =
             Frame.Failed(StreamId(0), Outcome.UNKNOWN, "the connection to the endpoint process was lost")
     }
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/entry/CallerServer.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/entry/CallerServer.kt
@@ -3,6 +3,7 @@
 import arrow.core.Either
 import arrow.core.left
 import arrow.core.right
+import io.ktor.http.BadContentTypeFormatException
 import io.ktor.http.ContentType
 import io.ktor.http.HttpHeaders
 import io.ktor.http.HttpStatusCode
@@ -22,6 +23,7 @@
 import io.ktor.utils.io.ByteWriteChannel
 import io.ktor.utils.io.readAvailable
 import io.ktor.utils.io.writeFully
+import kotlinx.coroutines.delay
 import kotlinx.coroutines.flow.StateFlow
 import kotlinx.coroutines.withTimeoutOrNull
 import kotlinx.io.IOException
@@ -43,11 +45,16 @@
 import org.cicadaturn.schema.generated.RequestId
 import org.cicadaturn.tasks.observe.EntryMetrics
 import java.io.ByteArrayOutputStream
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.TimeSource
 
 private const val READ_BUFFER_BYTES = 16 * 1024
 private const val MAX_REQUEST_ID_LENGTH = 128
 
+/** Time for the server to write what precedes a cut; far longer than it takes to pass bytes to a socket that has room. */
+private val CUT_DELAY: Duration = 200.milliseconds
+
 /** Serves callers over HTTP: reads a request, runs it through [pipeline] and writes the answer. */
 internal class CallerServer(
     private val settings: EntrySettings,
@@ -173,7 +180,7 @@
         answer: Answer,
     ) {
         val type = answer.headers.firstOrNull { it.name.equals(HttpHeaders.ContentType, ignoreCase = true) }
-        val contentType = type?.let { ContentType.parse(it.value) }
+        val contentType = type?.let { contentTypeOf(it.value) }
         val status = HttpStatusCode.fromValue(answer.status)
         addHeaders(call, id, answer.headers)
         when (answer) {
@@ -197,7 +204,11 @@
         val broken = answer.relay { write(channel, it) }
         metrics.requests.labelValues(service, broken?.kind?.code ?: "whole").inc()
         if (broken == null) return
-        write(channel, "data: ${errorText(id, broken)}\n\n".encodeToByteArray())
+        // Text within an answer of another form would become a part of it.
+        if (answer.isChat) write(channel, "data: ${errorText(id, broken)}\n\n".encodeToByteArray())
+        // The server drops what it has not yet written when the exception below ends the answer. Without the head the
+        // caller would wait until the server closes the idle connection.
+        delay(CUT_DELAY)
         // Without the exception the server would end the answer as if it were complete.
         throw IOException("answer incomplete: ${broken.message}")
     }
@@ -253,6 +264,14 @@
         headers.names().associate { it.lowercase() to headers.getAll(it).orEmpty().joinToString(",") }
     }
 
+/** Returns the content type [value]; null if it is unreadable, which is no reason to withhold an answer. */
+private fun contentTypeOf(value: String): ContentType? =
+    try {
+        ContentType.parse(value)
+    } catch (_: BadContentTypeFormatException) {
+        null
+    }
+
 /** Headers that the HTTP server sets itself. */
 private val serverHeaders = setOf("content-type", "content-length", "transfer-encoding", "date", "server")
 
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/entry/RequestPipeline.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/entry/RequestPipeline.kt
@@ -6,6 +6,7 @@
 import kotlinx.coroutines.NonCancellable
 import kotlinx.coroutines.withContext
 import kotlinx.coroutines.withTimeoutOrNull
+import org.cicadaturn.decisions.answer.requestedAnswerOf
 import org.cicadaturn.decisions.confirmation.AttemptReport
 import org.cicadaturn.decisions.confirmation.ClaimProof
 import org.cicadaturn.decisions.confirmation.callerOutcome
@@ -16,6 +17,7 @@
 import org.cicadaturn.decisions.outcome.Refusal
 import org.cicadaturn.decisions.outcome.mayRetry
 import org.cicadaturn.decisions.outcome.refusalOf
+import org.cicadaturn.decisions.request.CallerRequest
 import org.cicadaturn.decisions.request.RoutedRequest
 import org.cicadaturn.decisions.routing.AttemptOutcome
 import org.cicadaturn.decisions.routing.RoutingQuery
@@ -102,6 +104,7 @@
     ) {
         private val tried = HashSet<EndpointId>()
         private val reports = ArrayList<AttemptReport>()
+        private val expected = requestedAnswerOf(routed.request)
         private val chatEvents = ChatEvents()
         private var lastRefusal: Refusal? = null
         private var attempts = 0
@@ -172,7 +175,7 @@
                     ?: return recordFailure(unreachable(assigned.endpoint), ClaimProof.NOT_READ)
             var ended = false
             try {
-                val reader = AnswerReader(stream, options.streamStall) { timeLeft() }
+                val reader = AnswerReader(stream, expected, chatEvents, options.streamStall) { timeLeft() }
                 val received =
                     withTimeoutOrNull(firstByteLimit()) { reader.awaitAnswer() }
                         ?: noAnswerInTime(assigned.endpoint).left()
@@ -199,31 +202,23 @@
 
         /** Returns [answer]; a streamed chat completion is extended to resume at another endpoint if it breaks off. */
         private fun resumable(answer: Answer): Answer {
-            val isChat = routed.idempotent && routed.request.chat?.stream == true
-            val isFirst = resumeFrom == 0
-            if (answer !is Answer.Streamed || !isChat || !isFirst) return answer
-            return Answer.Streamed(answer.status, answer.headers) { write -> relayAndResume(answer, write) }
+            if (answer !is Answer.Streamed || !answer.isChat || !routed.idempotent) return answer
+            return answer.relayedBy { write -> relayAndResume(answer, write) }
         }
 
-        /** Forwards complete events only, so that an answer that breaks off can be resumed at a token. */
         private suspend fun relayAndResume(
             answer: Answer.Streamed,
             write: suspend (ByteArray) -> Unit,
         ): Refusal? {
-            val writeEvents: suspend (ByteArray) -> Unit = { data ->
-                val complete = chatEvents.accept(data)
-                if (complete.isNotEmpty()) write(complete)
-            }
-            var failure = answer.relay(writeEvents)
+            var failure = answer.relay(write)
             while (failure != null && mayResume()) {
                 metrics.resumes.labelValues(routed.service.id.text).inc()
                 resumeFrom = chatEvents.tokens
-                chatEvents.dropPartial()
                 var result: Refusal? = failure
                 val refusal =
                     attempt { next ->
                         val streamed = next.getOrNull() as? Answer.Streamed
-                        if (streamed != null && streamed.status == answer.status) result = streamed.relay(writeEvents)
+                        if (streamed != null && streamed.isChat) result = streamed.relay(write)
                     }
                 failure = if (refusal == null) result else failure
             }
@@ -260,12 +255,13 @@
                 organisation = routed.organisation.id,
                 method = request.method,
                 path = request.path,
-                headers = forwardedHeaders(request.headers) + resumeHeaders(),
+                headers = forwardedHeaders(request) + resumeHeaders(),
                 body = request.body,
                 timeLeft = timeLeft(),
                 tokens = routed.tokens,
                 credit = STREAM_CREDIT_CHUNKS,
                 confirmation = routed.confirmation,
+                hasEndMark = expected.hasEndMark,
             )
         }
 
@@ -300,5 +296,10 @@
 /** Headers of the caller that are not forwarded to the back end. */
 private val withheldHeaders = setOf("authorization", "x-deadline-ms", "x-request-id", "x-attempt-id", "x-resume-from")
 
-private fun forwardedHeaders(headers: Map<String, String>): List<Header> =
-    headers.filterKeys { it !in withheldHeaders }.map { (name, value) -> Header(name, value) }
+/** Headers that ask for another form of a chat completion than its request describes. */
+private val withheldChatHeaders = setOf("accept", "accept-encoding", "range", "if-range", "last-event-id")
+
+private fun forwardedHeaders(request: CallerRequest): List<Header> {
+    val withheld = if (request.chat == null) withheldHeaders else withheldHeaders + withheldChatHeaders
+    return request.headers.filterKeys { it !in withheld }.map { (name, value) -> Header(name, value) }
+}
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/entry/TokenUsage.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/entry/TokenUsage.kt
@@ -49,7 +49,7 @@
 
             is Answer.Streamed -> {
                 isCountMissing = true
-                Answer.Streamed(answer.status, answer.headers) { write -> relay(answer, write) }
+                answer.relayedBy { write -> relay(answer, write) }
             }
         }
 
--- a/tasks/src/test/kotlin/org/cicadaturn/tasks/endpoint/BackendTest.kt
+++ b/tasks/src/test/kotlin/org/cicadaturn/tasks/endpoint/BackendTest.kt
@@ -37,6 +37,9 @@
             "within the size of a chunk" to "${CHUNKED}5\r\nhello\r\n1",
             "shorter than its Content-Length" to "${WITH_LENGTH}hello",
             "no body in spite of a Content-Length" to WITH_LENGTH,
+            "neither chunks nor a Content-Length" to "HTTP/1.1 200 OK\r\n\r\nhello",
+            "HTTP/1.0 without a Content-Length" to "HTTP/1.0 200 OK\r\n\r\nhello",
+            "unknown transfer coding" to "HTTP/1.1 200 OK\r\nTransfer-Encoding: identity\r\n\r\nhello",
         ).map { (name, answer) ->
             DynamicTest.dynamicTest(name) {
                 assertInstanceOf(BackendResult.Unknown::class.java, run(answer).first)
--- a/tasks/src/test/kotlin/org/cicadaturn/tasks/entry/TokenUsageTest.kt
+++ b/tasks/src/test/kotlin/org/cicadaturn/tasks/entry/TokenUsageTest.kt
@@ -59,7 +59,7 @@
                 val usage = usage()
                 val parts = text.chunked(size)
                 val streamed =
-                    Answer.Streamed(200, emptyList()) { write ->
+                    Answer.Streamed(200, emptyList(), isChat = true) { write ->
                         parts.forEach { write(it.encodeToByteArray()) }
                         null
                     }
