Count the silence of a link only while its own process runs

Cause: a link between processes ended if no frame had been read for the keepalive timeout, also while the own process did not run and frames waited in the socket.

The silence is counted in intervals that the process has seen pass while it awaited a frame.

--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/wire/FrameLink.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/wire/FrameLink.kt
@@ -10,10 +10,12 @@
 import kotlinx.coroutines.channels.ReceiveChannel
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.flow.MutableStateFlow
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
 import kotlinx.io.IOException
 import org.cicadaturn.schema.generated.Frame
+import kotlin.math.ceil
 import kotlin.time.Duration
 
 /**
@@ -72,6 +74,9 @@
     private val outgoing = Channel<Frame>(QUEUE_FRAMES)
     private val end = CompletableDeferred<WireError>()
 
+    /** Number of the frame that is awaited from the peer, or null while one waits for the tasks that use the link. */
+    private val awaited = MutableStateFlow<Long?>(0)
+
     override val incoming: ReceiveChannel<Frame> get() = received
     override val ended: Deferred<WireError> get() = end
 
@@ -93,6 +98,7 @@
             coroutineScope {
                 val reader = launch { close(readFrames()) }
                 val writer = launch { close(writeFrames()) }
+                val silence = launch { close(awaitSilence()) }
                 val pings = launch { sendPings() }
                 val user =
                     launch {
@@ -100,6 +106,7 @@
                         close(WireError.ConnectionLost("closed by this process"))
                     }
                 end.await()
+                silence.cancel()
                 pings.cancel()
                 outgoing.close()
                 withTimeoutOrNull(times.connectTimeout) { writer.join() }
@@ -122,13 +129,13 @@
     }
 
     private suspend fun readFrames(): WireError {
+        var number = 0L
         while (true) {
-            val result =
-                withTimeoutOrNull(times.keepaliveTimeout) { input.readFrame(MAX_FRAME_BYTES) }
-                    ?: return WireError.PeerSilent(times.keepaliveTimeout)
-            val frame = result.fold({ return it }, { it })
+            awaited.value = number++
+            val frame = input.readFrame(MAX_FRAME_BYTES).fold({ return it }, { it })
             if (frame is Frame.Ping) continue
             if (frame is Frame.Hello || frame is Frame.Proof) return WireError.UnexpectedFrame("second handshake")
+            awaited.value = null
             try {
                 received.send(frame)
             } catch (_: ClosedSendChannelException) {
@@ -137,6 +144,25 @@
         }
     }
 
+    /**
+     * Returns once the peer has sent no frame for the keepalive timeout.
+     *
+     * The time is counted in intervals that this process has seen pass: while it is stalled, for example because its
+     * host is overloaded, frames of a live peer wait in the socket.
+     */
+    private suspend fun awaitSilence(): WireError {
+        val allowed = ceil(times.keepaliveTimeout / times.keepaliveInterval).toInt()
+        var silent = 0
+        var last: Long? = null
+        while (silent < allowed) {
+            delay(times.keepaliveInterval)
+            val current = awaited.value
+            silent = if (current != null && current == last) silent + 1 else 0
+            last = current
+        }
+        return WireError.PeerSilent(times.keepaliveTimeout)
+    }
+
     private suspend fun writeFrames(): WireError =
         try {
             for (first in outgoing) {
