Run the tasks of a gateway again after a failure

Without the balancer or the pool of connections each request waits until its deadline; without the fleet drained endpoints stay in service; without the quarantine losses are never judged; without the expert balancer or the lease a held group stays held.

Cause: every task ran once, in a scope whose handler only logs.

Supervisor: a message that a task cannot handle is rejected, counted and logged, and its asker gets an answer at once; the task goes on with its state. The lease and the expert balancer are one unit: the lease is given up after a failure of either, so that the next orders have a higher token. An answer of the store that the fleet cannot apply is read again. `cicadaturn_gateway_task_failures_total` counts.

LeaseTest starts the lease by itself now. The exit with 1 has no test with a real process, and the tasks of the entry and endpoint daemons are not supervised.

--- a/daemons/src/main/kotlin/org/cicadaturn/daemons/Gateway.kt
+++ b/daemons/src/main/kotlin/org/cicadaturn/daemons/Gateway.kt
@@ -1,6 +1,9 @@
 package org.cicadaturn.daemons
 
+import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.runBlocking
+import kotlinx.coroutines.selects.select
+import org.cicadaturn.daemons.command.FAILED_RUN
 import org.cicadaturn.daemons.command.SUCCESS
 import org.cicadaturn.platform.platformDialect
 import org.cicadaturn.platform.platformRankClient
@@ -23,6 +26,8 @@
     // Settings are read only at start. Without a handler, SIGHUP would end the process.
     Signal.handle(Signal("HUP")) { }
     val runtime = httpRuntime(endOnFatalErrors())
+    val stop = stopSignal()
+    val failure = CompletableDeferred<Unit>()
     val dependencies =
         GatewayDependencies(
             runtime = runtime,
@@ -33,14 +38,17 @@
             suspendAwareClock = suspendAwareClock(),
             wallClock = Clock.System,
             random = Random(SecureRandom().nextLong()),
+            requestStop = { failure.complete(Unit) },
         )
     return runBlocking {
-        val stop = stopSignal()
         val node = gatewayNode(file, dependencies)
         file.process.portFile?.let { writePorts(Path.of(it), node.listeners) }
-        stop.await()
+        select {
+            stop.onAwait {}
+            failure.onAwait {}
+        }
         node.stop()
-        SUCCESS
+        if (failure.isCompleted) FAILED_RUN else SUCCESS
     }
 }
 
--- a/daemons/src/test/kotlin/org/cicadaturn/daemons/settings/GatewayTemplateTest.kt
+++ b/daemons/src/test/kotlin/org/cicadaturn/daemons/settings/GatewayTemplateTest.kt
@@ -71,6 +71,7 @@
                 suspendAwareClock = Clock.System,
                 wallClock = Clock.System,
                 random = Random(1),
+                requestStop = {},
             )
         try {
             val node = runBlocking { gatewayNode(settings, dependencies) }
--- a/decisions/src/main/kotlin/org/cicadaturn/decisions/gateway/BalancerTypes.kt
+++ b/decisions/src/main/kotlin/org/cicadaturn/decisions/gateway/BalancerTypes.kt
@@ -65,6 +65,7 @@
     AT_LIMIT("every group of the service is at its limit"),
     AT_RATE("every endpoint is at its rate"),
     NO_RETRY("the retry budget is used up"),
+    DEFECT("the placement failed by a defect, which the log of this process shows"),
 }
 
 /** Outcome of a request at an endpoint, as far as it affects the endpoint's health. */
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/experts/ExpertBalancer.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/experts/ExpertBalancer.kt
@@ -22,21 +22,30 @@
 import org.cicadaturn.schema.generated.ExpertProfile
 import org.cicadaturn.schema.generated.LiveEndpoint
 import org.cicadaturn.schema.generated.ServiceId
+import org.cicadaturn.tasks.Supervisor
 import org.cicadaturn.tasks.gateway.Fleet
 import kotlin.time.Clock
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Instant
 
-/** Starts a task in [scope] that balances the expert maps of all groups while this process holds [lease]. */
+/**
+ * Starts a task in [scope] that keeps [lease] and balances the expert maps of all groups while this process holds it.
+ *
+ * The lease is renewed only as long as the groups are balanced, as a group may be held. After a failure of either, the
+ * lease is given up: this process acts again only with a higher token, for which the ranks refuse its earlier orders.
+ */
 public fun startExpertBalancer(
     scope: CoroutineScope,
     fleet: Fleet,
     lease: Lease,
     client: RankClient,
     clock: Clock,
+    supervisor: Supervisor = Supervisor(clock),
 ) {
-    val balancer = ExpertBalancer(fleet, lease, client, clock)
-    scope.launch { balancer.run() }
+    supervisor.start(scope, "experts", beforeRestart = lease::forfeit) {
+        launch { lease.keep() }
+        ExpertBalancer(fleet, lease, client, clock).run()
+    }
 }
 
 /** Group of ranks in one epoch. */
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/experts/Lease.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/experts/Lease.kt
@@ -1,9 +1,7 @@
 package org.cicadaturn.tasks.experts
 
 import arrow.core.left
-import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
-import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
 import org.apache.logging.log4j.LogManager
 import org.cicadaturn.decisions.experts.LeaseStep
@@ -28,6 +26,9 @@
 
     /** Releases the lease permanently, as this process is stopping. */
     public fun release()
+
+    /** Acquires the lease and renews it until it is cancelled. */
+    public suspend fun keep()
 }
 
 /**
@@ -49,16 +50,11 @@
     public val times: LeaseTimes = LeaseTimes(),
 )
 
-/** Starts a task in [scope] that acquires and renews [lease]. */
-public fun startLease(
-    scope: CoroutineScope,
+/** Returns [lease] as it is kept in the store. */
+public fun storeLease(
     lease: PlacementLease,
     dependencies: LeaseDependencies,
-): Lease {
-    val task = LeaseTask(lease, dependencies)
-    scope.launch { task.run() }
-    return task
-}
+): Lease = LeaseTask(lease, dependencies)
 
 private class LeaseTask(
     private val lease: PlacementLease,
@@ -86,7 +82,7 @@
         isStopping = true
     }
 
-    suspend fun run() {
+    override suspend fun keep() {
         while (true) {
             // While the store is unavailable no other process could take the lease over, so it is kept.
             if (isStopping && !isStoreUnavailable) lease.release()
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/Balancer.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/Balancer.kt
@@ -23,9 +23,11 @@
 import org.cicadaturn.schema.generated.EndpointId
 import org.cicadaturn.schema.generated.LiveEndpoint
 import org.cicadaturn.schema.generated.ServiceId
+import org.cicadaturn.tasks.Supervisor
 import org.cicadaturn.tasks.completedValueOrNull
 import kotlin.time.Clock
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 
 /** Answer of the [Balancer] to a request for an endpoint. */
 public sealed interface Placement {
@@ -107,14 +109,21 @@
     public val clock: Clock,
 )
 
-/** Starts a task in [scope] that places requests and is updated on each change of the fleet. */
+/**
+ * Starts a task in [scope] that places requests and is updated on each change of the fleet.
+ *
+ * It keeps its state after a failure, as the rates of cold endpoints would be exceeded without the earlier requests.
+ */
 public fun startBalancer(
     scope: CoroutineScope,
     dependencies: BalancerDependencies,
+    supervisor: Supervisor = Supervisor(dependencies.clock),
 ): Balancer {
-    val task = BalancerTask(scope, dependencies)
-    scope.launch { task.processMessages() }
-    scope.launch { dependencies.fleet.state.collect { task.send(BalancerMessage.Updated(it)) } }
+    val task = BalancerTask(scope, dependencies, supervisor)
+    supervisor.start(scope, BALANCER_TASK, isVital = true) {
+        launch { dependencies.fleet.state.collect { task.send(BalancerMessage.Updated(it)) } }
+        task.processMessages()
+    }
     return task
 }
 
@@ -170,6 +179,7 @@
 private class BalancerTask(
     private val scope: CoroutineScope,
     private val dependencies: BalancerDependencies,
+    private val supervisor: Supervisor,
 ) : Balancer {
     private val balancer = dependencies.balancer
     private val dispatcher = dependencies.dispatcher
@@ -191,10 +201,10 @@
             val next = listOfNotNull(dispatcher.nextEvent(now), balancer.nextAsk(now)).minOrNull()
             // A receive that is cancelled by a time-out may lose a message; the selection of one of both does not.
             select {
-                messages.onReceive { handle(it) }
+                messages.onReceive { receive(it) }
                 if (next != null) onTimeout(next - now) {}
             }
-            while (true) handle(messages.tryReceive().getOrNull() ?: break)
+            while (true) receive(messages.tryReceive().getOrNull() ?: break)
             dispatcher.advance(clock.now()).forEach { decide(it) }
             askGroups()
             isolation.value = balancer.isIsolated(clock.now())
@@ -211,6 +221,23 @@
         messages.trySend(message)
     }
 
+    private fun receive(message: BalancerMessage) {
+        supervisor.attempt(BALANCER_TASK, message) { handle(message) } ?: reject(message)
+    }
+
+    /** Answers a message that could not be handled. */
+    private fun reject(message: BalancerMessage) {
+        when (message) {
+            is BalancerMessage.Place -> {
+                message.reply.complete(Placement.Rejected(Unavailability.DEFECT, DEFECT_RETRY_DELAY))
+                // The request may already wait, and would be counted in flight without being sent.
+                supervisor.attempt(BALANCER_TASK, message) { cancel(DispatchTicket(lastTicket)) }
+            }
+            is BalancerMessage.Stalled -> message.reply.complete(false)
+            else -> Unit
+        }
+    }
+
     private fun handle(message: BalancerMessage) {
         val now = clock.now()
         when (message) {
@@ -333,4 +360,11 @@
         send(BalancerMessage.Stalled(endpoint, hasBegun, reply))
         return reply.await()
     }
+
+    private companion object {
+        /** Delay stated to a caller whose request met a defect. */
+        val DEFECT_RETRY_DELAY = 500.milliseconds
+    }
 }
+
+private const val BALANCER_TASK = "balancer"
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/ConnectionPool.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/ConnectionPool.kt
@@ -7,6 +7,7 @@
 import kotlinx.coroutines.launch
 import org.apache.logging.log4j.LogManager
 import org.cicadaturn.schema.generated.EndpointId
+import org.cicadaturn.tasks.Supervisor
 import org.cicadaturn.tasks.completedValueOrNull
 import org.cicadaturn.tasks.http.HttpLink
 import kotlin.time.Clock
@@ -65,11 +66,14 @@
     fleet: Fleet,
     clock: Clock,
     maxIdlePerEndpoint: Int = 4,
+    supervisor: Supervisor = Supervisor(clock),
     onSurplus: (EndpointId) -> Unit,
 ): ConnectionPool {
-    val task = PoolTask(clock, maxIdlePerEndpoint, onSurplus)
-    scope.launch { task.processMessages() }
-    scope.launch { fleet.state.collect { state -> task.retain(state.view.endpoints.mapTo(HashSet()) { it.id }) } }
+    val task = PoolTask(clock, maxIdlePerEndpoint, supervisor, onSurplus)
+    supervisor.start(scope, POOL_TASK, isVital = true) {
+        launch { fleet.state.collect { state -> task.retain(state.view.endpoints.mapTo(HashSet()) { it.id }) } }
+        task.processMessages()
+    }
     return task
 }
 
@@ -99,6 +103,7 @@
 private class PoolTask(
     private val clock: Clock,
     private val maxIdlePerEndpoint: Int,
+    private val supervisor: Supervisor,
     private val onSurplus: (EndpointId) -> Unit,
 ) : ConnectionPool {
     private class IdleConnection(
@@ -117,13 +122,24 @@
     private val notReusedUntil = HashMap<EndpointId, Instant>()
 
     suspend fun processMessages() {
-        for (message in messages) {
-            when (message) {
-                is PoolMessage.Take -> take(message)
-                is PoolMessage.Put -> put(message)
-                is PoolMessage.Surplus -> stopReuse(message.endpoint)
-                is PoolMessage.Retain -> closeOthers(message.endpoints)
-            }
+        for (message in messages) supervisor.attempt(POOL_TASK, message) { handle(message) } ?: reject(message)
+    }
+
+    private fun handle(message: PoolMessage) {
+        when (message) {
+            is PoolMessage.Take -> take(message)
+            is PoolMessage.Put -> put(message)
+            is PoolMessage.Surplus -> stopReuse(message.endpoint)
+            is PoolMessage.Retain -> closeOthers(message.endpoints)
+        }
+    }
+
+    /** Answers a message that could not be handled; a request then opens a connection. */
+    private fun reject(message: PoolMessage) {
+        when (message) {
+            is PoolMessage.Take -> message.reply.complete(null)
+            is PoolMessage.Put -> message.connection.link.close()
+            is PoolMessage.Surplus, is PoolMessage.Retain -> Unit
         }
     }
 
@@ -227,3 +243,5 @@
         val NO_REUSE_TIME = 60.seconds
     }
 }
+
+private const val POOL_TASK = "connections"
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/FleetTask.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/FleetTask.kt
@@ -1,8 +1,9 @@
 package org.cicadaturn.tasks.gateway
 
 import arrow.core.Either
+import arrow.core.flatMap
 import arrow.core.left
-import kotlinx.coroutines.CancellationException
+import arrow.core.right
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.ExperimentalCoroutinesApi
@@ -10,7 +11,6 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.flow.MutableStateFlow
 import kotlinx.coroutines.flow.StateFlow
-import kotlinx.coroutines.launch
 import kotlinx.coroutines.selects.onTimeout
 import kotlinx.coroutines.selects.select
 import kotlinx.coroutines.withTimeoutOrNull
@@ -23,7 +23,7 @@
 import org.cicadaturn.decisions.retry.WatchTimes
 import org.cicadaturn.schema.generated.FleetView
 import org.cicadaturn.schema.generated.GatewayPeer
-import org.cicadaturn.tasks.fatalErrorIn
+import org.cicadaturn.tasks.Supervisor
 import org.cicadaturn.tasks.store.StoreError
 import kotlin.time.Clock
 import kotlin.time.Duration.Companion.milliseconds
@@ -55,21 +55,24 @@
     public val clock: Clock,
 )
 
-/** Starts the task that tracks the state of the fleet in [scope]. */
+/**
+ * Starts the task that tracks the state of the fleet in [scope].
+ *
+ * A part whose answer cannot be applied counts as unavailable, and is read again from the start.
+ */
 public fun startFleet(
     scope: CoroutineScope,
     dependencies: FleetDependencies,
-): Fleet = FleetTask(scope, dependencies).also { it.start() }
+    supervisor: Supervisor = Supervisor(dependencies.clock),
+): Fleet = FleetTask(dependencies, supervisor).also { it.start(scope) }
 
 private sealed interface FleetMessage {
-    class Listed(
-        val part: FleetPart,
-        val content: FleetChanges,
-    ) : FleetMessage
-
-    class Changed(
+    /** An answer of the store: the whole content of [part], or what has changed there; [isApplied] gets the outcome. */
+    class Answered(
         val part: FleetPart,
         val changes: FleetChanges,
+        val isList: Boolean,
+        val isApplied: CompletableDeferred<Boolean>,
     ) : FleetMessage
 
     class Failed(
@@ -87,8 +90,8 @@
 }
 
 private class FleetTask(
-    private val scope: CoroutineScope,
     private val dependencies: FleetDependencies,
+    private val supervisor: Supervisor,
 ) : Fleet {
     private val tracker = fleetTracker()
 
@@ -100,11 +103,11 @@
 
     override val state: StateFlow<FleetState> = published
 
-    fun start() {
-        scope.launch { processMessages() }
-        FleetPart.entries.forEach { part -> scope.launch { keepFollowing(part) } }
-        scope.launch { register() }
-        scope.launch { fetchFromPeers() }
+    fun start(scope: CoroutineScope) {
+        supervisor.start(scope, TASK, isVital = true) { processMessages() }
+        FleetPart.entries.forEach { part -> supervisor.start(scope, "following $part") { keepFollowing(part) } }
+        supervisor.start(scope, "registration") { register() }
+        supervisor.start(scope, "peer relay") { fetchFromPeers() }
     }
 
     override suspend fun ownView(): FleetView {
@@ -120,26 +123,33 @@
             val expiry = tracker.nextExpiry(now)
             // A receive that is cancelled by a time-out may lose a message; the selection of one of both does not.
             select {
-                messages.onReceive { handle(it) }
+                messages.onReceive { receive(it) }
                 if (expiry != null) onTimeout(expiry - now) {}
             }
             published.value = tracker.state(dependencies.clock.now())
         }
     }
 
+    private fun receive(message: FleetMessage) {
+        supervisor.attempt(TASK, message) { handle(message) } ?: reject(message)
+    }
+
+    /** Answers a message that could not be handled; a part whose changes may be missing is not current any more. */
+    private fun reject(message: FleetMessage) {
+        when (message) {
+            is FleetMessage.Answered -> {
+                tracker.failed(message.part, dependencies.clock.now())
+                message.isApplied.complete(false)
+            }
+            is FleetMessage.GetOwnView -> message.reply.complete(FleetView())
+            is FleetMessage.Failed, is FleetMessage.Relayed -> Unit
+        }
+    }
+
     private fun handle(message: FleetMessage) {
         val now = dependencies.clock.now()
         when (message) {
-            is FleetMessage.Listed -> {
-                recordAnswer(message.part, message.content.revision, now)
-                tracker.listed(message.part, message.content, now)
-                logChanges(message.part, message.content)
-            }
-            is FleetMessage.Changed -> {
-                recordAnswer(message.part, message.changes.revision, now)
-                tracker.changed(message.part, message.changes, now)
-                logChanges(message.part, message.changes)
-            }
+            is FleetMessage.Answered -> apply(message, now)
             is FleetMessage.Failed -> {
                 recordFailure(message.part, message.error, now)
                 tracker.failed(message.part, now)
@@ -149,6 +159,20 @@
         }
     }
 
+    private fun apply(
+        answer: FleetMessage.Answered,
+        now: Instant,
+    ) {
+        recordAnswer(answer.part, answer.changes.revision, now)
+        if (answer.isList) {
+            tracker.listed(answer.part, answer.changes, now)
+        } else {
+            tracker.changed(answer.part, answer.changes, now)
+        }
+        logChanges(answer.part, answer.changes)
+        answer.isApplied.complete(true)
+    }
+
     private fun recordAnswer(
         part: FleetPart,
         revision: Long,
@@ -187,16 +211,9 @@
     /** Follows [part] from the start again if that ends with a defect, which must not leave the process with old data. */
     private suspend fun keepFollowing(part: FleetPart) {
         while (true) {
-            try {
-                follow(part)
-            } catch (e: CancellationException) {
-                throw e
-            } catch (e: Throwable) {
-                if (fatalErrorIn(e) != null) throw e
-                logger.error("fleet: following {} failed", part, e)
-                messages.send(FleetMessage.Failed(part, StoreError.Unanswered("defect: $e")))
-                delay(RESTART_DELAY)
-            }
+            supervisor.attempt(TASK, "an answer about $part") { follow(part) }
+            messages.send(FleetMessage.Failed(part, StoreError.Unanswered("its answer met a defect")))
+            delay(RESTART_DELAY)
         }
     }
 
@@ -206,7 +223,7 @@
         while (true) {
             val from = revision
             val answer = if (from == null) dependencies.store.list(part) else watch(part, from)
-            answer.fold(
+            answer.flatMap { send(part, it, isList = from == null) }.fold(
                 { error ->
                     // A failed watch may have missed changes that the store no longer keeps, so a list follows.
                     if (error !is StoreError.Unavailable) revision = null
@@ -219,7 +236,6 @@
                 { changes ->
                     failures = 0
                     revision = changes.revision
-                    messages.send(messageOf(part, changes, isList = from == null))
                     if (changes.changes.isNotEmpty()) delay(dependencies.watchTimes(part).pause)
                 },
             )
@@ -235,11 +251,16 @@
             ?: StoreError.Unanswered("no answer to a watch within ${times.limit}").left()
     }
 
-    private fun messageOf(
+    /** Sends an answer of the store to this task and returns it, or an error if it could not be applied. */
+    private suspend fun send(
         part: FleetPart,
         changes: FleetChanges,
         isList: Boolean,
-    ): FleetMessage = if (isList) FleetMessage.Listed(part, changes) else FleetMessage.Changed(part, changes)
+    ): Either<StoreError, FleetChanges> {
+        val isApplied = CompletableDeferred<Boolean>()
+        messages.send(FleetMessage.Answered(part, changes, isList, isApplied))
+        return if (isApplied.await()) changes.right() else StoreError.Unanswered("its answer met a defect").left()
+    }
 
     private suspend fun register() {
         var failures = 0
@@ -261,6 +282,7 @@
     private companion object {
         val logger = LogManager.getLogger(FleetTask::class.java)
 
+        const val TASK = "fleet"
         const val QUEUED_MESSAGES = 16
 
         /** Bounds the calls and log lines that a defect causes if it occurs each time. */
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/GatewayMetrics.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/GatewayMetrics.kt
@@ -96,6 +96,17 @@
             .help("Times that an endpoint sent bytes that are no answer or belong to another request.")
             .register(registry)
 
+    private val taskFailures =
+        Counter
+            .builder()
+            .name("cicadaturn_gateway_task_failures")
+            .help("Failures of the tasks of this process by defects, by task.")
+            .labelNames("task")
+            .register(registry)
+
+    /** Records that [task] has failed by a defect. */
+    fun taskFailed(task: String) = taskFailures.labelValues(task).inc()
+
     /** Records that an endpoint sent bytes that are no answer or belong to another request. */
     fun surplusReceived() = surplus.inc()
 
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/GatewayNode.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/GatewayNode.kt
@@ -35,11 +35,12 @@
 import org.cicadaturn.schema.generated.PledgeRequest
 import org.cicadaturn.schema.generated.ProcessId
 import org.cicadaturn.tasks.Node
+import org.cicadaturn.tasks.Supervisor
 import org.cicadaturn.tasks.experts.Lease
 import org.cicadaturn.tasks.experts.LeaseDependencies
 import org.cicadaturn.tasks.experts.RankClient
 import org.cicadaturn.tasks.experts.startExpertBalancer
-import org.cicadaturn.tasks.experts.startLease
+import org.cicadaturn.tasks.experts.storeLease
 import org.cicadaturn.tasks.fatalErrorIn
 import org.cicadaturn.tasks.http.HttpConnector
 import org.cicadaturn.tasks.http.HttpLink
@@ -63,6 +64,7 @@
  * @property clock monotonic clock with an arbitrary origin
  * @property suspendAwareClock clock that also advances while the machine is suspended
  * @property wallClock time of day
+ * @property requestStop called when a task without which this process cannot serve goes on failing
  */
 public class GatewayDependencies(
     public val runtime: HttpRuntime,
@@ -73,6 +75,7 @@
     public val suspendAwareClock: Clock,
     public val wallClock: Clock,
     public val random: Random,
+    public val requestStop: () -> Unit,
 )
 
 /** Starts a gateway process, which forwards the requests of callers to the endpoints listed in the platform's store. */
@@ -95,12 +98,15 @@
     private val exceptionHandler =
         CoroutineExceptionHandler { _, cause ->
             fatalErrorIn(cause)?.let(dependencies.runtime.onFatalError)
-                ?: logger.error("gateway: a task failed", cause)
+                ?: recordFailure(cause)
         }
     private val scope = CoroutineScope(dependencies.runtime.dispatcher + SupervisorJob() + exceptionHandler)
     private val connector = httpConnector(dependencies.runtime)
     private val peer =
         GatewayPeer(ProcessId(file.process.id), settings.peerListen, FailureDomainId(file.process.failureDomain))
+    private val registry = PrometheusRegistry()
+    private val metrics = GatewayMetrics(registry)
+    private val supervisor = Supervisor(dependencies.clock, metrics::taskFailed, dependencies.requestStop)
     private val fleet =
         startFleet(
             scope,
@@ -112,9 +118,8 @@
                 backoff = fullJitterBackoff(MIN_STORE_BACKOFF, MAX_STORE_BACKOFF, dependencies.random),
                 clock = dependencies.clock,
             ),
+            supervisor,
         )
-    private val registry = PrometheusRegistry()
-    private val metrics = GatewayMetrics(registry)
     private val pool = startPool()
     private val memory = BodyMemory(settings.bodyMemory)
 
@@ -122,7 +127,7 @@
     private val rankClient = dependencies.rankClient(connector, startPool(), memory)
     private val balancer = startRequestBalancer()
     private val exchange = Exchange(connector, pool, balancer, dependencies.dialect, dependencies.clock, memory)
-    private val lease = startPlacementLease()
+    private val lease = leaseOfPlacement()
     private val journal = requestJournal()
     private val quarantineMetrics = QuarantineMetrics(registry)
     private val quarantine = startSegmentQuarantine()
@@ -141,7 +146,7 @@
                 random = dependencies.random,
                 journal = journal,
                 shutdown = this,
-                times = startRequestTimeRecord(scope, dependencies.clock),
+                times = startRequestTimeRecord(scope, dependencies.clock, supervisor),
                 eventNumbering = EventNumbering.valueOf(settings.eventNumbers.uppercase()),
             ),
         )
@@ -166,6 +171,12 @@
                 "admin" to adminListener.address,
             )
 
+    /** Records a failure of a coroutine that serves one connection or call, which ends with it. */
+    private fun recordFailure(cause: Throwable) {
+        metrics.taskFailed("connection or call")
+        logger.error("gateway: a connection or call failed", cause)
+    }
+
     private fun watchTimesOf(part: FleetPart): WatchTimes =
         fleetWatchTimes(part, file.store.watchWait, file.store.maxSilence, file.store.timeout)
 
@@ -181,7 +192,7 @@
         )
 
     private fun startPool(): ConnectionPool =
-        startConnectionPool(scope, fleet, dependencies.clock) { metrics.surplusReceived() }
+        startConnectionPool(scope, fleet, dependencies.clock, supervisor = supervisor) { metrics.surplusReceived() }
 
     private fun startRequestBalancer(): Balancer {
         val endpoints = endpointBalancer(balancerOptions(), dependencies.random)
@@ -192,6 +203,7 @@
         return startBalancer(
             scope,
             BalancerDependencies(endpoints, dispatcher, fleet, askGroup, dependencies.clock),
+            supervisor,
         )
     }
 
@@ -212,6 +224,7 @@
                 clock = dependencies.clock,
                 wallClock = dependencies.wallClock,
             ),
+            supervisor,
         )
 
     suspend fun start() {
@@ -225,12 +238,12 @@
                 HEADER_BYTES,
             ) { servePeer(it, PeerService(fleet::ownView, ::pledge, quarantine::receive)) }
         adminListener = listen(dependencies.runtime, scope, file.process.adminListen, HEADER_BYTES) { admin.serve(it) }
-        startExpertBalancer(scope, fleet, lease, rankClient, dependencies.clock)
+        startExpertBalancer(scope, fleet, lease, rankClient, dependencies.clock, supervisor)
         logger.info("gateway: {} listens on {}", file.process.id, settings.listen)
     }
 
-    /** Starts the task for the lease that allows one process of the fleet to balance the experts. */
-    private fun startPlacementLease(): Lease {
+    /** Returns the lease that allows one process of the fleet to balance the experts. */
+    private fun leaseOfPlacement(): Lease {
         val delay = MAX_LEASE_DELAY * dependencies.random.nextDouble()
         val requestPledges: suspend (
             Long,
@@ -246,7 +259,7 @@
                 dependencies.clock,
                 dependencies.suspendAwareClock,
             )
-        return startLease(scope, placementLease(peer.id, delay), leaseDependencies)
+        return storeLease(placementLease(peer.id, delay), leaseDependencies)
     }
 
     private fun pledge(request: PledgeRequest): PledgeAnswer =
@@ -296,7 +309,8 @@
     }
 
     /** Callers are better served elsewhere while this process reaches no group that others may reach. */
-    private fun isReady(): Boolean = !stopping && fleet.state.value.isKnown && !balancer.isIsolated.value
+    private fun isReady(): Boolean =
+        !stopping && fleet.state.value.isKnown && !balancer.isIsolated.value && supervisor.pausedTasks.value.isEmpty()
 
     override fun asksToReconnect(): Boolean = stopping || balancer.isIsolated.value
 
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/QuarantineMessage.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/QuarantineMessage.kt
@@ -45,9 +45,10 @@
         val reply: CompletableDeferred<Boolean>,
     ) : QuarantineMessage
 
+    /** Trials of the other processes, or null if they could not be asked. */
     class ClaimAnswered(
         val service: ServiceId,
-        val answers: List<SegmentTrial>,
+        val answers: List<SegmentTrial>?,
         val reply: CompletableDeferred<Boolean>,
     ) : QuarantineMessage
 
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/QuarantineTask.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/QuarantineTask.kt
@@ -31,6 +31,7 @@
 import org.cicadaturn.schema.generated.SegmentStatus
 import org.cicadaturn.schema.generated.SegmentTrial
 import org.cicadaturn.schema.generated.ServiceId
+import org.cicadaturn.tasks.Supervisor
 import org.cicadaturn.tasks.store.StoreError
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -40,11 +41,13 @@
 internal fun startQuarantine(
     scope: CoroutineScope,
     dependencies: QuarantineDependencies,
-): Quarantine = QuarantineTask(scope, dependencies).also { it.start() }
+    supervisor: Supervisor = Supervisor(dependencies.clock),
+): Quarantine = QuarantineTask(scope, dependencies, supervisor).also { it.start() }
 
 private class QuarantineTask(
     private val scope: CoroutineScope,
     private val dependencies: QuarantineDependencies,
+    private val supervisor: Supervisor,
 ) : Quarantine {
     /** Requests that were lost at an endpoint, until it is known whether the endpoint has crashed. */
     private class Losses(
@@ -70,13 +73,15 @@
     private var isStoring = false
 
     fun start() {
-        scope.launch { processMessages() }
-        scope.launch { askPeers() }
-        scope.launch {
-            dependencies.fleet.state
-                .map { it.view.quarantine }
-                .distinctUntilChanged()
-                .collect { send(QuarantineMessage.Listed(it)) }
+        supervisor.start(scope, TASK) {
+            launch { supervisor.attempt(TASK, "what the peers know") { askPeers() } }
+            launch {
+                dependencies.fleet.state
+                    .map { it.view.quarantine }
+                    .distinctUntilChanged()
+                    .collect { send(QuarantineMessage.Listed(it)) }
+            }
+            processMessages()
         }
     }
 
@@ -100,13 +105,38 @@
     private suspend fun processMessages() {
         while (true) {
             select {
-                messages.onReceive { handle(it) }
+                messages.onReceive { receive(it) }
                 // Confidence falls with time, without a message.
                 if (published.value.suspicions.isNotEmpty()) onTimeout(REVIEW_INTERVAL) { publish() }
             }
         }
     }
 
+    private fun receive(message: QuarantineMessage) {
+        supervisor.attempt(TASK, message) { handle(message) } ?: reject(message)
+    }
+
+    /** Answers a message that could not be handled, so that no request waits for it; a trial is not permitted. */
+    private fun reject(message: QuarantineMessage) {
+        when (message) {
+            is QuarantineMessage.Lost -> message.reply.complete(Unit)
+            is QuarantineMessage.Claim -> message.reply.complete(false)
+            is QuarantineMessage.ClaimAnswered -> message.reply.complete(false)
+            is QuarantineMessage.Received -> message.reply.complete(QuarantineNews())
+            is QuarantineMessage.GetStatus -> message.reply.complete(emptyList())
+            QuarantineMessage.UpdateStore -> isStoring = false
+            else -> Unit
+        }
+    }
+
+    /** Runs [call] beside this task, which gets its result, or [fallback] if it fails. */
+    private fun launchCall(
+        fallback: QuarantineMessage,
+        call: suspend () -> QuarantineMessage,
+    ) {
+        scope.launch { send(supervisor.attempt(TASK, fallback) { call() } ?: fallback) }
+    }
+
     private fun handle(message: QuarantineMessage) {
         val now = clock.now()
         when (message) {
@@ -133,31 +163,34 @@
     /** Collects the requests that are lost at an endpoint at about the same time, and finds out whether it has crashed. */
     private fun collect(message: QuarantineMessage.Lost) {
         val endpoint = message.request.endpoint
+        val ratio = dependencies.weights.likelihoodRatio(endpoint.service, message.request.progress)
         val known = losses[endpoint.id]
         val collected = known ?: Losses(endpoint).also { losses[endpoint.id] = it }
-        val ratio = dependencies.weights.likelihoodRatio(endpoint.service, message.request.progress)
         collected.prompts += LostPrompt(message.request.segments.dropLast(1), ratio)
         collected.replies += message.reply
         if (known != null) return
-        scope.launch {
+        launchCall(QuarantineMessage.Probed(endpoint.id, hasCrashed = false)) {
             delay(COLLECTION_TIME)
-            send(QuarantineMessage.Probed(endpoint.id, dependencies.hasCrashedAlone(endpoint)))
+            QuarantineMessage.Probed(endpoint.id, dependencies.hasCrashedAlone(endpoint))
         }
     }
 
     private fun finish(message: QuarantineMessage.Probed) {
         val collected = losses.remove(message.endpoint) ?: return
         val endpoint = collected.endpoint
-        if (message.hasCrashed && dependencies.isInService(endpoint)) {
-            report(endpoint, collected.prompts)
-        } else {
-            logger.info(
-                "quarantine: {} requests lost at {}, which has not crashed",
-                collected.prompts.size,
-                endpoint.id,
-            )
+        try {
+            if (message.hasCrashed && dependencies.isInService(endpoint)) {
+                report(endpoint, collected.prompts)
+            } else {
+                logger.info(
+                    "quarantine: {} requests lost at {}, which has not crashed",
+                    collected.prompts.size,
+                    endpoint.id,
+                )
+            }
+        } finally {
+            collected.replies.forEach { it.complete(Unit) }
         }
-        collected.replies.forEach { it.complete(Unit) }
     }
 
     private fun report(
@@ -227,19 +260,14 @@
             message.reply.complete(false)
             return
         }
-        scope.launch {
-            val others =
-                dependencies
-                    .broadcast(
-                        QuarantineNews(trials = listOf(claim)),
-                        CLAIM_TIMEOUT,
-                    ).flatMap { it.trials }
-            send(QuarantineMessage.ClaimAnswered(message.service, others, message.reply))
+        launchCall(QuarantineMessage.ClaimAnswered(message.service, answers = null, message.reply)) {
+            val answers = dependencies.broadcast(QuarantineNews(trials = listOf(claim)), CLAIM_TIMEOUT)
+            QuarantineMessage.ClaimAnswered(message.service, answers.flatMap { it.trials }, message.reply)
         }
     }
 
     private fun decideClaim(message: QuarantineMessage.ClaimAnswered) {
-        val isStarted = trials.start(message.service, message.answers)
+        val isStarted = message.answers != null && trials.start(message.service, message.answers)
         // The other processes respect the claim until they learn that it was given up.
         if (!isStarted) end(message.service)
         message.reply.complete(isStarted)
@@ -277,10 +305,10 @@
 
     private fun updateStore() {
         val due = changes()
-        scope.launch {
+        launchCall(QuarantineMessage.StoreUpdated) {
             due.added.forEach { entry -> logFailure("add", dependencies.store.quarantine(entry).leftOrNull()) }
             due.removed.forEach { segment -> logFailure("remove", dependencies.store.release(segment).leftOrNull()) }
-            send(QuarantineMessage.StoreUpdated)
+            QuarantineMessage.StoreUpdated
         }
     }
 
@@ -339,6 +367,7 @@
 
     private companion object {
         val logger = LogManager.getLogger(QuarantineTask::class.java)
+        const val TASK = "quarantine"
 
         /** The connections of a process that has ended are reset within a few milliseconds. */
         val COLLECTION_TIME = 10.milliseconds
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/Shutdown.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/Shutdown.kt
@@ -5,10 +5,10 @@
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.flow.MutableStateFlow
 import kotlinx.coroutines.flow.StateFlow
-import kotlinx.coroutines.launch
 import org.cicadaturn.decisions.gateway.RequestTimes
 import org.cicadaturn.decisions.gateway.requestTimeTracker
 import org.cicadaturn.schema.generated.ServiceId
+import org.cicadaturn.tasks.Supervisor
 import kotlin.time.Clock
 import kotlin.time.Duration
 import kotlin.time.Instant
@@ -38,7 +38,9 @@
 internal fun startRequestTimeRecord(
     scope: CoroutineScope,
     clock: Clock,
-): RequestTimeRecord = RequestTimeTask(clock).also { scope.launch { it.processMessages() } }
+    supervisor: Supervisor = Supervisor(clock),
+): RequestTimeRecord =
+    RequestTimeTask(clock).also { task -> supervisor.start(scope, "request times") { task.processMessages() } }
 
 private class RequestTimeTask(
     private val clock: Clock,
--- a/tasks/src/test/kotlin/org/cicadaturn/tasks/experts/LeaseTest.kt
+++ b/tasks/src/test/kotlin/org/cicadaturn/tasks/experts/LeaseTest.kt
@@ -135,7 +135,10 @@
         pledges: suspend (Long) -> Boolean = { false },
     ): Lease {
         val dependencies = LeaseDependencies(store, "l", 500.milliseconds + takeoverDelay, pledges, clock(), clock())
-        return startLease(scope, placementLease(ProcessId(id), takeoverDelay), dependencies)
+        return storeLease(
+            placementLease(ProcessId(id), takeoverDelay),
+            dependencies,
+        ).also { scope.launch { it.keep() } }
     }
 
     /** Guards against groups that no process balances for a second after a restart of the holder. */
--- a/tasks/src/test/kotlin/org/cicadaturn/tasks/experts/TestGroup.kt
+++ b/tasks/src/test/kotlin/org/cicadaturn/tasks/experts/TestGroup.kt
@@ -60,6 +60,8 @@
         override fun pledge(token: Long) = false
 
         override fun release() = Unit
+
+        override suspend fun keep() = Unit
     }
 
 /** Group of [RANKS] ranks that use the first map as version [inUse]. */
--- /dev/null
+++ b/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/TaskFailureTest.kt
@@ -0,0 +1,398 @@
+package org.cicadaturn.tasks.gateway
+
+import arrow.core.Either
+import arrow.core.right
+import io.prometheus.metrics.model.registry.PrometheusRegistry
+import kotlinx.coroutines.awaitCancellation
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.flow.MutableStateFlow
+import kotlinx.coroutines.flow.first
+import kotlinx.coroutines.test.TestScope
+import kotlinx.coroutines.test.runTest
+import kotlinx.coroutines.withTimeoutOrNull
+import org.cicadaturn.decisions.dispatch.DispatchRequest
+import org.cicadaturn.decisions.dispatch.dispatcher
+import org.cicadaturn.decisions.gateway.BalancerOptions
+import org.cicadaturn.decisions.gateway.EndpointBalancer
+import org.cicadaturn.decisions.gateway.EndpointChoice
+import org.cicadaturn.decisions.gateway.EndpointRequest
+import org.cicadaturn.decisions.gateway.FleetChange
+import org.cicadaturn.decisions.gateway.FleetChanges
+import org.cicadaturn.decisions.gateway.FleetPart
+import org.cicadaturn.decisions.gateway.FleetState
+import org.cicadaturn.decisions.gateway.LoadSample
+import org.cicadaturn.decisions.gateway.endpointBalancer
+import org.cicadaturn.decisions.gateway.fleetWatchTimes
+import org.cicadaturn.decisions.quarantine.LossWeights
+import org.cicadaturn.decisions.quarantine.lossWeights
+import org.cicadaturn.decisions.quarantine.segmentQuarantine
+import org.cicadaturn.decisions.quarantine.trialRegistry
+import org.cicadaturn.decisions.retry.Backoff
+import org.cicadaturn.schema.generated.AdmissionState
+import org.cicadaturn.schema.generated.AnswerProgress
+import org.cicadaturn.schema.generated.CallerLimits
+import org.cicadaturn.schema.generated.EndpointId
+import org.cicadaturn.schema.generated.FailureDomainId
+import org.cicadaturn.schema.generated.FleetView
+import org.cicadaturn.schema.generated.GatewayPeer
+import org.cicadaturn.schema.generated.LiveEndpoint
+import org.cicadaturn.schema.generated.NetworkAddress
+import org.cicadaturn.schema.generated.ProcessId
+import org.cicadaturn.schema.generated.PromptSegmentId
+import org.cicadaturn.schema.generated.QuarantineNews
+import org.cicadaturn.schema.generated.QuarantinedSegment
+import org.cicadaturn.schema.generated.RoutedService
+import org.cicadaturn.schema.generated.RoutingConfiguration
+import org.cicadaturn.schema.generated.SegmentState
+import org.cicadaturn.schema.generated.ServiceId
+import org.cicadaturn.tasks.PlantedFailure
+import org.cicadaturn.tasks.processScope
+import org.cicadaturn.tasks.store.StoreError
+import org.cicadaturn.tasks.virtualClock
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertInstanceOf
+import org.junit.jupiter.api.Assertions.assertNotNull
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+import kotlin.random.Random
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.hours
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.Instant
+
+/** Tests what callers and peers see after a task of a gateway has met a defect, in virtual time. */
+class TaskFailureTest {
+    private val service = ServiceId("s")
+    private val domain = FailureDomainId("a")
+    private val peer = GatewayPeer(ProcessId("g"), NetworkAddress("127.0.0.1", 1), domain)
+
+    private fun endpoint(
+        id: String = "e",
+        state: AdmissionState = AdmissionState.IN_SERVICE,
+        coldFor: Duration = Duration.ZERO,
+    ) = LiveEndpoint(EndpointId(id), service, NetworkAddress(id, 1), domain, state, 8, coldFor)
+
+    private fun fleetOf(vararg endpoints: LiveEndpoint): Fleet =
+        object : Fleet {
+            private val services = listOf(RoutedService(service, 400, coldRate = 8.0))
+            private val configuration = RoutingConfiguration(1, emptyList(), services, null, CallerLimits())
+            override val state =
+                MutableStateFlow(
+                    FleetState(FleetView(configuration, endpoints.toList(), peers = listOf(peer)), true, true),
+                )
+
+            override suspend fun ownView() = state.value.view
+        }
+
+    private val options =
+        BalancerOptions(
+            self = ProcessId("g"),
+            localDomain = domain,
+            coldFactor = 1.5,
+            coldSlack = 5.0,
+            retryRatio = 0.2,
+            retrySlack = 100.0,
+            retryWindow = 10.seconds,
+        )
+
+    private fun TestScope.balancerOf(
+        endpoints: EndpointBalancer,
+        fleet: Fleet,
+    ): Balancer {
+        val dispatcher = dispatcher(endpoints, Random(1)::nextDouble)
+        val dependencies = BalancerDependencies(endpoints, dispatcher, fleet, { null }, virtualClock())
+        return startBalancer(processScope(), dependencies)
+    }
+
+    private fun TestScope.request(): DispatchRequest {
+        val now = virtualClock().now()
+        val endpoint = EndpointRequest(service, emptySet(), only = null, isRetry = false, canWait = false)
+        return DispatchRequest(endpoint, null, 0, 0, now, now)
+    }
+
+    private suspend fun TestScope.place(balancer: Balancer): Placement? =
+        withTimeoutOrNull(1.seconds) { balancer.place(request()) }
+
+    /** Guards against a process that places no request any more after a defect that concerns one of them. */
+    @Test
+    fun `a request whose placement fails is refused at once and the next one is placed`() =
+        runTest {
+            val failure = PlantedFailure()
+            val real = endpointBalancer(options, Random(1))
+            val failing =
+                object : EndpointBalancer by real {
+                    override fun choose(
+                        request: EndpointRequest,
+                        now: Instant,
+                    ): EndpointChoice {
+                        failure()
+                        return real.choose(request, now)
+                    }
+                }
+            val balancer = balancerOf(failing, fleetOf(endpoint()))
+            delay(1.milliseconds)
+            assertInstanceOf(Placement.Rejected::class.java, place(balancer))
+            assertInstanceOf(Placement.Placed::class.java, place(balancer))
+        }
+
+    /** Guards against a process that places no request any more after a defect outside of any request. */
+    @Test
+    fun `requests are placed after a failure to look for groups to ask`() =
+        runTest {
+            val failure = PlantedFailure()
+            val real = endpointBalancer(options, Random(1))
+            val failing =
+                object : EndpointBalancer by real {
+                    override fun endpointsToAsk(now: Instant): List<LiveEndpoint> {
+                        failure()
+                        return real.endpointsToAsk(now)
+                    }
+                }
+            val balancer = balancerOf(failing, fleetOf(endpoint()))
+            delay(1.milliseconds)
+            assertInstanceOf(Placement.Placed::class.java, place(balancer))
+        }
+
+    /** Guards against a balancer that forgets with a defect what it has sent to a cold endpoint, and exceeds its rate. */
+    @Test
+    fun `the rate of a cold endpoint holds after a failure`() =
+        runTest {
+            val failure = PlantedFailure()
+            val failing =
+                object : EndpointBalancer by endpointBalancer(options, Random(1)) {
+                    override fun loadReported(
+                        endpoint: EndpointId,
+                        load: LoadSample,
+                        now: Instant,
+                    ) = failure()
+                }
+            val balancer = balancerOf(failing, fleetOf(endpoint(coldFor = 1.hours)))
+            delay(1.milliseconds)
+            var placed = 0
+            while (placed < 100 && place(balancer) is Placement.Placed) placed += 1
+            assertTrue(placed in 1..99, "$placed requests were placed at a cold endpoint at once")
+            balancer.loadReported(EndpointId("e"), LoadSample(0, 0, 8))
+            assertInstanceOf(Placement.Rejected::class.java, place(balancer))
+        }
+
+    /** Store with an endpoint that drains; the answer to a watch that says so cannot be applied the first time. */
+    private inner class PoisonedStore : FleetStore by FixedFleetStore(content = null) {
+        private val failure = PlantedFailure()
+        private val drained = listOf(FleetChange.EndpointListed(endpoint(state = AdmissionState.DRAINED)))
+        private var isDrained = false
+
+        override suspend fun list(part: FleetPart): Either<StoreError, FleetChanges> {
+            if (part != FleetPart.ENDPOINTS) return FleetChanges(1, emptyList()).right()
+            if (isDrained) return FleetChanges(2, drained).right()
+            return FleetChanges(1, listOf(FleetChange.EndpointListed(endpoint()))).right()
+        }
+
+        override suspend fun watch(
+            part: FleetPart,
+            revision: Long,
+            wait: Duration,
+        ): Either<StoreError, FleetChanges> {
+            if (part != FleetPart.ENDPOINTS || revision > 1) awaitCancellation()
+            isDrained = true
+            val poisoned =
+                object : List<FleetChange> by drained {
+                    override fun iterator(): Iterator<FleetChange> {
+                        failure()
+                        return drained.iterator()
+                    }
+                }
+            return FleetChanges(2, poisoned).right()
+        }
+    }
+
+    private fun TestScope.fleetWith(
+        store: FleetStore,
+        fetchPeerView: suspend (List<GatewayPeer>) -> FleetView? = { null },
+    ): Fleet =
+        startFleet(
+            processScope(),
+            FleetDependencies(
+                store,
+                peer,
+                fetchPeerView,
+                { fleetWatchTimes(it, 10.seconds, 3.seconds, 1.seconds) },
+                Backoff { 100.milliseconds },
+                virtualClock(),
+            ),
+        )
+
+    /** Guards against a process that serves with the state of the fleet from before a defect, for good. */
+    @Test
+    fun `a change that cannot be applied is read again`() =
+        runTest {
+            val fleet = fleetWith(PoisonedStore())
+            delay(3.seconds)
+            assertEquals(
+                AdmissionState.DRAINED,
+                fleet.state.value.view.endpoints
+                    .single()
+                    .state,
+            )
+            assertNotNull(withTimeoutOrNull(1.seconds) { fleet.ownView() })
+        }
+
+    /** Guards against a process that learns nothing from its peers any more after a defect in a call to them. */
+    @Test
+    fun `peers are asked again after a call to them failed`() =
+        runTest {
+            val failure = PlantedFailure()
+            val configuration = RoutingConfiguration(1, emptyList(), emptyList(), null, CallerLimits())
+            val fleet =
+                fleetWith(FixedFleetStore(content = null)) {
+                    failure()
+                    FleetView(configuration = configuration, configurationRevision = 1)
+                }
+            val known = withTimeoutOrNull(5.seconds) { fleet.state.first { it.view.configuration != null } }
+            assertNotNull(known)
+        }
+
+    /** Guards against a process that its peers never learn of, without which no pledge of all is complete. */
+    @Test
+    fun `the process registers after a failed attempt`() =
+        runTest {
+            val failure = PlantedFailure()
+            var isRegistered = false
+            val store =
+                object : FleetStore by FixedFleetStore(content = null) {
+                    override suspend fun register(peer: GatewayPeer): Either<StoreError, Unit> {
+                        failure()
+                        isRegistered = true
+                        return Unit.right()
+                    }
+                }
+            fleetWith(store)
+            delay(5.seconds)
+            assertTrue(isRegistered)
+        }
+
+    /** Guards against requests that wait for an idle connection until their deadline. */
+    @Test
+    fun `connections can be taken after the pool has failed`() =
+        runTest {
+            val failure = PlantedFailure()
+            val pool = startConnectionPool(processScope(), fleetOf(endpoint()), virtualClock()) { failure() }
+            pool.surplusReceived(EndpointId("e"))
+            val isAnswered = withTimeoutOrNull(1.seconds) { pool.take(EndpointId("e"), 1.seconds, null).let { true } }
+            assertEquals(true, isAnswered)
+        }
+
+    private val lost = LostRequest(endpoint(), listOf("a", "b").map { PromptSegmentId(it) }, AnswerProgress.HEAD)
+
+    private fun TestScope.quarantineWith(
+        weights: LossWeights = lossWeights(),
+        store: FleetStore = FixedFleetStore(content = null),
+        refusesConnections: suspend (NetworkAddress) -> Boolean = { it.ip == "e" },
+        exchange: suspend (GatewayPeer, QuarantineNews) -> QuarantineNews? = { _, _ -> null },
+    ): Quarantine =
+        startQuarantine(
+            processScope(),
+            QuarantineDependencies(
+                self = ProcessId("self"),
+                quarantine = segmentQuarantine(),
+                weights = weights,
+                trials = trialRegistry(ProcessId("self")),
+                fleet = fleetOf(endpoint(), endpoint("e2")),
+                store = store,
+                refusesConnections = refusesConnections,
+                exchange = exchange,
+                metrics = QuarantineMetrics(PrometheusRegistry()),
+                random = Random(1),
+                clock = virtualClock(),
+                wallClock = virtualClock(),
+            ),
+        )
+
+    private suspend fun isAnswered(call: suspend () -> Unit): Boolean =
+        withTimeoutOrNull(2.seconds) { call().let { true } } ?: false
+
+    /** Guards against requests that wait for the judgement of their loss until their deadline. */
+    @Test
+    fun `losses are judged after one of them could not be weighed`() =
+        runTest {
+            val failure = PlantedFailure()
+            val real = lossWeights()
+            val failing =
+                object : LossWeights by real {
+                    override fun likelihoodRatio(
+                        service: ServiceId,
+                        progress: AnswerProgress,
+                    ): Double {
+                        failure()
+                        return real.likelihoodRatio(service, progress)
+                    }
+                }
+            val quarantine = quarantineWith(weights = failing)
+            repeat(2) { assertTrue(isAnswered { quarantine.lost(lost) }, "loss $it is judged") }
+            assertTrue(
+                quarantine.view.value.suspicions
+                    .isNotEmpty(),
+            )
+        }
+
+    /** Guards against losses at an endpoint that are never judged after the probe for one of them has failed. */
+    @Test
+    fun `losses at an endpoint are judged after a probe of it failed`() =
+        runTest {
+            val failure = PlantedFailure()
+            val quarantine =
+                quarantineWith(refusesConnections = {
+                    failure()
+                    it.ip == "e"
+                })
+            repeat(2) { assertTrue(isAnswered { quarantine.lost(lost) }, "loss $it is judged") }
+            assertTrue(
+                quarantine.view.value.suspicions
+                    .isNotEmpty(),
+            )
+        }
+
+    /** Guards against a service whose suspected prompts are never tried after a call to a peer has failed. */
+    @Test
+    fun `a trial can be claimed after a claim failed`() =
+        runTest {
+            val failure = PlantedFailure()
+            val quarantine =
+                quarantineWith(exchange = { _, news ->
+                    if (news.trials.isNotEmpty()) failure()
+                    null
+                })
+            delay(10.seconds)
+            val claims = List(2) { withTimeoutOrNull(2.seconds) { quarantine.claimTrial(service) } }
+            assertEquals(listOf(false, true), claims)
+        }
+
+    /** Guards against a list in the store that is never updated again after one call has failed. */
+    @Test
+    fun `the list in the store is updated after a call to the store failed`() =
+        runTest {
+            val failure = PlantedFailure()
+            val stored = mutableListOf<QuarantinedSegment>()
+            val store =
+                object : FleetStore by FixedFleetStore(content = null) {
+                    override suspend fun quarantine(entry: QuarantinedSegment): Either<StoreError, Unit> {
+                        failure()
+                        stored += entry
+                        return Unit.right()
+                    }
+                }
+            val quarantine = quarantineWith(store = store)
+            // Answers that follow their heads at once make a lost head strong evidence.
+            val times = mapOf(AnswerProgress.NONE to 100.milliseconds, AnswerProgress.RUNNING to 1.seconds)
+            repeat(10) { quarantine.observed(service, times) }
+            assertTrue(isAnswered { quarantine.lost(lost) })
+            assertEquals(
+                SegmentState.QUARANTINED,
+                quarantine.view.value.suspicions
+                    .single()
+                    .state,
+            )
+            delay(10.seconds)
+            assertEquals(listOf(PromptSegmentId("a")), stored.map { it.segment }.distinct())
+        }
+}
--- a/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/TestGateway.kt
+++ b/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/TestGateway.kt
@@ -46,6 +46,7 @@
     bodyBytes: Int = 2_000,
     promptOf: (List<Header>) -> List<PromptSegmentId> = ::testPrompt,
     onFatalError: FatalErrorHandler = {},
+    random: Random = Random(1),
 ) : AutoCloseable {
     val runtime = httpRuntime(onFatalError)
     private val dependencies =
@@ -57,7 +58,8 @@
             clock = Clock.System,
             suspendAwareClock = Clock.System,
             wallClock = Clock.System,
-            random = Random(1),
+            random = random,
+            requestStop = {},
         )
     private val node: Node = runBlocking { gatewayNode(testFile(stopTimeout), dependencies) }
     val port: Int get() = node.listeners.getValue("listen").port
