Try one part only while the store refuses a gateway

What operators saw: a store that refuses a process gets calls for each of five parts, where one shows that it still refuses them.

While calls are refused, only the first of the refused parts is tried, and the others follow as soon as one is answered. After a failure a part is read up to now, as a watch would hide until its end that the store serves the process again. A part that fails for a reason of its own does not hold up the others.

--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/FleetTask.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/FleetTask.kt
@@ -58,6 +58,7 @@
     private val messages = Channel<FleetMessage>(QUEUED_MESSAGES)
     private val published = MutableStateFlow(tracker.state(dependencies.clock.now()))
     private var unavailableParts = emptySet<FleetPart>()
+    private val refusedParts = MutableStateFlow(emptySet<FleetPart>())
     private val answeredAt = HashMap<FleetPart, Instant>()
     private val reports = storeReports { sharing?.times?.invoke(it)?.validity }
     private val answerCount = MutableStateFlow(0L)
@@ -174,6 +175,7 @@
         reports.answered(part, revision, isChanged, suspendAwareTime())
         if (part in unavailableParts) {
             unavailableParts = unavailableParts - part
+            refusedParts.value -= part
             logger.info("fleet: {} available again at revision {}, {}", part, revision, silence(part, now))
         }
         answeredAt[part] = now
@@ -188,6 +190,7 @@
             logger.warn("fleet: {} unavailable, {}: {}", part, silence(part, now), error.message)
         }
         unavailableParts = unavailableParts + part
+        if (error is StoreError.Unavailable) refusedParts.value += part else refusedParts.value -= part
     }
 
     private fun silence(
@@ -216,7 +219,12 @@
         var failures = 0
         while (true) {
             val from = revision
-            val answer = if (from == null) dependencies.store.list(part) else watch(part, from)
+            val answer =
+                when {
+                    from == null -> dependencies.store.list(part)
+                    failures > 0 -> catchUp(part, from)
+                    else -> watch(part, from)
+                }
             answer.flatMap { send(part, it, isList = from == null) }.fold(
                 { error ->
                     // A failed watch may have missed changes that the store no longer keeps, so a list follows.
@@ -225,6 +233,7 @@
                         failures += 1
                         messages.send(FleetMessage.Failed(part, error))
                         delay(dependencies.backoff.delayBefore(failures))
+                        if (error is StoreError.Unavailable) awaitTurn(part)
                     }
                 },
                 { changes ->
@@ -259,6 +268,17 @@
         return watch(part, revision, times.copy(wait = CATCH_UP_WAIT, limit = times.limit - times.wait))
     }
 
+    /**
+     * Waits until [part] is the first of the parts whose calls are refused, or one of these has been answered.
+     *
+     * A store that refuses the calls of a process refuses them for all parts, so the calls for one of them show when it
+     * serves the process again.
+     */
+    private suspend fun awaitTurn(part: FleetPart) {
+        val refused = refusedParts.value
+        refusedParts.first { now -> now.none { it < part } || !now.containsAll(refused) }
+    }
+
     private suspend fun watch(
         part: FleetPart,
         revision: Long,
