--- a/daemons/src/test/kotlin/org/cicadaturn/daemons/system/PlainAnswerTest.kt
+++ b/daemons/src/test/kotlin/org/cicadaturn/daemons/system/PlainAnswerTest.kt
@@ -59,14 +59,7 @@
                             system.entry("entry-1"),
                             method,
                             path,
-                            body =
-                                if (method ==
-                                    "POST"
-                                ) {
-                                    "#$name#"
-                                } else {
-                                    ""
-                                },
+                            body = if (method == "POST") "#$name#" else "",
                         )
                     }.filterValues { it.status != 502 }
             assertEquals(emptyMap<Pair<String, String>, ReceivedAnswer>(), successes)
--- a/decisions/src/main/kotlin/org/cicadaturn/decisions/answer/RequestedAnswer.kt
+++ b/decisions/src/main/kotlin/org/cicadaturn/decisions/answer/RequestedAnswer.kt
@@ -77,9 +77,7 @@
     if (status >= FIRST_ERROR_STATUS) return BodyHandling.BUFFERED.right()
     if (status != OK) return "status $status in place of $OK".left()
     val encoding = valuesOf("content-encoding", headers).firstOrNull { !it.equals("identity", ignoreCase = true) }
-    if (encoding !=
-        null
-    ) {
+    if (encoding != null) {
         return "content encoding ${encoding.take(MAX_DETAIL_CHARACTERS)}, which was not accepted".left()
     }
     val wanted = if (form == AnswerForm.CHAT_STREAM) EVENT_STREAM else JSON
--- a/tasks/src/test/kotlin/org/cicadaturn/tasks/experts/ForeignRankAnswerTest.kt
+++ b/tasks/src/test/kotlin/org/cicadaturn/tasks/experts/ForeignRankAnswerTest.kt
@@ -37,9 +37,7 @@
             endpoint: LiveEndpoint,
             isFresh: Boolean,
         ): RankReport =
-            if (rankOf(endpoint) ==
-                1
-            ) {
+            if (rankOf(endpoint) == 1) {
                 foreign(prepared)
             } else {
                 reportOf(endpoint, RankState(1, 10, 0, prepared, null, null))
