--- a/decisions/src/main/kotlin/org/cicadaturn/decisions/gateway/ExpectedAnswer.kt
+++ b/decisions/src/main/kotlin/org/cicadaturn/decisions/gateway/ExpectedAnswer.kt
@@ -1,5 +1,20 @@
 package org.cicadaturn.decisions.gateway
 
+/** What marks the end of the body of an answer. */
+public enum class BodyFraming {
+    /** Its length. */
+    LENGTH,
+
+    /** A last chunk. */
+    CHUNKED,
+
+    /** The end of the connection, which does not tell a whole body from one that was cut. */
+    CONNECTION,
+
+    /** A transfer encoding that is not supported. */
+    UNKNOWN,
+}
+
 /**
  * Head of an answer, as far as it decides what is passed on.
  *
@@ -57,7 +72,7 @@
     /**
      * An answer of which nothing is passed on.
      *
-     * @property isOutOfStep true if the bytes may belong to another request, so that the connection cannot be trusted
+     * @property isOutOfStep true if the bytes may belong to another request, so that no request may follow on the connection
      */
     public data class Unsound(
         val defect: String,
@@ -68,19 +83,20 @@
 /** Returns how the answer with [head] is read where this one is expected. */
 public fun ExpectedAnswer.verdictOn(head: AnswerHead): AnswerVerdict {
     val isSuccess = head.status in SUCCESS_STATUSES
-    ownershipDefectOf(head, isSuccess)?.let { return AnswerVerdict.Unsound(it, isOutOfStep = true) }
+    trustDefectOf(head, isSuccess)?.let { return AnswerVerdict.Unsound(it, isOutOfStep = true) }
     if (!isSuccess) return AnswerVerdict.Failure
     if (events != null) return streamVerdictOn(head, events)
     if (continuesAnswer) return AnswerVerdict.Unsound("a body cannot continue an answer")
     return AnswerVerdict.Body(isIncremental = head.isEventStream)
 }
 
-/** Returns why the answer may not belong to the request, or why its end cannot be found; null if neither is so. */
-private fun ExpectedAnswer.ownershipDefectOf(
+/** Returns why the answer cannot be trusted to be the endpoint's own answer to the request, or null if it can. */
+private fun ExpectedAnswer.trustDefectOf(
     head: AnswerHead,
     isSuccess: Boolean,
 ): String? =
     when {
+        head.status !in FINAL_STATUSES -> "status ${head.status}, which does not exist"
         head.framing == BodyFraming.UNKNOWN -> "answer with an unknown transfer encoding"
         requestId != null && head.requestId != null && head.requestId != requestId ->
             "answer to another request ${head.requestId}"
@@ -111,25 +127,7 @@
             ?.trim()
             .equals(EVENT_STREAM, ignoreCase = true)
 
-/**
- * Returns why a stream whose body has ended is not complete, or null if it is.
- *
- * @param isInsideEvent true if its last event is incomplete
- * @param hasEvents true if it had events
- */
-public fun ExpectedEvents.endDefectOf(
-    framing: BodyFraming,
-    isInsideEvent: Boolean,
-    hasEvents: Boolean,
-): String? =
-    when {
-        isInsideEvent -> "stream ended inside an event"
-        // An endpoint that fails also ends its connection, so events may be missing.
-        framing == BodyFraming.CONNECTION -> "only the end of the connection ended the stream"
-        !hasEvents && after == null -> "stream ended without an event"
-        else -> null
-    }
-
+private val FINAL_STATUSES = 200..599
 private val SUCCESS_STATUSES = 200..299
 private const val WHOLE_ANSWER = 200
 private const val EVENT_STREAM = "text/event-stream"
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/AttemptExecution.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/AttemptExecution.kt
@@ -10,16 +10,12 @@
 import org.cicadaturn.decisions.gateway.ExpectedAnswer
 import org.cicadaturn.decisions.gateway.ExpectedEvents
 import org.cicadaturn.decisions.gateway.StreamEvent
-import org.cicadaturn.decisions.gateway.endDefectOf
-import org.cicadaturn.decisions.gateway.eventSequence
-import org.cicadaturn.decisions.gateway.eventSplitter
+import org.cicadaturn.decisions.gateway.eventStream
 import org.cicadaturn.decisions.gateway.verdictOn
 import org.cicadaturn.schema.generated.AnswerProgress
 import org.cicadaturn.tasks.http.HttpPart
 import org.cicadaturn.tasks.http.ResponseHead
-import org.cicadaturn.tasks.http.containStatusLine
 import org.cicadaturn.tasks.http.valueOf
-import java.io.ByteArrayOutputStream
 import kotlin.time.Clock
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -43,7 +39,7 @@
     /** Number of events received; null before the head of a stream. */
     private var events: Int? = null
 
-    /** What the answer looks like; null before the head of a success. */
+    /** What the answer looks like; null before its head, and for a failure of the endpoint. */
     private var summary: AnswerSummary? = null
 
     var use: EndpointUse = EndpointUse.Abandoned
@@ -76,18 +72,30 @@
                 else -> return outOfStep("unexpected bytes")
             }
         val verdict = expectedAnswer().verdictOn(dialect.answerHead(head))
-        if (verdict is AnswerVerdict.Unsound) return unsound(head, verdict)
-        dialect.loadOf(head.headers)?.let { balancer.loadReported(attempt.endpoint.id, it) }
-        if (verdict == AnswerVerdict.Failure) return handleFailure(head)
-        summary = summaryOf(head)
-        balancer.accepted(attempt.endpoint.id)
-        attempt.onProgress(AnswerProgress.HEAD)
+        if (verdict !is AnswerVerdict.Unsound) {
+            dialect.loadOf(head.headers)?.let { balancer.loadReported(attempt.endpoint.id, it) }
+        }
+        if (verdict != AnswerVerdict.Failure) summary = summaryOf(head)
         return when (verdict) {
-            is AnswerVerdict.Events -> relayEvents(head, verdict.expected)
-            else -> relayBody(head, isIncremental = verdict == AnswerVerdict.Body(isIncremental = true))
+            is AnswerVerdict.Unsound ->
+                if (verdict.isOutOfStep) outOfStep(verdict.defect) else failed(AttemptEnd.BROKEN, verdict.defect)
+            AnswerVerdict.Failure -> handleFailure(head)
+            is AnswerVerdict.Events -> {
+                accepted()
+                relayEvents(head, verdict.expected)
+            }
+            is AnswerVerdict.Body -> {
+                accepted()
+                relayBody(head, verdict.isIncremental)
+            }
         }
     }
 
+    private fun accepted() {
+        balancer.accepted(attempt.endpoint.id)
+        attempt.onProgress(AnswerProgress.HEAD)
+    }
+
     private fun expectedAnswer(): ExpectedAnswer =
         ExpectedAnswer(
             requestId = attempt.requestId,
@@ -96,14 +104,6 @@
             events = attempt.events,
         )
 
-    private fun unsound(
-        head: ResponseHead,
-        verdict: AnswerVerdict.Unsound,
-    ): AttemptResult {
-        summary = summaryOf(head)
-        return if (verdict.isOutOfStep) outOfStep(verdict.defect) else failed(AttemptEnd.BROKEN, verdict.defect)
-    }
-
     private fun summaryOf(head: ResponseHead): AnswerSummary =
         AnswerSummary(head.headers.valueOf("Content-Type"), head.framing)
 
@@ -143,15 +143,17 @@
         head: ResponseHead,
         isIncremental: Boolean,
     ): AttemptResult {
-        var buffered = ByteArrayOutputStream()
-        var isStreamed = isIncremental
+        val body = AnswerBody(isIncremental, parts::canBuffer)
         while (true) {
             val received = parts.awaitPart(attempt.gapLimit)
             val part = (received as? WaitResult.Part)?.part
             when {
-                part is HttpPart.Data && !isStreamed -> buffered.write(part.bytes)
-                part is HttpPart.Data -> if (!sink.sendPiece(head, part.bytes)) return AttemptResult.Delivered(summary)
-                part == HttpPart.End -> break
+                part is HttpPart.Data -> {
+                    val ready = body.add(part.bytes)
+                    if (ready != null && !sink.sendPiece(head, ready)) return AttemptResult.Delivered(summary)
+                    if (body.isPassedOn) memory.close()
+                }
+                part == HttpPart.End -> return endBody(head, body)
                 received == WaitResult.Stalled -> return failed(
                     AttemptEnd.STALLED,
                     "answer paused for ${attempt.gapLimit}",
@@ -159,30 +161,19 @@
                 received == WaitResult.Ended -> return disconnected("answer was cut", EndpointUse.Failed)
                 else -> return outOfStep("unreadable answer")
             }
-            if (!isStreamed && !parts.canBuffer(buffered.size())) {
-                isStreamed = true
-                if (!sink.sendPiece(head, buffered.toByteArray())) return AttemptResult.Delivered(summary)
-                buffered = ByteArrayOutputStream(0)
-                memory.close()
-            }
         }
-        return endBody(head, buffered.toByteArray(), isStreamed)
     }
 
-    /** Ends an answer whose body is complete; [rest] is what was not passed on yet. */
     private suspend fun endBody(
         head: ResponseHead,
-        rest: ByteArray,
-        isStreamed: Boolean,
+        body: AnswerBody,
     ): AttemptResult {
         // A body of which a part was left out has the beginning of what follows on the connection at its end.
-        if (link.hasSurplus && containStatusLine(rest)) {
-            return outOfStep("a second answer within the body")
-        }
+        if (link.hasSurplus && body.hasStatusLine()) return outOfStep("a second answer within the body")
         allowReuse(head)
         use = EndpointUse.Answered(clock.now() - start)
         attempt.onProgress(AnswerProgress.RUNNING)
-        if (isStreamed) sink.sendEnd(head) else sink.sendAnswer(head, rest)
+        if (body.isPassedOn) sink.sendEnd(head) else sink.sendAnswer(head, body.rest())
         return AttemptResult.Delivered(summary)
     }
 
@@ -190,8 +181,7 @@
         head: ResponseHead,
         expected: ExpectedEvents,
     ): AttemptResult {
-        val splitter = eventSplitter()
-        val sequence = eventSequence(expected)
+        val stream = eventStream(expected)
         events = 0
         while (true) {
             val limit = if (hasEvents) attempt.gapLimit else attempt.firstByteLimit
@@ -202,8 +192,7 @@
             val part = (received as? WaitResult.Part)?.part
             when {
                 part is HttpPart.Data -> {
-                    val batch = sequence.accept(splitter.add(part.bytes))
-                    val end = relayBatch(head, batch, splitter.pendingBytes, waitedSince)
+                    val end = relayBatch(head, stream.accept(part.bytes), stream.pendingBytes, waitedSince)
                     if (end != null) return end
                 }
                 part == HttpPart.End -> break
@@ -212,7 +201,7 @@
                 else -> return outOfStep("unreadable stream")
             }
         }
-        val defect = expected.endDefectOf(head.framing, splitter.isInsideEvent, hasEvents) ?: return endEvents(head)
+        val defect = stream.defectAtEnd(head.framing) ?: return endEvents(head)
         return if (head.framing == BodyFraming.CONNECTION) disconnected(defect) else failed(AttemptEnd.BROKEN, defect)
     }
 
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/PeerRelay.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/PeerRelay.kt
@@ -6,7 +6,6 @@
 import kotlinx.coroutines.withTimeoutOrNull
 import kotlinx.serialization.DeserializationStrategy
 import kotlinx.serialization.ExperimentalSerializationApi
-import kotlinx.serialization.SerializationException
 import kotlinx.serialization.SerializationStrategy
 import kotlinx.serialization.cbor.Cbor
 import org.apache.logging.log4j.LogManager
@@ -17,13 +16,17 @@
 import org.cicadaturn.schema.generated.PledgeAnswer
 import org.cicadaturn.schema.generated.PledgeRequest
 import org.cicadaturn.schema.generated.QuarantineNews
+import org.cicadaturn.schema.generated.StoreReport
+import org.cicadaturn.schema.generated.StoreReportRequest
 import org.cicadaturn.tasks.http.HttpConnector
 import org.cicadaturn.tasks.http.HttpLink
 import org.cicadaturn.tasks.http.HttpPart
 import org.cicadaturn.tasks.http.RequestHead
 import org.cicadaturn.tasks.http.ResponseHead
 import org.cicadaturn.tasks.http.call
+import org.cicadaturn.tasks.http.valueOf
 import kotlin.random.Random
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
 /**
@@ -32,11 +35,13 @@
  * @property view returns the fleet view of this process
  * @property pledge answers a request for a pledge
  * @property receiveNews takes news about crashes and returns what the peer should know
+ * @property storeReport returns the next answers of the store to this process, or null if it reports to enough peers
  */
 internal class PeerService(
     val view: suspend () -> FleetView,
     val pledge: (PledgeRequest) -> PledgeAnswer,
     val receiveNews: suspend (QuarantineNews) -> QuarantineNews,
+    val storeReport: suspend (StoreReportRequest) -> StoreReport?,
 )
 
 /** Answers the requests of a peer with [service] until [link] is closed. */
@@ -48,7 +53,8 @@
         val request = link.receive() as? HttpPart.Request ?: return
         val body = receiveBody(link) ?: return
         val answer = answerTo(request.head.path, body, service)
-        val head = ResponseHead(if (answer != null) OK else NOT_FOUND, listOf(Header("Content-Type", CBOR_TYPE)))
+        val status = if (answer != null) OK else NOT_FOUND
+        val head = ResponseHead(status, listOf(Header("Content-Type", typeOf(request.head.path))))
         if (!link.sendResponse(head, answer ?: ByteArray(0))) return
     }
 }
@@ -67,9 +73,24 @@
             val news = decode(QuarantineNews.serializer(), body)
             news?.let { encode(QuarantineNews.serializer(), service.receiveNews(it)) }
         }
+        REPORT_PATH -> {
+            val request = decode(StoreReportRequest.serializer(), body)
+            request?.let { service.storeReport(it) }?.let { encode(StoreReport.serializer(), it) }
+        }
         else -> null
     }
 
+/** Sends [request] to [peer] and returns its answer, or null if there is none. */
+internal suspend fun fetchStoreReport(
+    connector: HttpConnector,
+    peer: GatewayPeer,
+    request: StoreReportRequest,
+): StoreReport? {
+    val body = encode(StoreReportRequest.serializer(), request)
+    return callPeer(connector, peer.address, "POST", REPORT_PATH, body, PEER_TIMEOUT + request.wait)
+        ?.let { decode(StoreReport.serializer(), it) }
+}
+
 /** Sends [news] to [peer] and returns its answer, or null if there is none. */
 internal suspend fun exchangeNews(
     connector: HttpConnector,
@@ -152,18 +173,19 @@
     method: String,
     path: String,
     body: ByteArray,
+    timeout: Duration = PEER_TIMEOUT,
 ): ByteArray? =
-    withTimeoutOrNull(PEER_TIMEOUT) {
+    withTimeoutOrNull(timeout) {
         val link = connector.connect(address, PEER_TIMEOUT) ?: return@withTimeoutOrNull null
         try {
             val answer =
                 link.call(
                     RequestHead(method, path, listOf(Header("Host", address.ip))),
                     body,
-                    PEER_TIMEOUT,
+                    timeout,
                     MAX_ANSWER_BYTES,
                 )
-            answer?.takeIf { it.head.status == OK }?.body
+            answer?.takeIf { it.head.status == OK && it.head.headers.valueOf("Content-Type") == typeOf(path) }?.body
         } finally {
             link.close()
         }
@@ -182,9 +204,8 @@
 ): T? =
     try {
         cbor.decodeFromByteArray(strategy, bytes)
-    } catch (e: SerializationException) {
-        null
-    } catch (e: IllegalArgumentException) {
+    } catch (e: RuntimeException) {
+        // The decoder fails with exceptions of other kinds, too, if a length in the bytes is impossible.
         null
     }
 
@@ -195,8 +216,15 @@
 
 private const val VIEW_PATH = "/fleet"
 private const val PLEDGE_PATH = "/pledge"
+private const val REPORT_PATH = "/store-report"
 private const val QUARANTINE_PATH = "/quarantine"
-private const val CBOR_TYPE = "application/cbor"
+
+/**
+ * Returns the type of the answer to a request for [path].
+ *
+ * It names the document, as all fields of some documents have defaults, so that any other could be decoded as one.
+ */
+private fun typeOf(path: String): String = "application/cbor; document=${path.removePrefix("/")}"
 
 /** Longest answer in bytes; a view of 3,800 endpoints, the largest fleet planned for, has about 1 MB. */
 private const val MAX_ANSWER_BYTES = 8 * 1024 * 1024
