--- a/decisions/src/main/kotlin/org/cicadaturn/decisions/gateway/ShutdownPolicy.kt
+++ b/decisions/src/main/kotlin/org/cicadaturn/decisions/gateway/ShutdownPolicy.kt
@@ -5,6 +5,16 @@
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.Instant
 
+/**
+ * Times of a planned stop of a process.
+ *
+ * @property endsAt time at which the requests in progress are ended
+ */
+public data class StopTimes(
+    val startedAt: Instant,
+    val endsAt: Instant,
+)
+
 /** Mean and longest of the times from the sending of a request to the end of its answer. */
 public data class RequestTimes(
     val mean: Duration,
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/CallerConnection.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/CallerConnection.kt
@@ -1,6 +1,5 @@
 package org.cicadaturn.tasks.gateway
 
-import kotlinx.coroutines.Job
 import kotlinx.coroutines.async
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.selects.select
@@ -215,15 +214,3 @@
 ) : ByteArrayOutputStream(expected) {
     fun bytes(): ByteArray = if (count == buf.size) buf else toByteArray()
 }
-
-/** Counts the requests in progress of a process and states whether callers should use another process. */
-internal interface RequestTracker {
-    /** Returns true while answers ask the caller for a new connection, which leads to another process. */
-    fun asksToReconnect(): Boolean
-
-    /** Completes when idle connections have to be closed. */
-    val drainStarted: Job
-
-    /** Adds [change] to the number of requests in progress. */
-    fun changeInProgress(change: Int)
-}
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/GatewayNode.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/GatewayNode.kt
@@ -3,10 +3,8 @@
 import io.prometheus.metrics.model.registry.PrometheusRegistry
 import kotlinx.coroutines.CoroutineExceptionHandler
 import kotlinx.coroutines.CoroutineScope
-import kotlinx.coroutines.Job
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.cancel
-import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withContext
 import org.apache.logging.log4j.LogManager
@@ -56,8 +54,6 @@
 import kotlin.random.Random
 import kotlin.time.Clock
 import kotlin.time.Duration.Companion.milliseconds
-import kotlin.time.Duration.Companion.seconds
-import kotlin.time.Instant
 
 /**
  * Dependencies of a gateway process.
@@ -93,9 +89,7 @@
 private class GatewayNode(
     private val file: GatewayFile,
     private val dependencies: GatewayDependencies,
-) : Node,
-    RequestTracker,
-    Shutdown {
+) : Node {
     private val settings = file.gateway
     private val exceptionHandler =
         CoroutineExceptionHandler { _, cause ->
@@ -137,6 +131,7 @@
     private val balancer = startRequestBalancer()
     private val exchange = Exchange(connector, pool, balancer, dependencies.dialect, dependencies.clock, memory)
     private val lease = leaseOfPlacement()
+    private val shutdown = StopSequence(file.process.stopTimeout, dependencies.clock) { balancer.isIsolated.value }
     private val journal = requestJournal()
     private val quarantineMetrics = QuarantineMetrics(registry)
     private val quarantine = startSegmentQuarantine()
@@ -154,18 +149,12 @@
                 clock = dependencies.clock,
                 random = dependencies.random,
                 journal = journal,
-                shutdown = this,
+                shutdown = shutdown,
                 times = startRequestTimeRecord(scope, dependencies.clock, supervisor),
                 eventNumbering = EventNumbering.valueOf(settings.eventNumbers.uppercase()),
             ),
         )
     private var routes: RouteTable? = null
-    private var stopping = false
-    private var inProgress = 0
-    override val drainStarted = Job()
-    override var endsAt: Instant? = null
-        private set
-    override val lastCall = Job()
     private lateinit var callerListener: HttpListener
     private lateinit var readyListener: HttpListener
     private lateinit var peerListener: HttpListener
@@ -295,7 +284,7 @@
             metrics,
             dependencies.clock,
             ::limits,
-            this,
+            shutdown,
             memory,
         ).serve()
     }
@@ -319,58 +308,23 @@
 
     /** Callers are better served elsewhere while this process reaches no group that others may reach. */
     private fun isReady(): Boolean =
-        !stopping && fleet.state.value.isKnown && !balancer.isIsolated.value && supervisor.pausedTasks.value.isEmpty()
+        shutdown.times == null && fleet.state.value.isKnown && !balancer.isIsolated.value &&
+            supervisor.pausedTasks.value.isEmpty()
 
-    override fun asksToReconnect(): Boolean = stopping || balancer.isIsolated.value
-
-    override fun changeInProgress(change: Int) {
-        inProgress += change
-    }
-
-    /** Accepts connections until readiness checks have failed, then waits for the requests in progress. */
     override suspend fun stop(): Int =
         withContext(dependencies.runtime.dispatcher) {
-            logger.info("gateway: stopping with {} requests in progress", inProgress)
-            stopping = true
             lease.release()
-            val end = dependencies.clock.now() + file.process.stopTimeout - STOP_RESERVE
-            endsAt = end
-            delay(UNREADY_TIME)
-            callerListener.close()
-            drainStarted.complete()
-            awaitRequests(until = end)
-            val unfinished = inProgress
-            lastCall.complete()
-            awaitRequests(until = end + LAST_CALL_TIME)
-            val cut = inProgress
-            logger.info("gateway: ends with {} requests unfinished and {} cut", unfinished, cut)
+            val cut = shutdown.run { callerListener.close() }
             scope.cancel()
             cut
         }
 
-    private suspend fun awaitRequests(until: Instant) {
-        while (inProgress > 0 && dependencies.clock.now() < until) delay(STOP_POLL)
-    }
-
     private companion object {
         val logger = LogManager.getLogger(GatewayNode::class.java)
 
         val MIN_STORE_BACKOFF = 250.milliseconds
         val MAX_STORE_BACKOFF = 1_500.milliseconds
 
-        /**
-         * Time for which connections are accepted after readiness is withdrawn: new connections arrive until two checks
-         * a second apart have failed, and one second is left for connections that were opened just before.
-         */
-        val UNREADY_TIME = 3.seconds
-        val STOP_POLL = 20.milliseconds
-
-        /** Time before the stop timeout at which requests are ended, as the platform kills the process at the timeout. */
-        val STOP_RESERVE = 700.milliseconds
-
-        /** Time to answer the requests that are in progress when the process ends. */
-        val LAST_CALL_TIME = 200.milliseconds
-
         /**
          * Longest random delay of a takeover of the lease, which keeps candidates from writing at the same time. The
          * delay is short, as a group may stay held until a process has taken the lease over.
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/RequestExecution.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/RequestExecution.kt
@@ -113,7 +113,7 @@
 
     /** Returns false if the process is stopping and would probably end within the request. */
     private fun canEndBeforeShutdown(): Boolean {
-        val end = dependencies.shutdown.endsAt ?: return true
+        val end = dependencies.shutdown.times?.endsAt ?: return true
         val recent = dependencies.times.recent.value[service]
         return canEndBefore(end - clock.now(), remaining(), recent, isRepeatable)
     }
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/Shutdown.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/Shutdown.kt
@@ -1,78 +1,99 @@
 package org.cicadaturn.tasks.gateway
 
-import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Job
-import kotlinx.coroutines.channels.Channel
-import kotlinx.coroutines.flow.MutableStateFlow
-import kotlinx.coroutines.flow.StateFlow
-import org.cicadaturn.decisions.gateway.RequestTimes
-import org.cicadaturn.decisions.gateway.requestTimeTracker
-import org.cicadaturn.schema.generated.ServiceId
-import org.cicadaturn.tasks.Supervisor
+import kotlinx.coroutines.delay
+import org.apache.logging.log4j.LogManager
+import org.cicadaturn.decisions.gateway.StopTimes
 import kotlin.time.Clock
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 import kotlin.time.Instant
 
 /** Planned end of the process, as far as requests must know it. */
 internal interface Shutdown {
-    /** Time at which the process ends, or null if it is not stopping. */
-    val endsAt: Instant?
+    /** Times of the stop, or null if the process is not stopping. */
+    val times: StopTimes?
 
     /** Completes when the requests that are still in progress must be answered, as the process ends. */
     val lastCall: Job
 }
 
-/** Task that keeps the recent times from the sending of a request to the end of its answer. */
-internal interface RequestTimeRecord {
-    /** Recent times by service. */
-    val recent: StateFlow<Map<ServiceId, RequestTimes>>
+/** Counts the requests in progress of a process and states whether callers should use another process. */
+internal interface RequestTracker {
+    /** Returns true while answers ask the caller for a new connection, which leads to another process. */
+    fun asksToReconnect(): Boolean
 
-    /** Records that a request to [service] was answered [time] after it was sent. */
-    fun answered(
-        service: ServiceId,
-        time: Duration,
-    )
-}
+    /** Completes when idle connections have to be closed. */
+    val drainStarted: Job
 
-/** Starts the task in [scope]. */
-internal fun startRequestTimeRecord(
-    scope: CoroutineScope,
-    clock: Clock,
-    supervisor: Supervisor = Supervisor(clock),
-): RequestTimeRecord =
-    RequestTimeTask(clock).also { task -> supervisor.start(scope, "request times") { task.processMessages() } }
+    /** Adds [change] to the number of requests in progress. */
+    fun changeInProgress(change: Int)
+}
 
-private class RequestTimeTask(
+/**
+ * Sequence of a planned stop of a gateway, which the platform kills [stopTimeout] after its start. Used by the event
+ * loop of the process only.
+ *
+ * @param isIsolated returns true if callers are better served by other processes although this one is not stopping
+ */
+internal class StopSequence(
+    private val stopTimeout: Duration,
     private val clock: Clock,
-) : RequestTimeRecord {
-    private class Answered(
-        val service: ServiceId,
-        val time: Duration,
-    )
+    private val isIsolated: () -> Boolean,
+) : Shutdown,
+    RequestTracker {
+    override var times: StopTimes? = null
+        private set
+    override val drainStarted = Job()
+    override val lastCall = Job()
+    private var inProgress = 0
 
-    // Bounded; while it is full, times are dropped, as the others tell nearly the same.
-    private val messages = Channel<Answered>(QUEUED_TIMES)
-    private val published = MutableStateFlow(emptyMap<ServiceId, RequestTimes>())
+    override fun asksToReconnect(): Boolean = times != null || isIsolated()
 
-    override val recent: StateFlow<Map<ServiceId, RequestTimes>> = published
+    override fun changeInProgress(change: Int) {
+        inProgress += change
+    }
 
-    override fun answered(
-        service: ServiceId,
-        time: Duration,
-    ) {
-        messages.trySend(Answered(service, time))
+    /**
+     * Accepts connections until readiness checks have failed, then calls [closeListener] and waits for the requests in
+     * progress. Returns the number of requests that are still in progress at the end.
+     */
+    suspend fun run(closeListener: suspend () -> Unit): Int {
+        logger.info("gateway: stopping with {} requests in progress", inProgress)
+        val start = clock.now()
+        val end = start + stopTimeout - STOP_RESERVE
+        times = StopTimes(start, end)
+        delay(UNREADY_TIME)
+        closeListener()
+        drainStarted.complete()
+        awaitRequests(until = end)
+        val unfinished = inProgress
+        lastCall.complete()
+        awaitRequests(until = end + LAST_CALL_TIME)
+        val cut = inProgress
+        logger.info("gateway: ends with {} requests unfinished and {} cut", unfinished, cut)
+        return cut
     }
 
-    suspend fun processMessages() {
-        val tracker = requestTimeTracker()
-        for (message in messages) {
-            val now = clock.now()
-            tracker.answered(message.service, message.time, now)
-            published.value = tracker.current(now)
-        }
+    private suspend fun awaitRequests(until: Instant) {
+        while (inProgress > 0 && clock.now() < until) delay(STOP_POLL)
     }
 
     private companion object {
-        const val QUEUED_TIMES = 256
+        val logger = LogManager.getLogger(StopSequence::class.java)
+
+        /**
+         * Time for which connections are accepted after readiness is withdrawn: new connections arrive until two checks
+         * a second apart have failed, and one second is left for connections that were opened just before.
+         */
+        val UNREADY_TIME = 3.seconds
+        val STOP_POLL = 20.milliseconds
+
+        /** Time before the stop timeout at which requests are ended, as the platform kills the process at the timeout. */
+        val STOP_RESERVE = 700.milliseconds
+
+        /** Time to answer the requests that are in progress when the process ends. */
+        val LAST_CALL_TIME = 200.milliseconds
     }
 }
