Tell a request that was cut from one whose caller left

The connection is now closed after the end was recorded. The last line says who ended the request (end: ANSWERED, CUT or LEFT) and how many events the caller got; in a stop, all lines about a request also have the time since its begin, the time left and the known times of the service. The metric has the label end. A request that is open when the process ends gets a line, as the stop waits until cancelled requests have written it.

--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/CallerAnswer.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/CallerAnswer.kt
@@ -1,36 +1,13 @@
 package org.cicadaturn.tasks.gateway
 
-import org.cicadaturn.decisions.gateway.AnswerSummary
 import org.cicadaturn.decisions.gateway.StreamEvent
-import org.cicadaturn.schema.generated.EndpointId
 import org.cicadaturn.schema.generated.Header
-import org.cicadaturn.schema.generated.ServiceId
 import org.cicadaturn.tasks.http.HttpLink
 import org.cicadaturn.tasks.http.ResponseHead
 import org.cicadaturn.tasks.http.endToEnd
 import kotlin.time.Duration
 import kotlin.time.DurationUnit
 
-/**
- * How a request ended, for logs and metrics.
- *
- * @property placedAfter time from the arrival until the request was placed at the endpoint that answered
- * @property begunAfter time from the arrival until the answer began
- * @property earlierRequests number of requests that the connection to the endpoint had carried before
- * @property summary what the answer of the endpoint looked like; null if there was none, or a failure
- */
-internal data class RequestEnd(
-    val status: Int,
-    val reason: String,
-    val keepsConnection: Boolean,
-    val service: ServiceId? = null,
-    val endpoint: EndpointId? = null,
-    val placedAfter: Duration? = null,
-    val begunAfter: Duration? = null,
-    val earlierRequests: Int? = null,
-    val summary: AnswerSummary? = null,
-)
-
 /** Answer to one request, written to the connection of the caller. */
 internal class CallerAnswer(
     private val caller: HttpLink,
@@ -44,6 +21,10 @@
     var lastEventId: Long? = null
         private set
 
+    /** Number of events that were sent to the caller. */
+    var sentEvents = 0
+        private set
+
     private var isComplete = false
     private var closes = callerCloses
     private var status = 0
@@ -69,6 +50,7 @@
     ): Boolean {
         begin(head)
         lastEventId = event.id
+        sentEvents += 1
         return caller.sendData(event.bytes)
     }
 
@@ -94,13 +76,19 @@
     }
 
     /** Returns how the request ended after an endpoint's answer was passed on. */
-    fun result(): RequestEnd = RequestEnd(status, if (isComplete) "answered" else "caller gone", isComplete && !closes)
-
-    /** Closes the connection within an answer, so that the caller sees that the answer is incomplete. */
-    fun cut(reason: String): RequestEnd {
-        caller.close()
-        return RequestEnd(status, "cut: $reason", keepsConnection = false)
-    }
+    fun result(): RequestEnd =
+        if (isComplete) {
+            RequestEnd(RequestOutcome.ANSWERED, status, "answered", keepsConnection = !closes)
+        } else {
+            RequestEnd(RequestOutcome.LEFT, status, "caller gone", keepsConnection = false)
+        }
+
+    /**
+     * Returns the end of a request whose connection must be closed within the answer, so that the caller sees that the
+     * answer is incomplete.
+     */
+    fun cut(reason: String): RequestEnd =
+        RequestEnd(RequestOutcome.CUT, status.takeIf { isBegun }, "cut: $reason", keepsConnection = false)
 
     /** Answers that the request was not run and may be sent again after [retryAfter]. */
     suspend fun refuse(
@@ -123,7 +111,8 @@
         val head =
             ResponseHead(status, headers + Header("Content-Type", "text/plain; charset=utf-8"), closesConnection())
         isComplete = caller.sendResponse(head, text)
-        return RequestEnd(status, reason, isComplete && !closes)
+        val outcome = if (isComplete) RequestOutcome.ANSWERED else RequestOutcome.LEFT
+        return RequestEnd(outcome, status, reason, isComplete && !closes)
     }
 
     private companion object {
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/CallerConnection.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/CallerConnection.kt
@@ -1,11 +1,11 @@
 package org.cicadaturn.tasks.gateway
 
+import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.async
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.selects.select
 import kotlinx.coroutines.withTimeoutOrNull
 import org.cicadaturn.schema.generated.CallerLimits
-import org.cicadaturn.schema.generated.RequestLine
 import org.cicadaturn.tasks.http.HttpLink
 import org.cicadaturn.tasks.http.HttpPart
 import org.cicadaturn.tasks.http.RequestHead
@@ -13,17 +13,13 @@
 import org.cicadaturn.tasks.http.valueOf
 import java.io.ByteArrayOutputStream
 import kotlin.time.Clock
-import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
-import kotlin.time.Instant
 
 /** Serves the requests of one caller connection in sequence. */
 internal class CallerConnection(
     private val link: HttpLink,
     private val handler: RequestHandler,
-    private val dialect: GatewayDialect,
-    private val journal: RequestJournal,
-    private val metrics: GatewayMetrics,
+    private val ends: RequestEndLog,
     private val clock: Clock,
     private val limits: () -> CallerLimits,
     private val tracker: RequestTracker,
@@ -72,7 +68,6 @@
 
     /** Returns true if the connection can be used for another request. */
     private suspend fun serveOne(head: RequestHead): Boolean {
-        val arrivedAt = clock.now()
         val encoding = head.headers.valueOf("Transfer-Encoding")
         if (encoding != null &&
             !encoding.equals("chunked", ignoreCase = true)
@@ -80,26 +75,34 @@
             return false.also { sendError(BAD_REQUEST) }
         }
         if (head.headers.valueOf("Expect") != null) link.sendContinue()
-        return memory.reservation().use { reservation ->
-            when (val received = receiveBody(head, limits(), reservation)) {
-                is ReceivedBody.Complete -> answer(CallerRequest(head, received.bytes, arrivedAt), arrivedAt)
-                ReceivedBody.TooLong -> false.also { sendError(TOO_LARGE) }
-                ReceivedBody.NoMemory -> refuse(head, arrivedAt)
-                is ReceivedBody.Malformed -> false.also { sendError(received.status) }
-                ReceivedBody.Cut -> false
-            }
+        val answer = CallerAnswer(link, tracker::asksToReconnect, head.closesConnection)
+        val progress = RequestProgress(arrivedAt = clock.now())
+        try {
+            return memory.reservation().use { serveBody(head, answer, progress, it) }
+        } catch (e: CancellationException) {
+            ends.record(head, progress, answer.sentEvents, answer.cut("the process ended before the answer"))
+            throw e
         }
     }
 
-    private suspend fun refuse(
+    private suspend fun serveBody(
         head: RequestHead,
-        arrivedAt: Instant,
-    ): Boolean {
-        val answer = CallerAnswer(link, tracker::asksToReconnect, head.closesConnection)
-        val end = answer.refuse(DEFAULT_RETRY_DELAY, "the memory for bodies is used up")
-        record(CallerRequest(head, ByteArray(0), arrivedAt), end, clock.now() - arrivedAt)
-        return end.keepsConnection
-    }
+        answer: CallerAnswer,
+        progress: RequestProgress,
+        reservation: BodyMemory.Reservation,
+    ): Boolean =
+        when (val received = receiveBody(head, limits(), reservation)) {
+            is ReceivedBody.Complete ->
+                answer(CallerRequest(head, received.bytes, progress.arrivedAt), answer, progress)
+            ReceivedBody.TooLong -> false.also { sendError(TOO_LARGE) }
+            ReceivedBody.NoMemory -> {
+                val end = answer.refuse(DEFAULT_RETRY_DELAY, "the memory for bodies is used up")
+                ends.record(head, progress, answer.sentEvents, end)
+                end.keepsConnection
+            }
+            is ReceivedBody.Malformed -> false.also { sendError(received.status) }
+            ReceivedBody.Cut -> false
+        }
 
     private suspend fun receiveBody(
         head: RequestHead,
@@ -143,44 +146,21 @@
     /** Answers [request] and cancels the work for it as soon as the caller closes the connection. */
     private suspend fun answer(
         request: CallerRequest,
-        arrivedAt: Instant,
+        answer: CallerAnswer,
+        progress: RequestProgress,
     ): Boolean =
         coroutineScope {
             link.readAhead()
-            val work = async { handler.handle(request, link, tracker::asksToReconnect) }
+            val work = async { handler.handle(request, answer, progress) }
             val end =
                 select {
                     work.onAwait { it }
                     link.closed.onAwait { null }
-                }
-            if (end == null) work.cancel()
-            record(request, end ?: RequestEnd(0, "caller left", keepsConnection = false), clock.now() - arrivedAt)
-            end?.keepsConnection == true
+                } ?: RequestEnd(RequestOutcome.LEFT, 0, "caller left", keepsConnection = false).also { work.cancel() }
+            ends.record(request.head, progress, answer.sentEvents, end)
+            end.keepsConnection
         }
 
-    private fun record(
-        request: CallerRequest,
-        end: RequestEnd,
-        time: Duration,
-    ) {
-        metrics.ended(end, time)
-        journal(
-            RequestLine(
-                event = "end",
-                request = request.head.headers.valueOf(dialect.requestId),
-                service = end.service?.text,
-                endpoint = end.endpoint?.text,
-                prompt = promptText(dialect.promptOf(request.head.headers)),
-                earlierRequests = end.earlierRequests,
-                status = end.status,
-                detail = end.reason,
-                placedMs = end.placedAfter?.inWholeMilliseconds,
-                firstMs = end.begunAfter?.inWholeMilliseconds,
-                ms = time.inWholeMilliseconds,
-            ).withAnswer(end.summary),
-        )
-    }
-
     private companion object {
         const val BAD_REQUEST = 400
         const val TOO_LARGE = 413
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/GatewayMetrics.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/GatewayMetrics.kt
@@ -76,8 +76,10 @@
         Counter
             .builder()
             .name("cicadaturn_gateway_requests")
-            .help("Requests by service and status; status 0 if the caller left.")
-            .labelNames("service", "status")
+            .help(
+                "Requests by service, status and end: answered, cut (by this process) or left (by the caller); " +
+                    "the status is 0 if the caller left, and empty if there was no answer.",
+            ).labelNames("service", "status", "end")
             .register(registry)
 
     private val duration =
@@ -110,13 +112,14 @@
     /** Records that an endpoint sent bytes that are no answer or belong to another request. */
     fun surplusReceived() = surplus.inc()
 
-    /** Records a request that ended with [end] after [time]. */
+    /** Records a request to [service], or null if none was chosen, that ended with [end] after [time]. */
     fun ended(
+        service: ServiceId?,
         end: RequestEnd,
         time: Duration,
     ) {
-        val service = end.service?.text.orEmpty()
-        requests.labelValues(service, end.status.toString()).inc()
-        duration.labelValues(service).observe(time.toDouble(DurationUnit.SECONDS))
+        val name = service?.text.orEmpty()
+        requests.labelValues(name, end.status?.toString().orEmpty(), end.outcome.name.lowercase()).inc()
+        duration.labelValues(name).observe(time.toDouble(DurationUnit.SECONDS))
     }
 }
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/GatewayNode.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/GatewayNode.kt
@@ -4,9 +4,11 @@
 import kotlinx.coroutines.CoroutineExceptionHandler
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.SupervisorJob
-import kotlinx.coroutines.cancel
+import kotlinx.coroutines.cancelAndJoin
+import kotlinx.coroutines.job
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withContext
+import kotlinx.coroutines.withTimeoutOrNull
 import org.apache.logging.log4j.LogManager
 import org.cicadaturn.decisions.dispatch.GroupReport
 import org.cicadaturn.decisions.dispatch.dispatcher
@@ -63,6 +65,7 @@
  * @property suspendAwareClock clock that also advances while the machine is suspended
  * @property wallClock time of day
  * @property requestStop called when a task without which this process cannot serve goes on failing
+ * @property journal receives a line for each decision about a request
  */
 public class GatewayDependencies(
     public val runtime: HttpRuntime,
@@ -74,6 +77,7 @@
     public val wallClock: Clock,
     public val random: Random,
     public val requestStop: () -> Unit,
+    public val journal: RequestJournal = requestJournal(),
 )
 
 /** Starts a gateway process, which forwards the requests of callers to the endpoints listed in the platform's store. */
@@ -132,7 +136,9 @@
     private val exchange = Exchange(connector, pool, balancer, dependencies.dialect, dependencies.clock, memory)
     private val lease = leaseOfPlacement()
     private val shutdown = StopSequence(file.process.stopTimeout, dependencies.clock) { balancer.isIsolated.value }
-    private val journal = requestJournal()
+    private val times = startRequestTimeRecord(scope, dependencies.clock, supervisor)
+    private val requestEnds =
+        RequestEndLog(dependencies.journal, metrics, dependencies.dialect, dependencies.clock, shutdown, times)
     private val quarantineMetrics = QuarantineMetrics(registry)
     private val quarantine = startSegmentQuarantine()
     private val admin = GatewayAdmin(registry, ::isReady, { fleet.state.value }, quarantine::status)
@@ -148,9 +154,9 @@
                 dialect = dependencies.dialect,
                 clock = dependencies.clock,
                 random = dependencies.random,
-                journal = journal,
+                journal = dependencies.journal,
                 shutdown = shutdown,
-                times = startRequestTimeRecord(scope, dependencies.clock, supervisor),
+                times = times,
                 eventNumbering = EventNumbering.valueOf(settings.eventNumbers.uppercase()),
             ),
         )
@@ -279,9 +285,7 @@
         CallerConnection(
             link,
             handler,
-            dependencies.dialect,
-            journal,
-            metrics,
+            requestEnds,
             dependencies.clock,
             ::limits,
             shutdown,
@@ -315,7 +319,8 @@
         withContext(dependencies.runtime.dispatcher) {
             lease.release()
             val cut = shutdown.run { callerListener.close() }
-            scope.cancel()
+            // Each request that is still open writes its last line.
+            withTimeoutOrNull(MAX_CANCEL_TIME) { scope.coroutineContext.job.cancelAndJoin() }
             cut
         }
 
@@ -335,6 +340,9 @@
         val LEASE_POLL_INTERVAL = 500.milliseconds
         const val PLACEMENT_LEASE = "placement"
 
+        /** Longest wait for the end of cancelled tasks, none of which waits for another process. */
+        val MAX_CANCEL_TIME = 100.milliseconds
+
         /** The host of an endpoint that has ended refuses connections within a few milliseconds. */
         val CRASH_PROBE_TIMEOUT = 150.milliseconds
 
--- /dev/null
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/RequestEnd.kt
@@ -0,0 +1,98 @@
+package org.cicadaturn.tasks.gateway
+
+import org.cicadaturn.decisions.gateway.AnswerSummary
+import org.cicadaturn.schema.generated.EndpointId
+import org.cicadaturn.schema.generated.RequestLine
+import org.cicadaturn.schema.generated.ServiceId
+import org.cicadaturn.tasks.http.RequestHead
+import org.cicadaturn.tasks.http.valueOf
+import kotlin.time.Clock
+import kotlin.time.Instant
+
+/** Who ended a request. */
+internal enum class RequestOutcome {
+    /** The caller got a whole answer of an endpoint or of this process. */
+    ANSWERED,
+
+    /** This process closed the connection before the answer was complete. */
+    CUT,
+
+    /** The caller closed the connection before the answer was complete. */
+    LEFT,
+}
+
+/**
+ * How a request ended, for logs and metrics.
+ *
+ * @property status status that was sent to the caller; 0 if the caller left, null if no answer had begun
+ * @property summary what the answer of the endpoint looked like; null if there was none, or a failure
+ */
+internal data class RequestEnd(
+    val outcome: RequestOutcome,
+    val status: Int?,
+    val reason: String,
+    val keepsConnection: Boolean,
+    val summary: AnswerSummary? = null,
+)
+
+/**
+ * What is known of a request in progress, so that its last line can be written at any time. Used by the coroutine of the
+ * request only.
+ *
+ * @property arrivedAt time at which the head of the request was received
+ * @property endpoint endpoint that the request was sent to last
+ * @property sends number of times that the request was sent to an endpoint
+ * @property placedAt time at which the request was placed at [endpoint]
+ * @property begunAt time at which the answer began
+ * @property earlierRequests number of requests that the connection to the endpoint had carried before
+ */
+internal class RequestProgress(
+    val arrivedAt: Instant,
+) {
+    var service: ServiceId? = null
+    var endpoint: EndpointId? = null
+    var sends = 0
+    var placedAt: Instant? = null
+    var begunAt: Instant? = null
+    var earlierRequests: Int? = null
+}
+
+/** Writes the last line of each request and counts how requests end. */
+internal class RequestEndLog(
+    private val journal: RequestJournal,
+    private val metrics: GatewayMetrics,
+    private val dialect: GatewayDialect,
+    private val clock: Clock,
+    private val shutdown: Shutdown,
+    private val times: RequestTimeRecord,
+) {
+    /** Records that the request with [head] ended with [end] after [sentEvents] events were passed on. */
+    fun record(
+        head: RequestHead,
+        progress: RequestProgress,
+        sentEvents: Int,
+        end: RequestEnd,
+    ) {
+        val now = clock.now()
+        val service = progress.service
+        metrics.ended(service, end, now - progress.arrivedAt)
+        journal(
+            RequestLine(
+                event = "end",
+                request = head.headers.valueOf(dialect.requestId),
+                service = service?.text,
+                endpoint = progress.endpoint?.text,
+                sends = progress.sends,
+                prompt = promptText(dialect.promptOf(head.headers)),
+                earlierRequests = progress.earlierRequests,
+                detail = end.reason,
+                end = end.outcome.name,
+                status = end.status,
+                sentEvents = sentEvents.takeIf { it > 0 },
+                placedMs = progress.placedAt?.let { (it - progress.arrivedAt).inWholeMilliseconds },
+                firstMs = progress.begunAt?.let { (it - progress.arrivedAt).inWholeMilliseconds },
+                ms = (now - progress.arrivedAt).inWholeMilliseconds,
+            ).withAnswer(end.summary).withStop(shutdown.times, service?.let { times.recent.value[it] }, now),
+        )
+    }
+}
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/RequestExecution.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/RequestExecution.kt
@@ -13,6 +13,7 @@
 import org.cicadaturn.decisions.gateway.EndpointRequest
 import org.cicadaturn.decisions.gateway.EndpointUse
 import org.cicadaturn.decisions.gateway.NextStep
+import org.cicadaturn.decisions.gateway.RequestTimes
 import org.cicadaturn.decisions.gateway.canEndBefore
 import org.cicadaturn.decisions.gateway.finalStep
 import org.cicadaturn.decisions.gateway.maxHoldTime
@@ -31,7 +32,6 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
-import kotlin.time.Instant
 
 /** Handling of one admitted [request] from its arrival to its end. */
 internal class RequestExecution(
@@ -39,6 +39,7 @@
     private val admission: Admission.Admitted,
     private val service: ServiceId,
     private val answer: CallerAnswer,
+    private val progress: RequestProgress,
     private val dependencies: RequestDependencies,
 ) {
     private val dialect = dependencies.dialect
@@ -58,12 +59,8 @@
 
     /** Endpoints that may have run the request or could not be reached. */
     private val excludedEndpoints = HashSet<EndpointId>()
-    private var sends = 0
     private var unsentAttempts = 0
     private var mayHaveRun = false
-    private var placedAt = request.arrivedAt
-    private var begunAt: Instant? = null
-    private var earlierRequests: Int? = null
     private var lastFailure: Pair<ResponseHead, ByteArray>? = null
 
     private fun timeLimit(): Duration {
@@ -82,7 +79,7 @@
         balancer.arrived(service)
         try {
             val end = withTimeoutOrNull(remaining().coerceAtLeast(1.milliseconds)) { attemptsUntilLastCall() }
-            return (end ?: expire()).copy(service = service)
+            return end ?: expire()
         } finally {
             gate.close()
         }
@@ -106,7 +103,7 @@
         val cause = if (dependencies.shutdown.lastCall.isCompleted) "the process ends" else "deadline passed"
         return when {
             answer.isBegun -> answer.cut("$cause within the answer")
-            sends > 0 -> answer.sendError(GATEWAY_TIMEOUT, cause, emptyList())
+            progress.sends > 0 -> answer.sendError(GATEWAY_TIMEOUT, cause, emptyList())
             else -> answer.refuse(DEFAULT_RETRY_DELAY, "$cause before an endpoint was found")
         }
     }
@@ -114,10 +111,11 @@
     /** Returns false if the process is stopping and would probably end within the request. */
     private fun canEndBeforeShutdown(): Boolean {
         val end = dependencies.shutdown.times?.endsAt ?: return true
-        val recent = dependencies.times.recent.value[service]
-        return canEndBefore(end - clock.now(), remaining(), recent, isRepeatable)
+        return canEndBefore(end - clock.now(), remaining(), recentTimes(), isRepeatable)
     }
 
+    private fun recentTimes(): RequestTimes? = dependencies.times.recent.value[service]
+
     private suspend fun refuseForShutdown(last: AttemptEnd): RequestEnd {
         val step = finalStep(last, history())
         record("shutdown", null, "the process ends before the request could", step)
@@ -138,11 +136,11 @@
                         continue
                     }
                     val result = attempt(placement.endpoint)
-                    if (result !is AttemptResult.Failed) return answered(placement.endpoint, result.summary)
+                    if (result !is AttemptResult.Failed) return answered(result.summary)
                     last = result.end
                     val step = if (result.canContinue) nextStep(result.end, history()) else NextStep.CUT
                     record("attempt", placement.endpoint, result.detail, step, result)
-                    if (step == NextStep.HOLD) delay(minOf(holdTime(), HOLD_PAUSE * sends))
+                    if (step == NextStep.HOLD) delay(minOf(holdTime(), HOLD_PAUSE * progress.sends))
                     if (step != NextStep.REPEAT && step != NextStep.HOLD) {
                         return finish(step, result.detail, retryDelay(remaining()))
                     }
@@ -156,18 +154,9 @@
         }
     }
 
-    private fun answered(
-        endpoint: LiveEndpoint,
-        summary: AnswerSummary?,
-    ): RequestEnd {
-        dependencies.times.answered(service, clock.now() - placedAt)
-        return answer.result().copy(
-            endpoint = endpoint.id,
-            placedAfter = placedAt - request.arrivedAt,
-            begunAfter = begunAt?.let { it - request.arrivedAt },
-            earlierRequests = earlierRequests,
-            summary = summary,
-        )
+    private fun answered(summary: AnswerSummary?): RequestEnd {
+        progress.placedAt?.let { dependencies.times.answered(service, clock.now() - it) }
+        return answer.result().copy(summary = summary)
     }
 
     /** Ends the request without sending it, or sending it again, because of [verdict]. */
@@ -225,26 +214,26 @@
                 configuration = state.view.configuration?.version,
                 endpointsRevision = state.view.endpointsRevision,
                 current = state.isConfigurationCurrent,
-                sends = sends,
+                sends = progress.sends,
                 remainingMs = remaining().inWholeMilliseconds,
                 prompt = promptText(prompt),
                 events = result?.events,
-                earlierRequests = endpoint?.let { earlierRequests },
+                earlierRequests = endpoint?.let { progress.earlierRequests },
                 detail = detail,
                 step = step?.name,
-            ).withAnswer(result?.summary),
+            ).withAnswer(result?.summary).withStop(dependencies.shutdown.times, recentTimes(), clock.now()),
         )
     }
 
     private fun endpointRequest(): EndpointRequest {
         val isLimitReached = triedEndpoints.size >= route.attempts
         // The second attempt goes to another endpoint; later ones may return to an endpoint that refused.
-        val excluded = if (sends <= 1) triedEndpoints + excludedEndpoints else excludedEndpoints
+        val excluded = if (progress.sends <= 1) triedEndpoints + excludedEndpoints else excludedEndpoints
         return EndpointRequest(
             service,
             excluded = excluded.toSet(),
             only = triedEndpoints.toSet().takeIf { isLimitReached },
-            isRetry = sends > 0,
+            isRetry = progress.sends > 0,
             canWait = holdTime() > Duration.ZERO,
         )
     }
@@ -258,16 +247,17 @@
     private suspend fun attempt(endpoint: LiveEndpoint): AttemptResult {
         // Counted before the request is sent, as expire() must not answer "not run" once it may have been sent.
         triedEndpoints += endpoint.id
-        sends += 1
-        placedAt = clock.now()
-        earlierRequests = null
+        progress.sends += 1
+        progress.endpoint = endpoint.id
+        progress.placedAt = clock.now()
+        progress.earlierRequests = null
         val observation = gate.observe(endpoint)
         val attempt =
             attemptRequests.to(
                 endpoint,
                 remaining(),
                 canTryAnother = triedEndpoints.size < route.attempts,
-                onConnected = { earlierRequests = it },
+                onConnected = { progress.earlierRequests = it },
                 onProgress = { recordProgress(observation, it) },
             )
         val result = dependencies.exchange.run(attempt, answer)
@@ -277,7 +267,7 @@
         if (result.end == AttemptEnd.NOT_SENT) {
             triedEndpoints -= endpoint.id
             excludedEndpoints += endpoint.id
-            sends -= 1
+            progress.sends -= 1
             unsentAttempts += 1
         }
         if (result.end !in NOT_RUN_ENDS) {
@@ -290,10 +280,10 @@
 
     private fun recordProgress(
         observation: PromptObservation,
-        progress: AnswerProgress,
+        reached: AnswerProgress,
     ) {
-        if (progress >= AnswerProgress.BEGINNING && begunAt == null) begunAt = clock.now()
-        observation.advance(progress)
+        if (reached >= AnswerProgress.BEGINNING && progress.begunAt == null) progress.begunAt = clock.now()
+        observation.advance(reached)
     }
 
     private fun history(): AttemptHistory =
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/RequestHandler.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/RequestHandler.kt
@@ -10,7 +10,6 @@
 import org.cicadaturn.schema.generated.Header
 import org.cicadaturn.schema.generated.Route
 import org.cicadaturn.schema.generated.ServiceId
-import org.cicadaturn.tasks.http.HttpLink
 import org.cicadaturn.tasks.http.RequestHead
 import org.cicadaturn.tasks.http.valueOf
 import kotlin.random.Random
@@ -59,13 +58,12 @@
     private val fleet = dependencies.fleet
     private val dialect = dependencies.dialect
 
-    /** Runs [request] and answers on [caller], whose connection is then closed if [mustClose] returns true. */
+    /** Runs [request], sends [answer] and keeps [progress] up to date. */
     suspend fun handle(
         request: CallerRequest,
-        caller: HttpLink,
-        mustClose: () -> Boolean,
+        answer: CallerAnswer,
+        progress: RequestProgress,
     ): RequestEnd {
-        val answer = CallerAnswer(caller, mustClose, request.head.closesConnection)
         if (!awaitFleet()) return answer.refuse(DEFAULT_RETRY_DELAY, "no configuration yet")
         val table = dependencies.routes() ?: return answer.refuse(DEFAULT_RETRY_DELAY, "no configuration yet")
         val head = request.head
@@ -74,7 +72,8 @@
         val service =
             chooseService(admission.route)
                 ?: return answer.sendError(BAD_GATEWAY, "the route has no service", emptyList())
-        return RequestExecution(request, admission, service, answer, dependencies).run()
+        progress.service = service
+        return RequestExecution(request, admission, service, answer, progress, dependencies).run()
     }
 
     /**
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/RequestJournal.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/RequestJournal.kt
@@ -6,11 +6,14 @@
 import org.apache.logging.log4j.LogManager
 import org.apache.logging.log4j.message.StringMapMessage
 import org.cicadaturn.decisions.gateway.AnswerSummary
+import org.cicadaturn.decisions.gateway.RequestTimes
+import org.cicadaturn.decisions.gateway.StopTimes
 import org.cicadaturn.schema.generated.PromptSegmentId
 import org.cicadaturn.schema.generated.RequestLine
+import kotlin.time.Instant
 
 /** Receives a line for each decision about a request. */
-internal typealias RequestJournal = (RequestLine) -> Unit
+public typealias RequestJournal = (RequestLine) -> Unit
 
 /** Returns a journal that writes the fields of each line to the log. */
 internal fun requestJournal(): RequestJournal = { line -> logger.info(messageOf(line)) }
@@ -29,6 +32,21 @@
         skippedEvents = summary?.skippedEvents,
     )
 
+/** Returns this line with the state of the [stop] at [now] and the [recent] times of the service, if there is a stop. */
+internal fun RequestLine.withStop(
+    stop: StopTimes?,
+    recent: RequestTimes?,
+    now: Instant,
+): RequestLine {
+    if (stop == null) return this
+    return copy(
+        stoppingMs = (now - stop.startedAt).inWholeMilliseconds,
+        stopLeftMs = (stop.endsAt - now).inWholeMilliseconds,
+        knownMeanMs = recent?.mean?.inWholeMilliseconds,
+        knownLongestMs = recent?.longest?.inWholeMilliseconds,
+    )
+}
+
 private fun messageOf(line: RequestLine): StringMapMessage {
     val message = StringMapMessage()
     message.with("part", "request")
--- a/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/TestGateway.kt
+++ b/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/TestGateway.kt
@@ -47,6 +47,7 @@
     promptOf: (List<Header>) -> List<PromptSegmentId> = ::testPrompt,
     onFatalError: FatalErrorHandler = {},
     random: Random = Random(1),
+    journal: RequestJournal = {},
 ) : AutoCloseable {
     val runtime = httpRuntime(onFatalError)
     private val dependencies =
@@ -60,10 +61,12 @@
             wallClock = Clock.System,
             random = random,
             requestStop = {},
+            journal = journal,
         )
     private val node: Node = runBlocking { gatewayNode(testFile(stopTimeout), dependencies) }
     val port: Int get() = node.listeners.getValue("listen").port
     val readyPort: Int get() = node.listeners.getValue("ready").port
+    val adminPort: Int get() = node.listeners.getValue("admin").port
 
     init {
         if (endpoints != null) awaitReady()
