Write the queued log lines of a process before it exits

The queue is now written before the exit, for 0.3 s at most, so that a reader that has fallen behind cannot hold the process.

LogSetupTest writes 100 lines to a slow stream and expects all of them.

--- a/daemons/src/main/kotlin/org/cicadaturn/daemons/LogSetup.kt
+++ b/daemons/src/main/kotlin/org/cicadaturn/daemons/LogSetup.kt
@@ -1,6 +1,7 @@
 package org.cicadaturn.daemons
 
 import org.apache.logging.log4j.Level
+import org.apache.logging.log4j.LogManager
 import org.apache.logging.log4j.core.Filter
 import org.apache.logging.log4j.core.appender.ConsoleAppender
 import org.apache.logging.log4j.core.config.Configurator
@@ -44,11 +45,17 @@
     Configurator.reconfigure(builder.build())
 }
 
+/** Writes the lines that wait in the queue, but for at most [MAX_FLUSH_MILLIS]; later lines are dropped. */
+internal fun writeQueuedLogs() {
+    LogManager.shutdown()
+}
+
 private fun asyncAppender(builder: ConfigurationBuilder<BuiltConfiguration>): AppenderComponentBuilder =
     builder
         .newAppender(QUEUE, "Async")
         .addAttribute("blocking", false)
         .addAttribute("bufferSize", QUEUE_CAPACITY_LINES)
+        .addAttribute("shutdownTimeout", MAX_FLUSH_MILLIS)
         .addComponent(builder.newAppenderRef(APPENDER))
         .addComponent(
             builder
@@ -61,6 +68,9 @@
 private const val APPENDER = "console"
 private const val QUEUE = "queue"
 
+/** Longest wait at the end of the process for a reader of standard output that has fallen behind. */
+private const val MAX_FLUSH_MILLIS = 300L
+
 /** Maximum number of lines waiting to be written; about 1 MB. */
 private const val QUEUE_CAPACITY_LINES = 2_048
 
--- a/daemons/src/main/kotlin/org/cicadaturn/daemons/Main.kt
+++ b/daemons/src/main/kotlin/org/cicadaturn/daemons/Main.kt
@@ -11,7 +11,9 @@
 
 /** Runs the command given by [args] and exits with its exit code. */
 fun main(args: Array<String>) {
-    exitProcess(runCommand(commandTree(handlers), args.toList()))
+    val code = runCommand(commandTree(handlers), args.toList())
+    writeQueuedLogs()
+    exitProcess(code)
 }
 
 private val handlers =
--- a/daemons/src/test/kotlin/org/cicadaturn/daemons/LogSetupTest.kt
+++ b/daemons/src/test/kotlin/org/cicadaturn/daemons/LogSetupTest.kt
@@ -9,6 +9,7 @@
 import org.junit.jupiter.api.Assertions.assertTrue
 import org.junit.jupiter.api.Test
 import java.io.ByteArrayOutputStream
+import java.io.FilterOutputStream
 import java.io.PrintStream
 
 class LogSetupTest {
@@ -89,6 +90,34 @@
         assertTrue(lines.size in 1..2_000, "${lines.size} lines")
     }
 
+    /** Guards against the loss of the lines that tell why a process ended, as they are still queued when it exits. */
+    @Test
+    fun `queued lines are written before the process exits`() {
+        val out = ByteArrayOutputStream()
+        val slow =
+            object : FilterOutputStream(out) {
+                override fun write(
+                    bytes: ByteArray,
+                    offset: Int,
+                    length: Int,
+                ) {
+                    Thread.sleep(1)
+                    out.write(bytes, offset, length)
+                }
+            }
+        val standardOutput = System.out
+        System.setOut(PrintStream(slow, true))
+        try {
+            setUpLogs("info", "json")
+            repeat(100) { LogManager.getLogger("org.cicadaturn.tasks").info("line {}", it) }
+            writeQueuedLogs()
+            assertEquals(100, out.toString().lines().count { it.isNotEmpty() })
+        } finally {
+            setUpLogs("error", "text")
+            System.setOut(standardOutput)
+        }
+    }
+
     private fun linesOf(
         level: String,
         format: String,
