Continue a stream that has begun as long as its process lives

Callers saw streams cut a few milliseconds after an endpoint broke them off, although another endpoint could have continued them, while their gateway was stopping. The refusal that follows is right for a request without an answer, which another process can serve, but for an answer that has begun it is a cut.

The question is now asked only while no part of the answer was passed on.

--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/RequestExecution.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/RequestExecution.kt
@@ -108,8 +108,12 @@
         }
     }
 
-    /** Returns false if the process is stopping and would probably end within the request. */
+    /**
+     * Returns false if the process is stopping and would probably end within the request. An answer that has begun goes
+     * on in any case, as only a cut could end it.
+     */
     private fun canEndBeforeShutdown(): Boolean {
+        if (answer.isBegun) return true
         val end = dependencies.shutdown.times?.endsAt ?: return true
         return canEndBefore(end - clock.now(), remaining(), recentTimes(), isRepeatable)
     }
--- /dev/null
+++ b/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/StreamInStopTest.kt
@@ -0,0 +1,85 @@
+package org.cicadaturn.tasks.gateway
+
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.async
+import kotlinx.coroutines.awaitAll
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.runBlocking
+import org.cicadaturn.schema.generated.RequestLine
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Test
+import java.io.OutputStream
+import java.util.concurrent.CopyOnWriteArrayList
+import java.util.concurrent.CountDownLatch
+import java.util.concurrent.TimeUnit
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** Tests the streams that callers get during a planned stop, whose requests end 4.3 s after its start here. */
+class StreamInStopTest {
+    private val stopTimeout = 5.seconds
+    private val lines = CopyOnWriteArrayList<RequestLine>()
+    private val whole = (1..EVENTS).joinToString("") { event(it) }
+
+    private fun pause(millis: Long) {
+        CountDownLatch(1).await(millis, TimeUnit.MILLISECONDS)
+    }
+
+    private fun streamHead(
+        request: RawRequest,
+        length: Int,
+    ): String = streamHead(request, "s").replace("\r\n\r\n", "\r\nContent-Length: $length\r\n\r\n")
+
+    /** Breaks a new stream off after two events and [millis], and sends the rest of a resumed one at once. */
+    private fun breaksOffAfter(millis: Long): (RawRequest, OutputStream) -> Boolean =
+        { r, out ->
+            if (r.header("Last-Event-Id") == null) {
+                out.text(streamHead(r, length = 999) + event(1) + event(2))
+                out.flush()
+                pause(millis)
+                false
+            } else {
+                out.text(streamAnswer(r, "t", restOf(r).joinToString("")))
+            }
+        }
+
+    private fun restOf(request: RawRequest): List<String> {
+        val from = request.header("Last-Event-Id")?.toInt() ?: 0
+        return (from + 1..EVENTS).map { event(it) }
+    }
+
+    /** Returns the answers to streams that begin just before a stop, of which nothing is known. */
+    private fun answersInStop(endpoints: List<TestEndpoint>): List<RawAnswer> =
+        TestGateway(endpoints, stopTimeout, retrySlack = RETRY_SLACK, journal = { lines += it }).use { gateway ->
+            runBlocking(Dispatchers.IO) {
+                val answers =
+                    List(CASES) { async { exchange(gateway.port, request("/long-stream/x", id = "c$it")) } }
+                delay(100.milliseconds)
+                gateway.stop()
+                answers.awaitAll()
+            }
+        }
+
+    private fun assertWhole(answers: List<RawAnswer>) {
+        val broken = answers.filter { !it.isComplete || it.body != whole }
+        assertEquals(0, broken.size, "${lines.filter { it.end != "ANSWERED" }}")
+    }
+
+    /** Guards against a stop that cuts a stream that could go on, as its process knows no times of the service. */
+    @Test
+    fun `a stream that breaks off during a stop goes on at another endpoint`() {
+        ScriptedEndpoint(breaksOffAfter(millis = 800)).use { first ->
+            ScriptedEndpoint(breaksOffAfter(millis = 800)).use { second ->
+                assertWhole(answersInStop(listOf(first, second)))
+            }
+        }
+    }
+
+    private companion object {
+        const val EVENTS = 6
+        const val CASES = 10
+
+        /** Lets a process that has just started repeat each request. */
+        const val RETRY_SLACK = 10_000.0
+    }
+}
--- a/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/TestGateway.kt
+++ b/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/TestGateway.kt
@@ -47,6 +47,7 @@
     promptOf: (List<Header>) -> List<PromptSegmentId> = ::testPrompt,
     onFatalError: FatalErrorHandler = {},
     random: Random = Random(1),
+    retrySlack: Double = 100.0,
     journal: RequestJournal = {},
 ) : AutoCloseable {
     val runtime = httpRuntime(onFatalError)
@@ -63,7 +64,7 @@
             requestStop = {},
             journal = journal,
         )
-    private val node: Node = runBlocking { gatewayNode(testFile(stopTimeout), dependencies) }
+    private val node: Node = runBlocking { gatewayNode(testFile(stopTimeout, retrySlack), dependencies) }
     val port: Int get() = node.listeners.getValue("listen").port
     val readyPort: Int get() = node.listeners.getValue("ready").port
     val adminPort: Int get() = node.listeners.getValue("admin").port
@@ -190,25 +191,27 @@
 
 private val anyPort = NetworkAddress("127.0.0.1", 0)
 
-private fun testFile(stopTimeout: Duration) =
-    GatewayFile(
-        process = ProcessSettings("g1", "h1", "a", anyPort, "text", "info", stopTimeout, null),
-        store = StoreSettings(anyPort, 1.seconds, 10.seconds, 3.seconds, 5.seconds),
-        gateway =
-            GatewaySettings(
-                anyPort,
-                anyPort,
-                anyPort,
-                emptyList(),
-                1.5,
-                5.0,
-                0.2,
-                100.0,
-                10.seconds,
-                16 * 1024 * 1024,
-                "consecutive",
-            ),
-    )
+private fun testFile(
+    stopTimeout: Duration,
+    retrySlack: Double,
+) = GatewayFile(
+    process = ProcessSettings("g1", "h1", "a", anyPort, "text", "info", stopTimeout, null),
+    store = StoreSettings(anyPort, 1.seconds, 10.seconds, 3.seconds, 5.seconds),
+    gateway =
+        GatewaySettings(
+            anyPort,
+            anyPort,
+            anyPort,
+            emptyList(),
+            1.5,
+            5.0,
+            0.2,
+            retrySlack,
+            10.seconds,
+            16 * 1024 * 1024,
+            "consecutive",
+        ),
+)
 
 private fun contentFor(
     endpoints: List<TestEndpoint>,
@@ -220,6 +223,7 @@
             route("once", RouteKind.AT_MOST_ONCE, attempts = 1),
             route("patient", RouteKind.AT_MOST_ONCE, attempts = 1, timeout = 9.seconds),
             route("stream", RouteKind.STREAM, attempts = 2, resumable = true),
+            route("long-stream", RouteKind.STREAM, attempts = 2, resumable = true, timeout = 9.seconds),
             route("stream-once", RouteKind.STREAM, attempts = 2),
         )
     val configuration =
