Give a silent endpoint up only if another attempt can serve the request

Callers saw streams cut at the end of a planned stop: the gateway gave up an endpoint that paused for 1.6 s within a stream, and the second attempt could not end before the process, while the first endpoint went on. A repeatable request whose endpoint was silent got 502 for the same reason, and a long answer of which a part was passed on was cut after a pause of four latency targets, at any time, although no endpoint could continue it.

An attempt has one limit on silence. When it is over, the request now moves on only if another attempt could serve it: the answer has not begun or is a resumable stream, and an attempt that begins now can be expected to end before the process, judged by the longest recent time. Otherwise it waits for its endpoint until its deadline or the end of the process.

Failed before: StreamInStopTest, 10 of 10 streams that pause late in a stop; PlannedStopTest, 4 of 4 requests (502) whose endpoint is silent; EndpointFaultTest, the one long answer that pauses.

--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/AnswerParts.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/AnswerParts.kt
@@ -65,7 +65,7 @@
             if (received != WaitResult.Stalled) return received
             if (link.isWithinHead) return WaitResult.Joined
         }
-        return awaitPartOrStall(attempt.firstByteLimit - (clock.now() - start), hasBegun = false)
+        return awaitPartOrStall(attempt.silenceLimit - (clock.now() - start), hasBegun = false)
     }
 
     private fun isInterim(part: HttpPart): Boolean =
@@ -84,13 +84,13 @@
         // Parts that are neither a head nor an event may arrive without end.
         val isOver = limit < -STALL_CHECK_INTERVAL
         var received = if (isOver) WaitResult.Stalled else awaitPart(limit.coerceAtLeast(MIN_WAIT))
-        while (received == WaitResult.Stalled && attempt.canBeAbandoned) {
-            if (balancer.shouldAbandon(attempt.endpoint.id, hasBegun)) break
-            received = awaitPart(STALL_CHECK_INTERVAL)
-        }
+        while (received == WaitResult.Stalled && !isGivenUp(hasBegun)) received = awaitPart(STALL_CHECK_INTERVAL)
         return received
     }
 
+    private suspend fun isGivenUp(hasBegun: Boolean): Boolean =
+        attempt.canMoveOn() && (!attempt.canBeAbandoned || balancer.shouldAbandon(attempt.endpoint.id, hasBegun))
+
     /** Waits for the next part for [limit]. */
     suspend fun awaitPart(limit: Duration): WaitResult =
         withTimeoutOrNull(limit) { link.receive()?.let { WaitResult.Part(it) } ?: WaitResult.Ended }
@@ -103,7 +103,7 @@
     suspend fun readBody(): ByteArray? {
         val body = ByteArrayOutputStream()
         while (canBuffer(body.size())) {
-            when (val part = (awaitPart(attempt.gapLimit) as? WaitResult.Part)?.part) {
+            when (val part = (awaitPart(attempt.silenceLimit) as? WaitResult.Part)?.part) {
                 is HttpPart.Data -> body.write(part.bytes)
                 HttpPart.End -> return body.toByteArray()
                 else -> return null
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/AttemptExecution.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/AttemptExecution.kt
@@ -61,7 +61,7 @@
             is WaitResult.Part -> handleHead(received.part)
             WaitResult.Ended -> disconnected("connection ended without an answer")
             WaitResult.Joined -> outOfStep("a second answer to an earlier request was cut")
-            WaitResult.Stalled -> lost(AttemptEnd.STALLED, "no answer within ${attempt.firstByteLimit}")
+            WaitResult.Stalled -> lost(AttemptEnd.STALLED, "no answer within ${attempt.silenceLimit}")
         }
 
     private suspend fun handleHead(part: HttpPart): AttemptResult {
@@ -145,7 +145,7 @@
     ): AttemptResult {
         val body = AnswerBody(isIncremental, parts::canBuffer)
         while (true) {
-            val received = parts.awaitPart(attempt.gapLimit)
+            val received = parts.awaitPartOrStall(attempt.silenceLimit, hasBegun = true)
             val part = (received as? WaitResult.Part)?.part
             when {
                 part is HttpPart.Data -> {
@@ -156,7 +156,7 @@
                 part == HttpPart.End -> return endBody(head, body)
                 received == WaitResult.Stalled -> return failed(
                     AttemptEnd.STALLED,
-                    "answer paused for ${attempt.gapLimit}",
+                    "answer paused for ${attempt.silenceLimit}",
                 )
                 received == WaitResult.Ended -> return disconnected("answer was cut", EndpointUse.Failed)
                 else -> return outOfStep("unreadable answer")
@@ -184,7 +184,7 @@
         val stream = eventStream(expected)
         events = 0
         while (true) {
-            val limit = if (hasEvents) attempt.gapLimit else attempt.firstByteLimit
+            val limit = attempt.silenceLimit
             // Excludes the time in which the caller does not read.
             val waitedSince = clock.now()
             // Counted from the last event, as an endpoint may send a byte now and then without end.
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/AttemptRequests.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/AttemptRequests.kt
@@ -26,30 +26,32 @@
      *
      * @param remaining time left until the deadline of the caller
      * @param canTryAnother true if the request may still be sent to a further endpoint
+     * @param canRepeatInTime returns true if an attempt that begins now can be expected to end before the process
      */
     fun to(
         endpoint: LiveEndpoint,
         remaining: Duration,
         canTryAnother: Boolean,
+        canRepeatInTime: () -> Boolean,
         onConnected: (earlierRequests: Int) -> Unit,
         onProgress: (AnswerProgress) -> Unit,
     ): AttemptRequest {
+        val triesAnother = isRepeatable && canTryAnother
         val limit =
             when {
-                !isRepeatable || !canTryAnother -> remaining
+                !triesAnother -> remaining
                 route.kind == RouteKind.STREAM -> STREAM_STALL_TIMEOUT
                 else -> route.latencyTarget * SLOW_ANSWER_FACTOR
             }
-        val waitLimit = minOf(limit, remaining - ANSWER_RESERVE).coerceAtLeast(1.milliseconds)
         return AttemptRequest(
             endpoint = endpoint,
             kind = if (isRepeatable) route.kind else RouteKind.AT_MOST_ONCE,
             head = headFor(endpoint, remaining),
             body = request.body,
             requestId = request.head.headers.valueOf(dialect.requestId),
-            firstByteLimit = waitLimit,
-            gapLimit = waitLimit,
+            silenceLimit = minOf(limit, remaining - ANSWER_RESERVE).coerceAtLeast(1.milliseconds),
             canBeAbandoned = route.kind == RouteKind.STREAM && limit == STREAM_STALL_TIMEOUT,
+            canMoveOn = { !triesAnother || (canContinueElsewhere() && canRepeatInTime()) },
             events = expectedEvents(),
             pauseTarget = route.pauseTarget,
             remaining = remaining,
@@ -58,6 +60,9 @@
         )
     }
 
+    /** Returns false if another endpoint could only repeat what the caller already has. */
+    private fun canContinueElsewhere(): Boolean = !answer.isBegun || route.resumable
+
     private fun headFor(
         endpoint: LiveEndpoint,
         remaining: Duration,
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/Exchange.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/Exchange.kt
@@ -21,9 +21,10 @@
  *
  * @property head head of the request as it is sent to the endpoint
  * @property requestId identifier that the endpoint must echo; null if the caller sent none
- * @property firstByteLimit longest wait for the answer, or for the first event of a stream
- * @property gapLimit longest wait for the next event or piece
- * @property canBeAbandoned true if the limits are there to try another endpoint, and not the deadline of the caller
+ * @property silenceLimit longest wait for the answer, and for the next event or piece of it
+ * @property canBeAbandoned true if the limit is there to try another endpoint, and not the deadline of the caller
+ * @property canMoveOn returns false if the request must stay at its endpoint although the limit is over, as no other
+ *   attempt could serve it
  * @property events what the events must be; null if the answer must be a body
  * @property pauseTarget pause between events up to which callers value a stream fully; null if there is none
  * @property remaining time left until the deadline
@@ -36,9 +37,9 @@
     val head: RequestHead,
     val body: ByteArray,
     val requestId: String?,
-    val firstByteLimit: Duration,
-    val gapLimit: Duration,
+    val silenceLimit: Duration,
     val canBeAbandoned: Boolean,
+    val canMoveOn: () -> Boolean,
     val events: ExpectedEvents?,
     val pauseTarget: Duration?,
     val remaining: Duration,
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/RequestExecution.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/RequestExecution.kt
@@ -112,8 +112,9 @@
      * Returns false if the process is stopping and would probably end within the request. An answer that has begun goes
      * on in any case, as only a cut could end it.
      */
-    private fun canEndBeforeShutdown(): Boolean {
-        if (answer.isBegun) return true
+    private fun canEndBeforeShutdown(): Boolean = answer.isBegun || canAttemptEnd(isRepeatable)
+
+    private fun canAttemptEnd(isRepeatable: Boolean): Boolean {
         val end = dependencies.shutdown.times?.endsAt ?: return true
         return canEndBefore(end - clock.now(), remaining(), recentTimes(), isRepeatable)
     }
@@ -261,6 +262,8 @@
                 endpoint,
                 remaining(),
                 canTryAnother = triedEndpoints.size < route.attempts,
+                // Judged by the longest time, as the endpoint that is silent may answer earlier.
+                canRepeatInTime = { canAttemptEnd(isRepeatable = false) },
                 onConnected = { progress.earlierRequests = it },
                 onProgress = { recordProgress(observation, it) },
             )
--- a/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/EndpointFaultTest.kt
+++ b/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/EndpointFaultTest.kt
@@ -294,4 +294,25 @@
                 }
             }
         }
+
+    /** Guards against an answer that is cut because it pauses, although no other endpoint could continue it. */
+    @Test
+    fun `a long answer that pauses is passed on to its end`() {
+        val half = "x".repeat(300_000)
+        val pauses: (RawRequest, OutputStream) -> Boolean = { r, out ->
+            out.text(okHead(r, "Content-Length: 600000") + half)
+            out.flush()
+            Thread.sleep(800)
+            out.text(half)
+        }
+        ScriptedEndpoint(pauses).use { first ->
+            ScriptedEndpoint(pauses).use { second ->
+                TestGateway(listOf(first, second)).use { gateway ->
+                    val answer = exchange(gateway.port, request("/safe/x"))
+                    assertTrue(answer.isComplete)
+                    assertEquals(half + half, answer.body)
+                }
+            }
+        }
+    }
 }
--- a/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/PlannedStopTest.kt
+++ b/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/PlannedStopTest.kt
@@ -2,6 +2,7 @@
 
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.async
+import kotlinx.coroutines.awaitAll
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.runBlocking
 import org.junit.jupiter.api.Assertions.assertEquals
@@ -84,4 +85,28 @@
             }
         }
     }
+
+    /** Guards against a slow run that is given up late in a stop, although a second one could only end later. */
+    @Test
+    fun `a repeatable request whose endpoint is silent late in a stop waits for its answer`() {
+        val slow: (RawRequest, OutputStream) -> Boolean = { r, out ->
+            CountDownLatch(1).await(1_500, TimeUnit.MILLISECONDS)
+            answerOk(r, out)
+        }
+        ScriptedEndpoint(slow).use { first ->
+            ScriptedEndpoint(slow).use { second ->
+                TestGateway(listOf(first, second), stopTimeout, retrySlack = 10_000.0).use { gateway ->
+                    runBlocking(Dispatchers.IO) {
+                        val earlier = List(4) { async { exchange(gateway.port, request("/safe/x", id = "a$it")) } }
+                        assertEquals(List(4) { 200 }, earlier.awaitAll().map { it.status })
+                        val stop = async { gateway.stop() }
+                        delay(1_900.milliseconds)
+                        val answers = List(4) { async { exchange(gateway.port, request("/safe/x", id = "c$it")) } }
+                        assertEquals(List(4) { 200 }, answers.awaitAll().map { it.status })
+                        stop.await()
+                    }
+                }
+            }
+        }
+    }
 }
--- a/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/StreamInStopTest.kt
+++ b/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/StreamInStopTest.kt
@@ -48,13 +48,25 @@
         return (from + 1..EVENTS).map { event(it) }
     }
 
+    /** Sends an event each 400 ms and pauses for 1.8 s, which is shorter than callers wait, before the last one. */
+    private val pausesBeforeEnd: (RawRequest, OutputStream) -> Boolean = { r, out ->
+        val rest = restOf(r)
+        out.text(streamHead(r, rest.sumOf { it.length }))
+        for (event in rest) {
+            pause(if (event == rest.last()) 1_800 else 400)
+            out.text(event)
+            out.flush()
+        }
+        true
+    }
+
     /** Returns the answers to streams that begin just before a stop, of which nothing is known. */
-    private fun answersInStop(endpoints: List<TestEndpoint>): List<RawAnswer> =
+    private fun answersInStop(endpoints: List<ScriptedEndpoint>): List<RawAnswer> =
         TestGateway(endpoints, stopTimeout, retrySlack = RETRY_SLACK, journal = { lines += it }).use { gateway ->
             runBlocking(Dispatchers.IO) {
                 val answers =
                     List(CASES) { async { exchange(gateway.port, request("/long-stream/x", id = "c$it")) } }
-                delay(100.milliseconds)
+                while (endpoints.sumOf { it.requests.size } < CASES) delay(10.milliseconds)
                 gateway.stop()
                 answers.awaitAll()
             }
@@ -75,6 +87,14 @@
         }
     }
 
+    /** Guards against a stream that is given up because its endpoint pauses and begins again when the process ends. */
+    @Test
+    fun `a stream that pauses late in a stop is not given up for another endpoint`() {
+        ScriptedEndpoint(pausesBeforeEnd).use { first ->
+            ScriptedEndpoint(pausesBeforeEnd).use { second -> assertWhole(answersInStop(listOf(first, second))) }
+        }
+    }
+
     private companion object {
         const val EVENTS = 6
         const val CASES = 10
