Count a caller that left under status 0 however it is noticed

A caller that leaves is noticed by a read or, while an answer is being written, by a failed write. In the second case the last line and the metric had the status of the answer (200), so the same event stood under two statuses.

--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/CallerAnswer.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/CallerAnswer.kt
@@ -80,7 +80,7 @@
         if (isComplete) {
             RequestEnd(RequestOutcome.ANSWERED, status, "answered", keepsConnection = !closes)
         } else {
-            RequestEnd(RequestOutcome.LEFT, status, "caller gone", keepsConnection = false)
+            callerLeft()
         }
 
     /**
@@ -111,8 +111,7 @@
         val head =
             ResponseHead(status, headers + Header("Content-Type", "text/plain; charset=utf-8"), closesConnection())
         isComplete = caller.sendResponse(head, text)
-        val outcome = if (isComplete) RequestOutcome.ANSWERED else RequestOutcome.LEFT
-        return RequestEnd(outcome, status, reason, isComplete && !closes)
+        return if (isComplete) RequestEnd(RequestOutcome.ANSWERED, status, reason, !closes) else callerLeft(reason)
     }
 
     private companion object {
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/CallerConnection.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/CallerConnection.kt
@@ -156,7 +156,7 @@
                 select {
                     work.onAwait { it }
                     link.closed.onAwait { null }
-                } ?: RequestEnd(RequestOutcome.LEFT, 0, "caller left", keepsConnection = false).also { work.cancel() }
+                } ?: callerLeft().also { work.cancel() }
             ends.record(request.head, progress, answer.sentEvents, end)
             end.keepsConnection
         }
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/RequestEnd.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/RequestEnd.kt
@@ -35,6 +35,10 @@
     val summary: AnswerSummary? = null,
 )
 
+/** Returns the end of a request whose caller closed the connection, as noticed by a read or by a failed write. */
+internal fun callerLeft(reason: String = "caller left"): RequestEnd =
+    RequestEnd(RequestOutcome.LEFT, status = 0, reason, keepsConnection = false)
+
 /**
  * What is known of a request in progress, so that its last line can be written at any time. Used by the coroutine of the
  * request only.
--- a/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/RequestEndTest.kt
+++ b/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/RequestEndTest.kt
@@ -31,6 +31,11 @@
         CountDownLatch(1).await(10, TimeUnit.SECONDS)
     }
 
+    private val goesOnInStream: (RawRequest, OutputStream) -> Boolean = { r, out ->
+        out.text(streamHead(r, "s"))
+        (1..1_000).all { i -> out.text(event(i)) }
+    }
+
     private fun endOf(id: String): RequestLine {
         val until = System.nanoTime() + TimeUnit.SECONDS.toNanos(5)
         while (System.nanoTime() < until) {
@@ -62,20 +67,29 @@
         }
     }
 
-    /** Guards against a caller that leaves within an answer and counts as cut. */
+    /** Guards against a caller that leaves during a pause of a stream and counts as cut. */
     @Test
-    fun `a caller that leaves counts as such`() {
-        ScriptedEndpoint(pausesInStream).use { endpoint ->
+    fun `a caller that leaves within a pause counts as such`() = assertCountsAsLeft(pausesInStream, cases = 1)
+
+    /** Guards against a caller that counts under the status of its answer, as a write failed before a read did. */
+    @Test
+    fun `a caller that leaves while events arrive counts as such`() = assertCountsAsLeft(goesOnInStream, CASES)
+
+    private fun assertCountsAsLeft(
+        script: (RawRequest, OutputStream) -> Boolean,
+        cases: Int,
+    ) {
+        ScriptedEndpoint(script).use { endpoint ->
             TestGateway(listOf(endpoint), journal = { lines += it }).use { gateway ->
-                Socket("127.0.0.1", gateway.port).use {
-                    it.getOutputStream().write(request("/stream/x").encodeToByteArray())
-                    it.getInputStream().read()
+                repeat(cases) { i ->
+                    Socket("127.0.0.1", gateway.port).use {
+                        it.getOutputStream().write(request("/stream/x", id = "c$i").encodeToByteArray())
+                        it.getInputStream().read()
+                    }
                 }
-                val end = endOf("r1")
-                assertEquals("LEFT", end.end)
-                assertEquals(0, end.status)
-                assertEquals("s", end.service)
-                assertTrue("""{end="left",service="s",status="0"} 1.0""" in metrics(gateway))
+                val ends = List(cases) { endOf("c$it") }
+                assertEquals(setOf(listOf("LEFT", 0, "s")), ends.map { listOf(it.end, it.status, it.service) }.toSet())
+                assertTrue("""{end="left",service="s",status="0"} $cases.0""" in metrics(gateway))
             }
         }
     }
