--- a/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/TestGateway.kt
+++ b/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/TestGateway.kt
@@ -7,6 +7,7 @@
 import org.cicadaturn.schema.generated.EndpointId
 import org.cicadaturn.schema.generated.FailureDomainId
 import org.cicadaturn.schema.generated.GatewayFile
+import org.cicadaturn.schema.generated.GatewayPeer
 import org.cicadaturn.schema.generated.GatewaySettings
 import org.cicadaturn.schema.generated.Header
 import org.cicadaturn.schema.generated.LiveEndpoint
@@ -39,6 +40,9 @@
  *
  * @param bodyBytes longest body of a request
  * @param promptOf returns the prompt of a request with the given headers
+ * @param id identifier of the gateway
+ * @param peerPort port for peers; 0 for any
+ * @param peers gateways that its store lists
  */
 internal class TestGateway(
     endpoints: List<TestEndpoint>?,
@@ -49,12 +53,15 @@
     random: Random = Random(1),
     retrySlack: Double = 100.0,
     journal: RequestJournal = {},
+    id: String = "g1",
+    peerPort: Int = 0,
+    peers: List<GatewayPeer> = emptyList(),
 ) : AutoCloseable {
     val runtime = httpRuntime(onFatalError)
     private val dependencies =
         GatewayDependencies(
             runtime = runtime,
-            store = FixedFleetStore(endpoints?.let { contentFor(it, bodyBytes) }),
+            store = FixedFleetStore(endpoints?.let { contentFor(it, bodyBytes) + peers.map(FleetChange::PeerListed) }),
             rankClient = { _, _, _ -> NoRankClient },
             dialect = testDialect(promptOf),
             clock = Clock.System,
@@ -64,7 +71,8 @@
             requestStop = {},
             journal = journal,
         )
-    private val node: Node = runBlocking { gatewayNode(testFile(stopTimeout, retrySlack), dependencies) }
+    private val node: Node =
+        runBlocking { gatewayNode(testFile(stopTimeout, retrySlack, id, peerPort), dependencies) }
     val port: Int get() = node.listeners.getValue("listen").port
     val readyPort: Int get() = node.listeners.getValue("ready").port
     val adminPort: Int get() = node.listeners.getValue("admin").port
@@ -194,14 +202,16 @@
 private fun testFile(
     stopTimeout: Duration,
     retrySlack: Double,
+    id: String,
+    peerPort: Int,
 ) = GatewayFile(
-    process = ProcessSettings("g1", "h1", "a", anyPort, "text", "info", stopTimeout, null),
+    process = ProcessSettings(id, "h1", "a", anyPort, "text", "info", stopTimeout, null),
     store = StoreSettings(anyPort, 1.seconds, 10.seconds, 3.seconds, 5.seconds),
     gateway =
         GatewaySettings(
             anyPort,
             anyPort,
-            anyPort,
+            anyPort.copy(port = peerPort),
             emptyList(),
             1.5,
             5.0,
