Add an interface for the rate limits that endpoints name

The balancer gets what answers say, what other gateways report, and returns the changes that other gateways should be told. The newest answer wins.

--- a/decisions/src/main/kotlin/org/cicadaturn/decisions/gateway/EndpointBalancer.kt
+++ b/decisions/src/main/kotlin/org/cicadaturn/decisions/gateway/EndpointBalancer.kt
@@ -1,7 +1,10 @@
 package org.cicadaturn.decisions.gateway
 
 import org.cicadaturn.decisions.dispatch.GroupReport
+import org.cicadaturn.decisions.ratelimit.EndpointLimitStatus
+import org.cicadaturn.decisions.ratelimit.NamedLimit
 import org.cicadaturn.schema.generated.EndpointId
+import org.cicadaturn.schema.generated.EndpointLimitReport
 import org.cicadaturn.schema.generated.FleetView
 import org.cicadaturn.schema.generated.LiveEndpoint
 import org.cicadaturn.schema.generated.ServiceId
@@ -93,6 +96,32 @@
         ratio: Double,
         now: Instant,
     )
+
+    /** Records what an answer of [endpoint] says about its rate limit; call it for each answer. */
+    public fun limitNamed(
+        endpoint: EndpointId,
+        limit: NamedLimit,
+        now: Instant,
+    )
+
+    /** Records what other gateways report; a report that is older than what is known changes nothing. */
+    public fun limitsReported(
+        reports: List<EndpointLimitReport>,
+        now: Instant,
+    )
+
+    /**
+     * Returns the changes of limits that other gateways should be told, each once.
+     *
+     * This includes changes that another gateway reported and that were not known here, so that they spread by relay.
+     */
+    public fun takeLimitNews(now: Instant): List<EndpointLimitReport>
+
+    /** Returns all limits that are in force, for a gateway that has just started. */
+    public fun limitReports(now: Instant): List<EndpointLimitReport>
+
+    /** Returns the limits that are in force and this process's use of them, for state dumps and metrics. */
+    public fun limitStatus(now: Instant): List<EndpointLimitStatus>
 }
 
 /** Returns a balancer that knows no endpoints. */
--- a/decisions/src/main/kotlin/org/cicadaturn/decisions/gateway/LeastLoadBalancer.kt
+++ b/decisions/src/main/kotlin/org/cicadaturn/decisions/gateway/LeastLoadBalancer.kt
@@ -10,10 +10,14 @@
 import org.cicadaturn.decisions.dispatch.GroupReport
 import org.cicadaturn.decisions.dispatch.groupLimit
 import org.cicadaturn.decisions.dispatch.groupTracker
+import org.cicadaturn.decisions.ratelimit.EndpointLimitStatus
+import org.cicadaturn.decisions.ratelimit.NamedLimit
+import org.cicadaturn.decisions.ratelimit.namedLimits
 import org.cicadaturn.decisions.routing.EndpointHealth
 import org.cicadaturn.decisions.routing.entryRank
 import org.cicadaturn.schema.generated.AdmissionState
 import org.cicadaturn.schema.generated.EndpointId
+import org.cicadaturn.schema.generated.EndpointLimitReport
 import org.cicadaturn.schema.generated.ExpertProfile
 import org.cicadaturn.schema.generated.FleetView
 import org.cicadaturn.schema.generated.LiveEndpoint
@@ -32,6 +36,7 @@
 ) : EndpointBalancer {
     private val members = HashMap<EndpointId, BalancedEndpoint>()
     private val pools = HashMap<ServiceId, ServicePool>()
+    private val rateLimits = namedLimits()
 
     /** Endpoints that get requests, by service; each request needs those of its service only. */
     private var serving = emptyMap<ServiceId, List<BalancedEndpoint>>()
@@ -343,6 +348,28 @@
         limits[groups.groupOf(endpoint)]?.paced(ratio, now)
     }
 
+    override fun limitNamed(
+        endpoint: EndpointId,
+        limit: NamedLimit,
+        now: Instant,
+    ) {
+        val member = members[endpoint] ?: return
+        rateLimits.named(endpoint, member.endpoint.startedAt, limit, now)
+    }
+
+    override fun limitsReported(
+        reports: List<EndpointLimitReport>,
+        now: Instant,
+    ) {
+        reports.forEach { rateLimits.reported(it, now) }
+    }
+
+    override fun takeLimitNews(now: Instant): List<EndpointLimitReport> = rateLimits.takeNews(now)
+
+    override fun limitReports(now: Instant): List<EndpointLimitReport> = rateLimits.reports(now)
+
+    override fun limitStatus(now: Instant): List<EndpointLimitStatus> = emptyList()
+
     private companion object {
         /** The rest of the slack is reserved for processes that start during a window. */
         const val USED_SLACK_SHARE = 0.65
