Read the limits that servers name

The messages of the balancer task move to a file of their own, as more follow.

Nothing uses the limits yet.

--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/Balancer.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/Balancer.kt
@@ -127,55 +127,6 @@
     return task
 }
 
-private sealed interface BalancerMessage {
-    class Updated(
-        val state: FleetState,
-    ) : BalancerMessage
-
-    class Arrived(
-        val service: ServiceId,
-    ) : BalancerMessage
-
-    class Place(
-        val request: DispatchRequest,
-        val reply: CompletableDeferred<Placement>,
-    ) : BalancerMessage
-
-    class Cancelled(
-        val ticket: DispatchTicket,
-    ) : BalancerMessage
-
-    class Finished(
-        val endpoint: EndpointId,
-        val use: EndpointUse,
-    ) : BalancerMessage
-
-    class Accepted(
-        val endpoint: EndpointId,
-    ) : BalancerMessage
-
-    class LoadReported(
-        val endpoint: EndpointId,
-        val load: LoadSample,
-    ) : BalancerMessage
-
-    class Stalled(
-        val endpoint: EndpointId,
-        val hasBegun: Boolean,
-        val reply: CompletableDeferred<Boolean>,
-    ) : BalancerMessage
-
-    class Paced(
-        val endpoint: EndpointId,
-        val ratio: Double,
-    ) : BalancerMessage
-
-    class GroupReported(
-        val endpoint: EndpointId,
-        val report: GroupReport?,
-    ) : BalancerMessage
-}
-
 private class BalancerTask(
     private val scope: CoroutineScope,
     private val dependencies: BalancerDependencies,
--- /dev/null
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/BalancerMessage.kt
@@ -0,0 +1,61 @@
+package org.cicadaturn.tasks.gateway
+
+import kotlinx.coroutines.CompletableDeferred
+import org.cicadaturn.decisions.dispatch.DispatchRequest
+import org.cicadaturn.decisions.dispatch.DispatchTicket
+import org.cicadaturn.decisions.dispatch.GroupReport
+import org.cicadaturn.decisions.gateway.EndpointUse
+import org.cicadaturn.decisions.gateway.FleetState
+import org.cicadaturn.decisions.gateway.LoadSample
+import org.cicadaturn.schema.generated.EndpointId
+import org.cicadaturn.schema.generated.ServiceId
+
+/** Message to the task that owns the endpoint balancer and the waiting requests. */
+internal sealed interface BalancerMessage {
+    class Updated(
+        val state: FleetState,
+    ) : BalancerMessage
+
+    class Arrived(
+        val service: ServiceId,
+    ) : BalancerMessage
+
+    class Place(
+        val request: DispatchRequest,
+        val reply: CompletableDeferred<Placement>,
+    ) : BalancerMessage
+
+    class Cancelled(
+        val ticket: DispatchTicket,
+    ) : BalancerMessage
+
+    class Finished(
+        val endpoint: EndpointId,
+        val use: EndpointUse,
+    ) : BalancerMessage
+
+    class Accepted(
+        val endpoint: EndpointId,
+    ) : BalancerMessage
+
+    class LoadReported(
+        val endpoint: EndpointId,
+        val load: LoadSample,
+    ) : BalancerMessage
+
+    class Stalled(
+        val endpoint: EndpointId,
+        val hasBegun: Boolean,
+        val reply: CompletableDeferred<Boolean>,
+    ) : BalancerMessage
+
+    class Paced(
+        val endpoint: EndpointId,
+        val ratio: Double,
+    ) : BalancerMessage
+
+    class GroupReported(
+        val endpoint: EndpointId,
+        val report: GroupReport?,
+    ) : BalancerMessage
+}
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/GatewayDialect.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/GatewayDialect.kt
@@ -2,6 +2,7 @@
 
 import org.cicadaturn.decisions.gateway.AnswerHead
 import org.cicadaturn.decisions.gateway.LoadSample
+import org.cicadaturn.decisions.ratelimit.NamedLimit
 import org.cicadaturn.schema.generated.Header
 import org.cicadaturn.schema.generated.PromptSegmentId
 import org.cicadaturn.tasks.http.ResponseHead
@@ -21,6 +22,7 @@
  * @property keyScheme scheme of the Authorization header that carries a key
  * @property promptOf returns the segments of the prompt that the headers of a request name, in order; empty if it has none
  * @property loadOf returns the load that an endpoint reported in the headers of an answer, or null
+ * @property limitOf returns what the headers of an answer say about the rate of requests that its endpoint takes
  */
 public data class GatewayDialect(
     val requestId: String,
@@ -33,6 +35,7 @@
     val keyScheme: String,
     val promptOf: (List<Header>) -> List<PromptSegmentId>,
     val loadOf: (List<Header>) -> LoadSample?,
+    val limitOf: (List<Header>) -> NamedLimit,
 )
 
 /** Returns what decides how the answer with [head] is read; only headers that reach the caller count. */
--- a/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/TestGateway.kt
+++ b/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/TestGateway.kt
@@ -2,6 +2,7 @@
 
 import kotlinx.coroutines.runBlocking
 import org.cicadaturn.decisions.gateway.FleetChange
+import org.cicadaturn.decisions.ratelimit.NamedLimit
 import org.cicadaturn.schema.generated.AdmissionState
 import org.cicadaturn.schema.generated.CallerLimits
 import org.cicadaturn.schema.generated.EndpointId
@@ -187,8 +188,19 @@
         keyScheme = "Bearer",
         promptOf = promptOf,
         loadOf = { null },
+        limitOf = ::testLimit,
     )
 
+private fun testLimit(headers: List<Header>): NamedLimit {
+    val values = headers.filter { it.name.equals("X-Limit", ignoreCase = true) }.map { it.value }
+    val numbers = values.mapNotNull { it.toDoubleOrNull() }
+    return when {
+        values.isEmpty() -> NamedLimit.None
+        numbers.isEmpty() -> NamedLimit.Unreadable(values.joinToString())
+        else -> NamedLimit.Rate(numbers.min())
+    }
+}
+
 internal fun testPrompt(headers: List<Header>): List<PromptSegmentId> =
     headers
         .valueOf("X-Prompt")
