--- /dev/null
+++ b/decisions/src/main/kotlin/org/cicadaturn/decisions/gateway/GroupRoom.kt
@@ -0,0 +1,82 @@
+package org.cicadaturn.decisions.gateway
+
+import org.cicadaturn.decisions.dispatch.EngineProfile
+import org.cicadaturn.decisions.dispatch.GroupLimit
+import org.cicadaturn.decisions.dispatch.GroupTracker
+import org.cicadaturn.decisions.dispatch.groupLimit
+import org.cicadaturn.schema.generated.EndpointId
+import org.cicadaturn.schema.generated.ExpertProfile
+import org.cicadaturn.schema.generated.RoutingConfiguration
+import org.cicadaturn.schema.generated.ServiceId
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Instant
+
+/** Room that this process has for requests at the groups of the endpoints that [find] returns. */
+internal class GroupRoom(
+    private val groups: GroupTracker,
+    private val gateways: GatewayCount,
+    private val find: (EndpointId) -> BalancedEndpoint?,
+) {
+    /** Profiles of the services whose endpoints are ranks of groups. */
+    var profiles = emptyMap<ServiceId, ExpertProfile>()
+        private set
+
+    /** Limits by name of group. */
+    private val limits = HashMap<String, GroupLimit>()
+
+    /** Replaces the profiles by those of [configuration]. */
+    fun update(configuration: RoutingConfiguration) {
+        profiles = configuration.services.mapNotNull { s -> s.experts?.let { s.id to it } }.toMap()
+    }
+
+    /** Forgets the groups that have no rank among [endpoints]. */
+    fun retain(endpoints: Set<EndpointId>) {
+        limits.keys.retainAll(endpoints.mapTo(HashSet()) { groups.groupOf(it) })
+    }
+
+    /** Returns true if the group of [member] may get another request of this process. */
+    fun hasRoom(
+        member: BalancedEndpoint,
+        now: Instant,
+    ): Boolean {
+        val endpoint = member.endpoint
+        val profile = profiles[endpoint.service] ?: return true
+        val engine = EngineProfile(endpoint.slots, profile.stepTime, profile.stepTimePerRequest)
+        val limit = limits[groups.groupOf(endpoint.id)]?.ownPerRank(engine, now) ?: Double.MAX_VALUE
+        // The requests that waited for the end of an outage come before any report of the load.
+        val hasReturned = now - groups.upSince(endpoint.id) < RETURN_TIME
+        val share = if (hasReturned) endpoint.slots.toDouble() / gateways.at(now) else Double.MAX_VALUE
+        return ownPerRank(member) < minOf(limit, share)
+    }
+
+    /** Returns the number of requests that this process has in flight at a rank of the group of [member], on average. */
+    private fun ownPerRank(member: BalancedEndpoint): Double {
+        val ranks = groups.ranksOf(member.endpoint.id).mapNotNull { find(it) }
+        return ranks.ifEmpty { listOf(member) }.map { it.inFlight }.average()
+    }
+
+    /** Records the [load] that [member] reported. */
+    fun loadReported(
+        member: BalancedEndpoint,
+        load: LoadSample,
+        now: Instant,
+    ) {
+        if (member.endpoint.service !in profiles) return
+        val limit = limits.getOrPut(groups.groupOf(member.endpoint.id)) { groupLimit() }
+        limit.reported(load.running + load.waiting, ownPerRank(member), now)
+    }
+
+    /** Records a pause between two events of a stream from [endpoint], as a [ratio] of its target. */
+    fun paced(
+        endpoint: EndpointId,
+        ratio: Double,
+        now: Instant,
+    ) {
+        limits[groups.groupOf(endpoint)]?.paced(ratio, now)
+    }
+
+    private companion object {
+        /** Time after an outage for which a process keeps to an even share of the slots; reports follow meanwhile. */
+        val RETURN_TIME = 500.milliseconds
+    }
+}
--- a/decisions/src/main/kotlin/org/cicadaturn/decisions/gateway/LeastLoadBalancer.kt
+++ b/decisions/src/main/kotlin/org/cicadaturn/decisions/gateway/LeastLoadBalancer.kt
@@ -4,11 +4,8 @@
 import arrow.core.flatMap
 import arrow.core.left
 import arrow.core.right
-import org.cicadaturn.decisions.dispatch.EngineProfile
 import org.cicadaturn.decisions.dispatch.GroupHealth
-import org.cicadaturn.decisions.dispatch.GroupLimit
 import org.cicadaturn.decisions.dispatch.GroupReport
-import org.cicadaturn.decisions.dispatch.groupLimit
 import org.cicadaturn.decisions.dispatch.groupTracker
 import org.cicadaturn.decisions.ratelimit.EndpointLimitStatus
 import org.cicadaturn.decisions.ratelimit.NamedLimit
@@ -18,11 +15,9 @@
 import org.cicadaturn.schema.generated.AdmissionState
 import org.cicadaturn.schema.generated.EndpointId
 import org.cicadaturn.schema.generated.EndpointLimitReport
-import org.cicadaturn.schema.generated.ExpertProfile
 import org.cicadaturn.schema.generated.FleetView
 import org.cicadaturn.schema.generated.LiveEndpoint
 import org.cicadaturn.schema.generated.ProcessId
-import org.cicadaturn.schema.generated.RoutingConfiguration
 import org.cicadaturn.schema.generated.ServiceId
 import kotlin.random.Random
 import kotlin.time.Duration.Companion.milliseconds
@@ -43,11 +38,7 @@
     private val gateways = GatewayCount()
     private val groups = groupTracker { ASK_INTERVAL * maxOf(1, gateways.listed / GATEWAYS_PER_ASK) }
 
-    /** Profiles of the services whose endpoints are ranks of groups. */
-    private var profiles = emptyMap<ServiceId, ExpertProfile>()
-
-    /** Limits by name of group. */
-    private val limits = HashMap<String, GroupLimit>()
+    private val room = GroupRoom(groups, gateways) { members[it] }
     private var peers = emptyList<ProcessId>()
 
     override fun update(
@@ -61,10 +52,10 @@
         members.keys.retainAll(listed)
         groups.retain(listed)
         val configuration = view.configuration
-        if (configuration != null) profiles = configuration.expertProfiles()
+        if (configuration != null) room.update(configuration)
         view.endpoints.forEach { endpoint -> updateMember(endpoint, now) }
-        view.endpoints.filter { it.service in profiles }.forEach { groups.discover(it.id) }
-        limits.keys.retainAll(members.keys.mapTo(HashSet()) { groups.groupOf(it) })
+        view.endpoints.filter { it.service in room.profiles }.forEach { groups.discover(it.id) }
+        room.retain(members.keys)
         configuration?.services?.forEach { pool(it.id, now).coldRate = it.coldRate }
         val inService =
             members.values
@@ -146,7 +137,7 @@
         if (usable.isEmpty()) return Unavailability.NO_ENDPOINT.left()
         val running = usable.filter { groups.health(it.endpoint.id, now) in RUNNING }.ifEmpty { probe(usable, now) }
         if (running.isEmpty()) return Unavailability.DOWN.left()
-        val withRoom = if (request.canWait) running.filter { hasRoom(it, now) } else running
+        val withRoom = if (request.canWait) running.filter { room.hasRoom(it, now) } else running
         if (withRoom.isEmpty()) return Unavailability.AT_LIMIT.left()
         val available = withRoom.filter { isAvailable(it, pool, now) }
         val trusted = available.filter { groups.health(it.endpoint.id, now) == GroupHealth.ACCEPTING }
@@ -165,7 +156,7 @@
         members: List<BalancedEndpoint>,
         now: Instant,
     ): List<BalancedEndpoint> {
-        if (members.none { it.endpoint.service in profiles && groups.isKnown(it.endpoint.id) }) return members
+        if (members.none { it.endpoint.service in room.profiles && groups.isKnown(it.endpoint.id) }) return members
         return members.filter { groups.isKnown(it.endpoint.id) || now - it.listedAt >= MAX_UNKNOWN_TIME }
     }
 
@@ -184,7 +175,7 @@
         if (!request.isRetry) return Unit.right()
         // The health of groups tells more than a number of refusals, which may all come from one of several groups.
         val isRefusing = pool.refusals >= MIN_REFUSALS_IN_A_ROW && now - pool.lastSentAt < PROBE_INTERVAL
-        val mustWait = request.canWait && isRefusing && request.service !in profiles
+        val mustWait = request.canWait && isRefusing && request.service !in room.profiles
         return when {
             mustWait -> Unavailability.REFUSING.left()
             pool.budget.tryRetry(now, slack(now)) -> Unit.right()
@@ -202,27 +193,6 @@
             member.inFlight < pool.detector.ownLimit(member.endpoint.id, now) &&
             isWithinRate(member, pool, now)
 
-    /** Returns true if the group of [member] may get another request of this process. */
-    private fun hasRoom(
-        member: BalancedEndpoint,
-        now: Instant,
-    ): Boolean {
-        val endpoint = member.endpoint
-        val profile = profiles[endpoint.service] ?: return true
-        val engine = EngineProfile(endpoint.slots, profile.stepTime, profile.stepTimePerRequest)
-        val limit = limits[groups.groupOf(endpoint.id)]?.ownPerRank(engine, now) ?: Double.MAX_VALUE
-        // The requests that waited for the end of an outage come before any report of the load.
-        val hasReturned = now - groups.upSince(endpoint.id) < RETURN_TIME
-        val share = if (hasReturned) endpoint.slots.toDouble() / gateways.at(now) else Double.MAX_VALUE
-        return ownPerRank(member) < minOf(limit, share)
-    }
-
-    /** Returns the number of requests that this process has in flight at a rank of the group of [member], on average. */
-    private fun ownPerRank(member: BalancedEndpoint): Double {
-        val ranks = groups.ranksOf(member.endpoint.id).mapNotNull { members[it] }
-        return ranks.ifEmpty { listOf(member) }.map { it.inFlight }.average()
-    }
-
     /** An endpoint may become cold without notice, so the bound for a cold endpoint always applies. */
     private fun isWithinRate(
         member: BalancedEndpoint,
@@ -267,7 +237,7 @@
         now: Instant,
     ) {
         val endpoint = member.endpoint
-        if (endpoint.service !in profiles) return pool.detector.failed(endpoint.id, now)
+        if (endpoint.service !in room.profiles) return pool.detector.failed(endpoint.id, now)
         member.refusedUntil = now + LOSS_PAUSE
         groups.unreachable(endpoint.id, now)
     }
@@ -278,7 +248,7 @@
         now: Instant,
     ): Boolean {
         val member = members[endpoint] ?: return true
-        if (member.endpoint.service !in profiles) return true
+        if (member.endpoint.service !in room.profiles) return true
         if (now - groups.lastProgress(endpoint) <
             MAX_PROGRESS_AGE
         ) {
@@ -288,12 +258,12 @@
         return serving[member.endpoint.service].orEmpty().any {
             groups.groupOf(it.endpoint.id) != group &&
                 groups.health(it.endpoint.id, now) == GroupHealth.ACCEPTING &&
-                hasRoom(it, now)
+                room.hasRoom(it, now)
         }
     }
 
     override fun isIsolated(now: Instant): Boolean =
-        profiles.keys.any { service ->
+        room.profiles.keys.any { service ->
             val healths = serving[service].orEmpty().map { groups.health(it.endpoint.id, now) }
             healths.any { it == GroupHealth.UNREACHABLE } &&
                 healths.all { it == GroupHealth.UNREACHABLE || it == GroupHealth.DOWN }
@@ -332,10 +302,7 @@
         now: Instant,
     ) {
         val member = members[endpoint] ?: return
-        if (member.endpoint.service in profiles) {
-            val limit = limits.getOrPut(groups.groupOf(endpoint)) { groupLimit() }
-            limit.reported(load.running + load.waiting, ownPerRank(member), now)
-        }
+        room.loadReported(member, load, now)
         member.loadReported(load, now)
     }
 
@@ -345,7 +312,7 @@
         now: Instant,
     ) {
         groups.progressed(endpoint, now)
-        limits[groups.groupOf(endpoint)]?.paced(ratio, now)
+        room.paced(endpoint, ratio, now)
     }
 
     override fun limitNamed(
@@ -398,9 +365,6 @@
         /** Time after which a rank that tells no group is used; ranks tell theirs within a second of their start. */
         val MAX_UNKNOWN_TIME = 3.seconds
 
-        /** Time after an outage for which a process keeps to an even share of the slots; reports follow meanwhile. */
-        val RETURN_TIME = 500.milliseconds
-
         /** Time between two questions to a group that is down, for each process at a small site. */
         val ASK_INTERVAL = 150.milliseconds
 
@@ -408,6 +372,3 @@
         const val GATEWAYS_PER_ASK = 8
     }
 }
-
-private fun RoutingConfiguration.expertProfiles(): Map<ServiceId, ExpertProfile> =
-    services.mapNotNull { s -> s.experts?.let { s.id to it } }.toMap()
