Keep requests within the limits that endpoints name

Endpoints that named a rate in their answers got as many requests as any other, as nothing bound them. Each gateway now keeps its even share of the named rate without coordination: one core divides a rate among the gateways, for cold endpoints and for named limits. A limited endpoint without budget is no candidate for any request, is used only when others are half full, and returns with a rate that doubles each half second.

With the check left out 70 of the 80 cases fail and the property; with the whole limit for each gateway 10 and the property; without news between gateways 10; if all gateways send, whatever their number, 29 and the property. Without the window the property fails, with a full bucket at the start 12 cases of EndpointLimitTest and EndpointLimitBoundTest, without the bounded return 1. The property found a gateway that became a sender with the budget of the whole time before, which had no test.

--- a/decisions/src/main/kotlin/org/cicadaturn/decisions/gateway/BalancedEndpoint.kt
+++ b/decisions/src/main/kotlin/org/cicadaturn/decisions/gateway/BalancedEndpoint.kt
@@ -20,7 +20,13 @@
     var inFlight: Int = 0
 
     /** Requests that this process has sent lately. */
-    val sends = sendWindow()
+    val sends = sendPacer(listedAt)
+
+    /** Beginning of the limit, or of the return after its end, to which [sends] was set; null before the first. */
+    var limitedSince: Instant? = null
+
+    /** Time of the last answer to this process that named a limit. */
+    var limitConfirmedAt: Instant = Instant.DISTANT_PAST
     var refusedUntil: Instant = Instant.DISTANT_PAST
     var coldUntil: Instant = listedAt + endpoint.coldFor
     private var sample: LoadSample? = null
@@ -37,9 +43,13 @@
         inFlightAtSample = inFlight
     }
 
-    /** Returns the load as a fraction of the slots, with surcharges for another domain than [localDomain] and a cold start. */
+    /**
+     * Returns the load as a fraction of the slots, with surcharges for another domain than [localDomain], for a cold
+     * start, and for a [reserve], which is used only if the others have more load.
+     */
     fun cost(
         localDomain: FailureDomainId,
+        isReserve: Boolean,
         now: Instant,
     ): Double {
         val recent = sample?.takeIf { now - sampledAt < MAX_SAMPLE_AGE }
@@ -48,7 +58,8 @@
         val load = maxOf(reported, inFlight).toDouble() / slots
         val distance = if (endpoint.failureDomain == localDomain) 0.0 else REMOTE_COST
         val cold = if (now < coldUntil) COLD_COST else 0.0
-        return load + distance + cold
+        val reserve = if (isReserve) RESERVE_COST else 0.0
+        return load + distance + cold + reserve
     }
 
     /** Returns true if all slots are taken by the last report, or if that is older than [maxAge]. */
@@ -67,6 +78,9 @@
         /** A cold endpoint is slow, so it is used only when the others are half full. */
         const val COLD_COST = 0.5
 
+        /** An endpoint that names a limit is in need, so it is used only when the others are half full. */
+        const val RESERVE_COST = 0.5
+
         /** Age from which a load report is ignored: about the duration of a request. */
         val MAX_SAMPLE_AGE = 500.milliseconds
     }
--- a/decisions/src/main/kotlin/org/cicadaturn/decisions/gateway/BalancerTypes.kt
+++ b/decisions/src/main/kotlin/org/cicadaturn/decisions/gateway/BalancerTypes.kt
@@ -6,6 +6,7 @@
 import org.cicadaturn.schema.generated.ProcessId
 import org.cicadaturn.schema.generated.ServiceId
 import kotlin.time.Duration
+import kotlin.time.Instant
 
 /**
  * Load that an endpoint reported of itself.
@@ -45,12 +46,24 @@
         val endpoint: LiveEndpoint,
     ) : EndpointChoice
 
-    /** No endpoint may get the request now. */
+    /** No endpoint may get the request now; [budget] tells when one may if only the endpoints' limits bind it. */
     public data class None(
         val cause: Unavailability,
+        val budget: RateBudget? = null,
     ) : EndpointChoice
 }
 
+/**
+ * What the limits that endpoints name let this process send to them.
+ *
+ * @property nextAt when the next request may be sent; in the distant future if other processes send to all of them
+ * @property perSecond requests per second on average
+ */
+public data class RateBudget(
+    val nextAt: Instant,
+    val perSecond: Double,
+)
+
 /**
  * Reason why no endpoint may get a request.
  *
--- a/decisions/src/main/kotlin/org/cicadaturn/decisions/gateway/EndpointBalancer.kt
+++ b/decisions/src/main/kotlin/org/cicadaturn/decisions/gateway/EndpointBalancer.kt
@@ -15,8 +15,8 @@
  * Chooses endpoints for requests and keeps what this process knows about them. Has one owner and is not safe for
  * concurrent use.
  *
- * The rate of requests to an endpoint of a service with cold starts, and the retries for any service, stay within this
- * process's share of the bounds that apply to all gateways together.
+ * The rate of requests to an endpoint of a service with cold starts or to one that names a limit, and the retries for
+ * any service, stay within this process's share of the bounds that apply to all gateways together.
  */
 public interface EndpointBalancer {
     /** Replaces the known fleet with a newer [view] and drops the state of endpoints that are gone. */
@@ -117,7 +117,10 @@
      */
     public fun takeLimitNews(now: Instant): List<EndpointLimitReport>
 
-    /** Returns all limits that are in force, for a gateway that has just started. */
+    /**
+     * Returns all limits that are in force and those that ended lately, for a gateway that asks: one that has just
+     * started, or one that may have missed news.
+     */
     public fun limitReports(now: Instant): List<EndpointLimitReport>
 
     /** Returns the limits that are in force and this process's use of them, for state dumps and metrics. */
--- a/decisions/src/main/kotlin/org/cicadaturn/decisions/gateway/LeastLoadBalancer.kt
+++ b/decisions/src/main/kotlin/org/cicadaturn/decisions/gateway/LeastLoadBalancer.kt
@@ -9,15 +9,12 @@
 import org.cicadaturn.decisions.dispatch.groupTracker
 import org.cicadaturn.decisions.ratelimit.EndpointLimitStatus
 import org.cicadaturn.decisions.ratelimit.NamedLimit
-import org.cicadaturn.decisions.ratelimit.namedLimits
 import org.cicadaturn.decisions.routing.EndpointHealth
-import org.cicadaturn.decisions.routing.entryRank
 import org.cicadaturn.schema.generated.AdmissionState
 import org.cicadaturn.schema.generated.EndpointId
 import org.cicadaturn.schema.generated.EndpointLimitReport
 import org.cicadaturn.schema.generated.FleetView
 import org.cicadaturn.schema.generated.LiveEndpoint
-import org.cicadaturn.schema.generated.ProcessId
 import org.cicadaturn.schema.generated.ServiceId
 import kotlin.random.Random
 import kotlin.time.Duration.Companion.milliseconds
@@ -31,22 +28,20 @@
 ) : EndpointBalancer {
     private val members = HashMap<EndpointId, BalancedEndpoint>()
     private val pools = HashMap<ServiceId, ServicePool>()
-    private val rateLimits = namedLimits()
 
     /** Endpoints that get requests, by service; each request needs those of its service only. */
     private var serving = emptyMap<ServiceId, List<BalancedEndpoint>>()
     private val gateways = GatewayCount()
+    private val rates = EndpointRates(options, gateways)
     private val groups = groupTracker { ASK_INTERVAL * maxOf(1, gateways.listed / GATEWAYS_PER_ASK) }
 
     private val room = GroupRoom(groups, gateways) { members[it] }
-    private var peers = emptyList<ProcessId>()
 
     override fun update(
         view: FleetView,
         now: Instant,
     ) {
         gateways.update(view.peers.size, now)
-        updatePeers(view.peers.map { it.id })
         val drained = view.drainedDomains.toSet()
         val listed = view.endpoints.mapTo(HashSet()) { it.id }
         members.keys.retainAll(listed)
@@ -54,6 +49,7 @@
         val configuration = view.configuration
         if (configuration != null) room.update(configuration)
         view.endpoints.forEach { endpoint -> updateMember(endpoint, now) }
+        rates.update(view.peers.map { it.id }, members.values, now)
         view.endpoints.filter { it.service in room.profiles }.forEach { groups.discover(it.id) }
         room.retain(members.keys)
         configuration?.services?.forEach { pool(it.id, now).coldRate = it.coldRate }
@@ -67,12 +63,6 @@
         serving = inService.mapValues { (_, group) -> group.filter { it.endpoint.failureDomain !in drained } }
     }
 
-    private fun updatePeers(peers: List<ProcessId>) {
-        if (peers == this.peers) return
-        this.peers = peers
-        members.values.forEach { it.senderRank = null }
-    }
-
     private fun updateMember(
         endpoint: LiveEndpoint,
         now: Instant,
@@ -113,10 +103,10 @@
         val pool = pool(request.service, now)
         val choice = candidates(request, pool, now).flatMap { found -> useRetry(request, pool, now).map { found } }
         return choice.fold(
-            { EndpointChoice.None(it) },
+            { it },
             { candidates ->
                 pool.lastSentAt = now
-                val best = candidates.minBy { it.cost(options.localDomain, now) + random.nextDouble() * JITTER }
+                val best = candidates.minBy { cost(it, now) + random.nextDouble() * JITTER }
                 best.inFlight += 1
                 best.sends.sent(now)
                 EndpointChoice.Chosen(best.endpoint)
@@ -124,28 +114,39 @@
         )
     }
 
+    private fun cost(
+        member: BalancedEndpoint,
+        now: Instant,
+    ): Double = member.cost(options.localDomain, rates.isReserve(member, now), now)
+
     /** Returns the endpoints that may get [request], at least one, or why none may. */
     private fun candidates(
         request: EndpointRequest,
         pool: ServicePool,
         now: Instant,
-    ): Either<Unavailability, List<BalancedEndpoint>> {
+    ): Either<EndpointChoice.None, List<BalancedEndpoint>> {
         val usable =
             grouped(serving[request.service].orEmpty(), now).filter {
                 it.endpoint.id !in request.excluded && (request.only == null || it.endpoint.id in request.only)
             }
-        if (usable.isEmpty()) return Unavailability.NO_ENDPOINT.left()
+        if (usable.isEmpty()) return none(Unavailability.NO_ENDPOINT)
         val running = usable.filter { groups.health(it.endpoint.id, now) in RUNNING }.ifEmpty { probe(usable, now) }
-        if (running.isEmpty()) return Unavailability.DOWN.left()
-        val withRoom = if (request.canWait) running.filter { room.hasRoom(it, now) } else running
-        if (withRoom.isEmpty()) return Unavailability.AT_LIMIT.left()
+        if (running.isEmpty()) return none(Unavailability.DOWN)
+        // The limits that endpoints name bind every request, also one for which no other endpoint is left.
+        val allowed = running.filter { rates.isWithinLimit(it, now) }
+        if (allowed.isEmpty()) return EndpointChoice.None(Unavailability.AT_RATE, rates.budget(running, now)).left()
+        val withRoom = if (request.canWait) allowed.filter { room.hasRoom(it, now) } else allowed
+        if (withRoom.isEmpty()) return none(Unavailability.AT_LIMIT)
         val available = withRoom.filter { isAvailable(it, pool, now) }
         val trusted = available.filter { groups.health(it.endpoint.id, now) == GroupHealth.ACCEPTING }
         val fallback = if (request.isRetry && request.canWait) emptyList() else withRoom
-        val candidates = trusted.ifEmpty { available }.ifEmpty { fallback.filter { isWithinRate(it, pool, now) } }
-        return if (candidates.isEmpty()) Unavailability.AT_RATE.left() else candidates.right()
+        val lastResort = { fallback.filter { rates.isWithinColdRate(it, pool, now) } }
+        val candidates = trusted.ifEmpty { available }.ifEmpty(lastResort)
+        return if (candidates.isEmpty()) none(Unavailability.AT_RATE) else candidates.right()
     }
 
+    private fun none(cause: Unavailability) = EndpointChoice.None(cause).left()
+
     /**
      * Returns [members] without those whose group is not known yet, if that of others is.
      *
@@ -164,22 +165,23 @@
     private fun probe(
         members: List<BalancedEndpoint>,
         now: Instant,
-    ): List<BalancedEndpoint> = listOfNotNull(members.firstOrNull { groups.tryProbe(it.endpoint.id, now) })
+    ): List<BalancedEndpoint> =
+        listOfNotNull(members.firstOrNull { rates.isWithinLimit(it, now) && groups.tryProbe(it.endpoint.id, now) })
 
     /** Takes a retry from the budget if [request] is one, or returns why it must not be sent again now. */
     private fun useRetry(
         request: EndpointRequest,
         pool: ServicePool,
         now: Instant,
-    ): Either<Unavailability, Unit> {
+    ): Either<EndpointChoice.None, Unit> {
         if (!request.isRetry) return Unit.right()
         // The health of groups tells more than a number of refusals, which may all come from one of several groups.
         val isRefusing = pool.refusals >= MIN_REFUSALS_IN_A_ROW && now - pool.lastSentAt < PROBE_INTERVAL
         val mustWait = request.canWait && isRefusing && request.service !in room.profiles
         return when {
-            mustWait -> Unavailability.REFUSING.left()
+            mustWait -> none(Unavailability.REFUSING)
             pool.budget.tryRetry(now, slack(now)) -> Unit.right()
-            else -> Unavailability.NO_RETRY.left()
+            else -> none(Unavailability.NO_RETRY)
         }
     }
 
@@ -191,23 +193,7 @@
         now >= member.refusedUntil &&
             pool.detector.health(member.endpoint.id, now) != EndpointHealth.EJECTED &&
             member.inFlight < pool.detector.ownLimit(member.endpoint.id, now) &&
-            isWithinRate(member, pool, now)
-
-    /** An endpoint may become cold without notice, so the bound for a cold endpoint always applies. */
-    private fun isWithinRate(
-        member: BalancedEndpoint,
-        pool: ServicePool,
-        now: Instant,
-    ): Boolean {
-        if (pool.coldRate <= 0.0) return true
-        val count = gateways.at(now)
-        val share = coldShare(pool.coldRate, options.coldFactor, options.coldSlack, count)
-        val isSender = share.senders >= count || senderRank(member) < share.senders
-        return isSender && member.sends.count(now) < share.perSender
-    }
-
-    private fun senderRank(member: BalancedEndpoint): Int =
-        member.senderRank ?: entryRank(options.self, peers, member.endpoint.id).also { member.senderRank = it }
+            rates.isWithinColdRate(member, pool, now)
 
     override fun finished(
         endpoint: EndpointId,
@@ -321,21 +307,22 @@
         now: Instant,
     ) {
         val member = members[endpoint] ?: return
-        rateLimits.named(endpoint, member.endpoint.startedAt, limit, now)
+        if (limit is NamedLimit.Rate) member.limitConfirmedAt = now
+        rates.named.named(endpoint, member.endpoint.startedAt, limit, now)
     }
 
     override fun limitsReported(
         reports: List<EndpointLimitReport>,
         now: Instant,
     ) {
-        reports.forEach { rateLimits.reported(it, now) }
+        reports.forEach { rates.named.reported(it, now) }
     }
 
-    override fun takeLimitNews(now: Instant): List<EndpointLimitReport> = rateLimits.takeNews(now)
+    override fun takeLimitNews(now: Instant): List<EndpointLimitReport> = rates.named.takeNews(now)
 
-    override fun limitReports(now: Instant): List<EndpointLimitReport> = rateLimits.reports(now)
+    override fun limitReports(now: Instant): List<EndpointLimitReport> = rates.named.reports(now)
 
-    override fun limitStatus(now: Instant): List<EndpointLimitStatus> = emptyList()
+    override fun limitStatus(now: Instant): List<EndpointLimitStatus> = rates.status(members.values, now)
 
     private companion object {
         /** The rest of the slack is reserved for processes that start during a window. */
--- a/decisions/src/main/kotlin/org/cicadaturn/decisions/ratelimit/NamedLimits.kt
+++ b/decisions/src/main/kotlin/org/cicadaturn/decisions/ratelimit/NamedLimits.kt
@@ -6,22 +6,37 @@
 import kotlin.time.Duration.Companion.minutes
 import kotlin.time.Instant
 
-/** Newest known answer of an endpoint about its rate limit; [perSecond] is null if it named none any more. */
+/**
+ * Newest known answer of an endpoint about its rate limit.
+ *
+ * @property startedAt start time of the endpoint in Unix milliseconds
+ * @property perSecond requests per second that it takes from all gateways together; null if it named none
+ * @property answeredAt time of the answer on the local clock
+ * @property since time at which this process learned that a limit began or ended; a new value does not change it
+ * @property endedPerSecond last limit if it has ended; null if one is in force or if there was none
+ */
 public data class KnownLimit(
     val startedAt: Long,
     val perSecond: Double?,
     val answeredAt: Instant,
+    val since: Instant,
+    val endedPerSecond: Double? = null,
 )
 
 /**
  * Limits that endpoints name in their answers, from this process's own answers and from reports of other gateways. Has
  * one owner and is not safe for concurrent use.
  *
- * The newest answer wins, by its age on the local clock. A limit holds for one start of an endpoint. It does not
- * expire: only an answer can tell that it has ended.
+ * The newest answer wins, by its age on the local clock, so that a repeated or delayed report changes nothing. A limit
+ * holds for one start of an endpoint. It does not expire: only an answer can tell that it has ended.
  */
 public interface NamedLimits {
-    /** Records what an answer of [endpoint], which started at [startedAt], says. */
+    /**
+     * Records what an answer of [endpoint], which started at [startedAt], says.
+     *
+     * A limit that cannot be read confirms the last known one, as the endpoint still asks for one. If none is known,
+     * none applies.
+     */
     public fun named(
         endpoint: EndpointId,
         startedAt: Long,
@@ -35,13 +50,16 @@
         now: Instant,
     )
 
-    /** Returns what is known of [endpoint], which started at [startedAt], or null if it never named a limit. */
+    /** Returns what is known of [endpoint], which started at [startedAt], or null if it has not answered yet. */
     public fun known(
         endpoint: EndpointId,
         startedAt: Long,
     ): KnownLimit?
 
-    /** Forgets all but the listed endpoints, given with their start times. */
+    /**
+     * Forgets endpoints that are not among the listed [endpoints], given with their start times, after a while: a report
+     * may come before the list that names its endpoint, and an entry that lapsed may come back.
+     */
     public fun retain(
         endpoints: Map<EndpointId, Long>,
         now: Instant,
@@ -50,7 +68,7 @@
     /** Returns the changes that others should be told, each once. */
     public fun takeNews(now: Instant): List<EndpointLimitReport>
 
-    /** Returns all limits in force. */
+    /** Returns all limits in force, and those that ended lately, of which another gateway may not have heard. */
     public fun reports(now: Instant): List<EndpointLimitReport>
 }
 
@@ -67,11 +85,16 @@
         limit: NamedLimit,
         now: Instant,
     ) {
-        when (limit) {
-            is NamedLimit.Rate -> learn(endpoint, KnownLimit(startedAt, limit.perSecond, now))
-            NamedLimit.None -> if (endpoint in known) learn(endpoint, KnownLimit(startedAt, null, now))
-            is NamedLimit.Unreadable -> Unit
-        }
+        val earlier = known(endpoint, startedAt)
+        val perSecond =
+            when (limit) {
+                is NamedLimit.Rate -> limit.perSecond.takeIf { isRate(it) } ?: earlier?.perSecond
+                NamedLimit.None -> null
+                is NamedLimit.Unreadable -> earlier?.perSecond
+            }
+        if (known[endpoint].let { it != null && it.startedAt > startedAt }) return
+        learn(endpoint, KnownLimit(startedAt, perSecond, now, now))
+        if (earlier?.perSecond != perSecond) news += endpoint
     }
 
     override fun reported(
@@ -79,22 +102,18 @@
         now: Instant,
     ) {
         val perSecond = report.perSecond
-        val isValid = perSecond == null || (perSecond.isFinite() && perSecond >= 0.0)
-        if (!isValid) return
-        val age = report.age.coerceAtLeast(Duration.ZERO)
-        learn(report.endpoint, KnownLimit(report.startedAt, perSecond, now - age))
-    }
-
-    private fun learn(
-        endpoint: EndpointId,
-        limit: KnownLimit,
-    ) {
-        val earlier = known[endpoint]
+        if (perSecond != null && !isRate(perSecond)) return
+        val limit = KnownLimit(report.startedAt, perSecond, now - report.age.coerceAtLeast(Duration.ZERO), now)
+        val earlier = known[report.endpoint]
         if (earlier != null && !isNewer(limit, earlier)) return
-        known[endpoint] = limit
-        if (earlier?.startedAt != limit.startedAt || earlier.perSecond != limit.perSecond) news += endpoint
+        learn(report.endpoint, limit)
+        if (earlier == null || earlier.startedAt != limit.startedAt || earlier.perSecond != perSecond) {
+            news += report.endpoint
+        }
     }
 
+    private fun isRate(perSecond: Double): Boolean = perSecond.isFinite() && perSecond >= 0.0
+
     private fun isNewer(
         limit: KnownLimit,
         earlier: KnownLimit,
@@ -105,6 +124,20 @@
             limit.answeredAt > earlier.answeredAt
         }
 
+    private fun learn(
+        endpoint: EndpointId,
+        limit: KnownLimit,
+    ) {
+        val earlier = known(endpoint, limit.startedAt)
+        known[endpoint] =
+            when {
+                earlier == null -> limit
+                (earlier.perSecond == null) == (limit.perSecond == null) ->
+                    limit.copy(since = earlier.since, endedPerSecond = earlier.endedPerSecond)
+                else -> limit.copy(endedPerSecond = earlier.perSecond)
+            }
+    }
+
     override fun known(
         endpoint: EndpointId,
         startedAt: Long,
@@ -116,8 +149,8 @@
     ) {
         known.entries.removeIf { (endpoint, limit) ->
             val startedAt = endpoints[endpoint]
-            val isGone = startedAt == null || startedAt > limit.startedAt
-            isGone && now - limit.answeredAt >= UNLISTED_RETENTION
+            val isListed = startedAt != null && startedAt <= limit.startedAt
+            !isListed && now - limit.answeredAt >= RETENTION
         }
         news.retainAll(known.keys)
     }
@@ -126,7 +159,9 @@
         news.mapNotNull { id -> known[id]?.let { report(id, it, now) } }.also { news.clear() }
 
     override fun reports(now: Instant): List<EndpointLimitReport> =
-        known.filterValues { it.perSecond != null }.map { (id, limit) -> report(id, limit, now) }
+        known
+            .filterValues { it.perSecond != null || (it.endedPerSecond != null && now - it.since < RETENTION) }
+            .map { (id, limit) -> report(id, limit, now) }
 
     private fun report(
         endpoint: EndpointId,
@@ -135,7 +170,7 @@
     ) = EndpointLimitReport(endpoint, limit.startedAt, limit.perSecond, now - limit.answeredAt)
 
     private companion object {
-        /** A report may come before the list that names its endpoint, which lags while the store is away. */
-        val UNLISTED_RETENTION = 1.minutes
+        /** Longer than entries lapse while the store is away, and than news take to spread. */
+        val RETENTION = 1.minutes
     }
 }
