Refuse at once what the endpoints' limits do not allow in time

A request that found every endpoint at its rate waited until its deadline and was tried every 50 ms. If only limits bind it, it now waits only if this process's next budget, after the requests ahead, comes in time, and is otherwise rejected with the time until then as its Retry-After.

--- a/decisions/src/main/kotlin/org/cicadaturn/decisions/dispatch/Dispatcher.kt
+++ b/decisions/src/main/kotlin/org/cicadaturn/decisions/dispatch/Dispatcher.kt
@@ -3,6 +3,7 @@
 import org.cicadaturn.decisions.gateway.EndpointBalancer
 import org.cicadaturn.decisions.gateway.EndpointChoice
 import org.cicadaturn.decisions.gateway.EndpointRequest
+import org.cicadaturn.decisions.gateway.RateBudget
 import org.cicadaturn.decisions.gateway.Unavailability
 import org.cicadaturn.schema.generated.OrganisationId
 import org.cicadaturn.schema.generated.ServiceId
@@ -107,6 +108,9 @@
     ) {
         /** Reason why the last attempt to place the request found no endpoint. */
         var cause = Unavailability.NO_ENDPOINT
+
+        /** What endpoints' limits allow if only they bound that attempt. */
+        var budget: RateBudget? = null
     }
 
     private val shares = DecayingCounts<OrganisationId>()
@@ -141,7 +145,11 @@
                 rates.placed(candidate.request.endpoint.service, now)
                 DispatchDecision.Place(candidate.ticket, choice)
             }
-            is EndpointChoice.None -> null.also { candidate.cause = choice.cause }
+            is EndpointChoice.None -> {
+                candidate.cause = choice.cause
+                candidate.budget = choice.budget
+                null
+            }
         }
 
     /** Returns false if the service is not expected back within the time that the request may wait. */
@@ -164,17 +172,35 @@
         when (candidate.cause) {
             Unavailability.DOWN -> forecast.remaining(downTime(candidate.request.endpoint.service, now))
             Unavailability.AT_LIMIT -> queueTime(candidate, now)
-            else -> Duration.ZERO
+            else -> candidate.budget?.let { budgetTime(candidate, it, now) } ?: Duration.ZERO
         }
 
     private fun queueTime(
         candidate: Waiting,
         now: Instant,
     ): Duration {
+        val rate = rates.perSecond(candidate.request.endpoint.service, now).coerceAtLeast(MIN_RATE)
+        return (ahead(candidate, now) / rate).seconds
+    }
+
+    /** Returns the time until [budget] suffices for [candidate], after the requests that go first. */
+    private fun budgetTime(
+        candidate: Waiting,
+        budget: RateBudget,
+        now: Instant,
+    ): Duration {
+        if (budget.perSecond <= 0.0) return Duration.INFINITE
+        return budget.nextAt - now + (ahead(candidate, now) / budget.perSecond).seconds
+    }
+
+    /** Returns the number of waiting requests that are placed before [candidate]. */
+    private fun ahead(
+        candidate: Waiting,
+        now: Instant,
+    ): Int {
         val service = candidate.request.endpoint.service
         val order = order(now)
-        val ahead = queue.values.count { it.request.endpoint.service == service && order.compare(it, candidate) < 0 }
-        return (ahead / rates.perSecond(service, now).coerceAtLeast(MIN_RATE)).seconds
+        return queue.values.count { it.request.endpoint.service == service && order.compare(it, candidate) < 0 }
     }
 
     private fun downTime(
@@ -187,11 +213,14 @@
         now: Instant,
     ): DispatchDecision.Reject {
         val service = candidate.request.endpoint.service
+        val budget = candidate.budget
         val delay =
-            if (candidate.cause == Unavailability.AT_LIMIT) {
-                forecast.spread(maxOf(queueTime(candidate, now), MIN_OVERLOAD_DELAY))
-            } else {
-                forecast.retryAfter(downTime(service, now))
+            when {
+                candidate.cause == Unavailability.AT_LIMIT ->
+                    forecast.spread(maxOf(queueTime(candidate, now), MIN_OVERLOAD_DELAY))
+                budget != null ->
+                    forecast.spread(budgetTime(candidate, budget, now).coerceIn(MIN_OVERLOAD_DELAY, MAX_BUDGET_DELAY))
+                else -> forecast.retryAfter(downTime(service, now))
             }
         return DispatchDecision.Reject(candidate.ticket, candidate.cause, delay)
     }
@@ -244,6 +273,9 @@
         /** Shortest delay stated under overload; a caller that comes back sooner meets the same queue. */
         val MIN_OVERLOAD_DELAY = 1.seconds
 
+        /** Longest delay stated for a limit of endpoints; each sender learns within this time whether one has ended. */
+        val MAX_BUDGET_DELAY = 8.seconds
+
         /** Requests per second that are assumed to be placed if none has been for a while. */
         const val MIN_RATE = 1.0
 
--- /dev/null
+++ b/decisions/src/test/kotlin/org/cicadaturn/decisions/ratelimit/EndpointLimitDispatchTest.kt
@@ -0,0 +1,93 @@
+package org.cicadaturn.decisions.ratelimit
+
+import org.cicadaturn.decisions.dispatch.DispatchDecision
+import org.cicadaturn.decisions.dispatch.DispatchRequest
+import org.cicadaturn.decisions.dispatch.DispatchTicket
+import org.cicadaturn.decisions.dispatch.Dispatcher
+import org.cicadaturn.decisions.dispatch.dispatcher
+import org.cicadaturn.decisions.gateway.Unavailability
+import org.cicadaturn.schema.generated.EndpointId
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.Instant
+
+/** What becomes of requests that no endpoint may get because of their limits. */
+class EndpointLimitDispatchTest {
+    private val e0 = EndpointId("e0")
+    private var lastTicket = 0L
+
+    private fun dispatcher(
+        limit: Double,
+        gateways: Int = 1,
+        self: String = "g0",
+    ): Dispatcher {
+        val balancer = limitedBalancer(self)
+        val view = limitedView(listOf(limitedEndpoint("e0")), List(gateways) { "g$it" })
+        balancer.update(view, START)
+        balancer.limitNamed(e0, NamedLimit.Rate(limit), START)
+        return dispatcher(balancer) { 0.0 }
+    }
+
+    private fun Dispatcher.submit(
+        now: Instant,
+        wait: Duration,
+        canWait: Boolean = true,
+    ) = submit(
+        DispatchTicket(++lastTicket),
+        DispatchRequest(limitedRequest(canWait = canWait), null, 0, 100, now + wait, now + wait),
+        now,
+    )
+
+    /** Guards against a request that waits for its deadline although its place comes later. */
+    @Test
+    fun `a request without budget in time is rejected at once with the time of the next budget`() {
+        val decision = dispatcher(limit = 0.25).submit(START, wait = 2.seconds)
+        assertEquals(DispatchDecision.Reject(DispatchTicket(1), Unavailability.AT_RATE, 4.seconds), rounded(decision))
+    }
+
+    /** Guards against a rejection of a request whose place comes in time. */
+    @Test
+    fun `a request waits for budget that comes in time`() {
+        val dispatcher = dispatcher(limit = 1.0)
+        assertTrue(dispatcher.submit(START, wait = 2.seconds) is DispatchDecision.Wait)
+        assertTrue(dispatcher.advance(START + 900.milliseconds).isEmpty())
+        assertTrue(dispatcher.advance(START + 1_010.milliseconds).single() is DispatchDecision.Place)
+    }
+
+    /** Guards against a queue in which each request counts on the same budget. */
+    @Test
+    fun `the requests ahead count for the wait`() {
+        val dispatcher = dispatcher(limit = 2.0)
+        val decisions = List(6) { dispatcher.submit(START + it.milliseconds, wait = 2.seconds) }
+        assertEquals(4, decisions.count { it is DispatchDecision.Wait })
+        val rejected = decisions.filterIsInstance<DispatchDecision.Reject>()
+        assertTrue(rejected.all { it.retryAfter in 2.seconds..3.seconds }, "$rejected")
+    }
+
+    /** Guards against requests that wait at a process which may not send at all. */
+    @Test
+    fun `a process that is no sender rejects at once`() {
+        val decisions =
+            (0 until 40).map { dispatcher(limit = 0.0, gateways = 40, self = "g$it").submit(START, wait = 30.seconds) }
+        assertEquals(38, decisions.count { it is DispatchDecision.Reject && it.retryAfter == 8.seconds })
+    }
+
+    /** Guards against a stream that waits for another endpoint while its caller has a part, or exceeds a limit. */
+    @Test
+    fun `a request that cannot wait is rejected at once`() {
+        val dispatcher = dispatcher(limit = 10.0)
+        val decision = dispatcher.submit(START, wait = Duration.ZERO, canWait = false)
+        assertTrue(decision is DispatchDecision.Reject && decision.cause == Unavailability.AT_RATE, "$decision")
+        val later = dispatcher.submit(START + 150.milliseconds, wait = Duration.ZERO, canWait = false)
+        assertTrue(later is DispatchDecision.Place, "$later")
+    }
+
+    private fun rounded(decision: DispatchDecision): DispatchDecision =
+        (decision as DispatchDecision.Reject).let {
+            it.copy(retryAfter = (it.retryAfter / 10.milliseconds).let { n -> Math.round(n) * 10 }.milliseconds)
+        }
+}
