Let no request wait in vain for a limit of endpoints

A request waited if its place came in time after those ahead of it. A request now waits only if there is budget for all others that wait too, and if the interval at which they are tried leaves time for it.

The cause of such a refusal gets a text of its own, as a limit that an endpoint names calls for another remedy than a cold endpoint.

--- a/decisions/src/main/kotlin/org/cicadaturn/decisions/dispatch/Dispatcher.kt
+++ b/decisions/src/main/kotlin/org/cicadaturn/decisions/dispatch/Dispatcher.kt
@@ -172,35 +172,35 @@
         when (candidate.cause) {
             Unavailability.DOWN -> forecast.remaining(downTime(candidate.request.endpoint.service, now))
             Unavailability.AT_LIMIT -> queueTime(candidate, now)
-            else -> candidate.budget?.let { budgetTime(candidate, it, now) } ?: Duration.ZERO
+            // A waiting request is tried at intervals, so it may get its place that much later.
+            else -> candidate.budget?.let { budgetTime(candidate, it, now) + RETRY_INTERVAL } ?: Duration.ZERO
         }
 
     private fun queueTime(
         candidate: Waiting,
         now: Instant,
     ): Duration {
-        val rate = rates.perSecond(candidate.request.endpoint.service, now).coerceAtLeast(MIN_RATE)
-        return (ahead(candidate, now) / rate).seconds
+        val service = candidate.request.endpoint.service
+        val order = order(now)
+        val ahead = queue.values.count { it.request.endpoint.service == service && order.compare(it, candidate) < 0 }
+        return (ahead / rates.perSecond(service, now).coerceAtLeast(MIN_RATE)).seconds
     }
 
-    /** Returns the time until [budget] suffices for [candidate], after the requests that go first. */
+    /**
+     * Returns the time until [budget] suffices for [candidate], after all other requests that wait.
+     *
+     * Those that [candidate] would go before count too: they were told that their place comes in time, and each request
+     * that takes it would make one of them wait in vain.
+     */
     private fun budgetTime(
         candidate: Waiting,
         budget: RateBudget,
         now: Instant,
     ): Duration {
         if (budget.perSecond <= 0.0) return Duration.INFINITE
-        return budget.nextAt - now + (ahead(candidate, now) / budget.perSecond).seconds
-    }
-
-    /** Returns the number of waiting requests that are placed before [candidate]. */
-    private fun ahead(
-        candidate: Waiting,
-        now: Instant,
-    ): Int {
         val service = candidate.request.endpoint.service
-        val order = order(now)
-        return queue.values.count { it.request.endpoint.service == service && order.compare(it, candidate) < 0 }
+        val others = queue.values.count { it !== candidate && it.request.endpoint.service == service }
+        return budget.nextAt - now + (others / budget.perSecond).seconds
     }
 
     private fun downTime(
--- a/decisions/src/main/kotlin/org/cicadaturn/decisions/gateway/BalancerTypes.kt
+++ b/decisions/src/main/kotlin/org/cicadaturn/decisions/gateway/BalancerTypes.kt
@@ -77,6 +77,7 @@
     REFUSING("the service refuses requests"),
     AT_LIMIT("every group of the service is at its limit"),
     AT_RATE("every endpoint is at its rate"),
+    AT_NAMED_LIMIT("every endpoint gets as many requests as it takes"),
     NO_RETRY("the retry budget is used up"),
     DEFECT("the placement failed by a defect, which the log of this process shows"),
 }
--- a/decisions/src/main/kotlin/org/cicadaturn/decisions/gateway/LeastLoadBalancer.kt
+++ b/decisions/src/main/kotlin/org/cicadaturn/decisions/gateway/LeastLoadBalancer.kt
@@ -134,7 +134,7 @@
         if (running.isEmpty()) return none(Unavailability.DOWN)
         // The limits that endpoints name bind every request, also one for which no other endpoint is left.
         val allowed = running.filter { rates.isWithinLimit(it, now) }
-        if (allowed.isEmpty()) return EndpointChoice.None(Unavailability.AT_RATE, rates.budget(running, now)).left()
+        if (allowed.isEmpty()) return none(Unavailability.AT_NAMED_LIMIT, rates.budget(running, now))
         val withRoom = if (request.canWait) allowed.filter { room.hasRoom(it, now) } else allowed
         if (withRoom.isEmpty()) return none(Unavailability.AT_LIMIT)
         val available = withRoom.filter { isAvailable(it, pool, now) }
@@ -145,7 +145,10 @@
         return if (candidates.isEmpty()) none(Unavailability.AT_RATE) else candidates.right()
     }
 
-    private fun none(cause: Unavailability) = EndpointChoice.None(cause).left()
+    private fun none(
+        cause: Unavailability,
+        budget: RateBudget? = null,
+    ) = EndpointChoice.None(cause, budget).left()
 
     /**
      * Returns [members] without those whose group is not known yet, if that of others is.
