Tell the balancer what answers say about the limits of endpoints

Nothing read the limit that an endpoint names. Each sound answer that belongs to its request now reports it: a success, a refusal and a failure, but not 421, which is the answer of another endpoint. An answer without a limit ends one only if its request was sent after the newest answer that named it: a process that was paused would otherwise end it for all by an answer from before.

The state dump lists the limits in force, metrics count the requests that found only endpoints at their limits, and a value that cannot be read writes at most one line in 10 s for an endpoint.

--- a/decisions/src/main/kotlin/org/cicadaturn/decisions/gateway/EndpointBalancer.kt
+++ b/decisions/src/main/kotlin/org/cicadaturn/decisions/gateway/EndpointBalancer.kt
@@ -97,11 +97,15 @@
         now: Instant,
     )
 
-    /** Records what an answer of [endpoint] says about its rate limit; call it for each answer. */
+    /**
+     * Records what an answer of [endpoint] to a request that was sent at [sentAt] says about its rate limit; call it for
+     * each answer.
+     */
     public fun limitNamed(
         endpoint: EndpointId,
         limit: NamedLimit,
         now: Instant,
+        sentAt: Instant = now,
     )
 
     /** Records what other gateways report; a report that is older than what is known changes nothing. */
@@ -110,6 +114,9 @@
         now: Instant,
     )
 
+    /** True if [takeLimitNews] has something to return. */
+    public val hasLimitNews: Boolean
+
     /**
      * Returns the changes of limits that other gateways should be told, each once.
      *
--- a/decisions/src/main/kotlin/org/cicadaturn/decisions/gateway/LeastLoadBalancer.kt
+++ b/decisions/src/main/kotlin/org/cicadaturn/decisions/gateway/LeastLoadBalancer.kt
@@ -308,10 +308,11 @@
         endpoint: EndpointId,
         limit: NamedLimit,
         now: Instant,
+        sentAt: Instant,
     ) {
         val member = members[endpoint] ?: return
         if (limit is NamedLimit.Rate) member.limitConfirmedAt = now
-        rates.named.named(endpoint, member.endpoint.startedAt, limit, now)
+        rates.named.named(endpoint, member.endpoint.startedAt, limit, now, sentAt)
     }
 
     override fun limitsReported(
@@ -321,6 +322,8 @@
         reports.forEach { rates.named.reported(it, now) }
     }
 
+    override val hasLimitNews: Boolean get() = rates.named.hasNews
+
     override fun takeLimitNews(now: Instant): List<EndpointLimitReport> = rates.named.takeNews(now)
 
     override fun limitReports(now: Instant): List<EndpointLimitReport> = rates.named.reports(now)
--- a/decisions/src/main/kotlin/org/cicadaturn/decisions/ratelimit/NamedLimits.kt
+++ b/decisions/src/main/kotlin/org/cicadaturn/decisions/ratelimit/NamedLimits.kt
@@ -32,7 +32,10 @@
  */
 public interface NamedLimits {
     /**
-     * Records what an answer of [endpoint], which started at [startedAt], says.
+     * Records what an answer of [endpoint], which started at [startedAt], says to a request that was sent at [sentAt].
+     *
+     * An answer that names no limit changes nothing if its request was sent before the newest answer that names one: it
+     * may have waited while this process was paused.
      *
      * A limit that cannot be read confirms the last known one, as the endpoint still asks for one. If none is known,
      * none applies.
@@ -42,6 +45,7 @@
         startedAt: Long,
         limit: NamedLimit,
         now: Instant,
+        sentAt: Instant = now,
     )
 
     /** Records a [report] of another gateway. */
@@ -65,6 +69,9 @@
         now: Instant,
     )
 
+    /** True if [takeNews] has something to return. */
+    public val hasNews: Boolean
+
     /** Returns the changes that others should be told, each once. */
     public fun takeNews(now: Instant): List<EndpointLimitReport>
 
@@ -84,8 +91,10 @@
         startedAt: Long,
         limit: NamedLimit,
         now: Instant,
+        sentAt: Instant,
     ) {
         val earlier = known(endpoint, startedAt)
+        if (limit == NamedLimit.None && earlier?.perSecond != null && earlier.answeredAt > sentAt) return
         val perSecond =
             when (limit) {
                 is NamedLimit.Rate -> limit.perSecond.takeIf { isRate(it) } ?: earlier?.perSecond
@@ -155,6 +164,8 @@
         news.retainAll(known.keys)
     }
 
+    override val hasNews: Boolean get() = news.isNotEmpty()
+
     override fun takeNews(now: Instant): List<EndpointLimitReport> =
         news.mapNotNull { id -> known[id]?.let { report(id, it, now) } }.also { news.clear() }
 
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/AttemptExecution.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/AttemptExecution.kt
@@ -72,9 +72,7 @@
                 else -> return outOfStep("unexpected bytes")
             }
         val verdict = expectedAnswer().verdictOn(dialect.answerHead(head))
-        if (verdict !is AnswerVerdict.Unsound) {
-            dialect.loadOf(head.headers)?.let { balancer.loadReported(attempt.endpoint.id, it) }
-        }
+        if (verdict !is AnswerVerdict.Unsound) reportState(head)
         if (verdict != AnswerVerdict.Failure) summary = summaryOf(head)
         return when (verdict) {
             is AnswerVerdict.Unsound ->
@@ -91,6 +89,13 @@
         }
     }
 
+    /** Reports what the answer says about its endpoint. A misdirected request was answered by another endpoint. */
+    private fun reportState(head: ResponseHead) {
+        dialect.loadOf(head.headers)?.let { balancer.loadReported(attempt.endpoint.id, it) }
+        if (head.status == MISDIRECTED_REQUEST) return
+        balancer.limits.named(attempt.endpoint.id, dialect.limitOf(head.headers), start)
+    }
+
     private fun accepted() {
         balancer.accepted(attempt.endpoint.id)
         attempt.onProgress(AnswerProgress.HEAD)
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/Balancer.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/Balancer.kt
@@ -20,6 +20,7 @@
 import org.cicadaturn.decisions.gateway.FleetState
 import org.cicadaturn.decisions.gateway.LoadSample
 import org.cicadaturn.decisions.gateway.Unavailability
+import org.cicadaturn.decisions.ratelimit.NamedLimit
 import org.cicadaturn.schema.generated.EndpointId
 import org.cicadaturn.schema.generated.LiveEndpoint
 import org.cicadaturn.schema.generated.ServiceId
@@ -93,6 +94,9 @@
 
     /** True while this process reaches no group of a service that other processes may reach. */
     public val isIsolated: StateFlow<Boolean>
+
+    /** Limits on the rate of requests that endpoints name. */
+    public val limits: EndpointLimits
 }
 
 /**
@@ -100,6 +104,7 @@
  *
  * @property balancer chooses endpoints; [dispatcher] places requests with it
  * @property askGroup returns what an endpoint reports about its group, or null if it does not answer
+ * @property onLimited called for each request that found only endpoints at the limits that they name
  */
 public class BalancerDependencies(
     public val balancer: EndpointBalancer,
@@ -107,6 +112,7 @@
     public val fleet: Fleet,
     public val askGroup: suspend (LiveEndpoint) -> GroupReport?,
     public val clock: Clock,
+    public val onLimited: (ServiceId, LimitAction) -> Unit = { _, _ -> },
 )
 
 /**
@@ -137,12 +143,19 @@
     private val clock = dependencies.clock
 
     // Unbounded, because the end of a request must be counted on cancellation too; each request in progress has at
-    // most three messages here.
+    // most four messages here.
     private val messages = Channel<BalancerMessage>(Channel.UNLIMITED)
 
-    private val waiting = HashMap<DispatchTicket, CompletableDeferred<Placement>>()
+    private class WaitingRequest(
+        val service: ServiceId,
+        val outcome: CompletableDeferred<Placement>,
+    )
+
+    private val waiting = HashMap<DispatchTicket, WaitingRequest>()
     private val isolation = MutableStateFlow(false)
     override val isIsolated: StateFlow<Boolean> = isolation
+    override val limits = BalancerLimits(::send)
+    private val unreadable = UnreadableLimits(clock)
     private var lastTicket = 0L
 
     @OptIn(ExperimentalCoroutinesApi::class)
@@ -158,6 +171,7 @@
             while (true) receive(messages.tryReceive().getOrNull() ?: break)
             dispatcher.advance(clock.now()).forEach { decide(it) }
             askGroups()
+            if (balancer.hasLimitNews) limits.changed()
             isolation.value = balancer.isIsolated(clock.now())
         }
     }
@@ -185,6 +199,7 @@
                 supervisor.attempt(BALANCER_TASK, message) { cancel(DispatchTicket(lastTicket)) }
             }
             is BalancerMessage.Stalled -> message.reply.complete(false)
+            is BalancerMessage.ReadLimits<*> -> message.reject()
             else -> Unit
         }
     }
@@ -205,9 +220,17 @@
             is BalancerMessage.LoadReported -> balancer.loadReported(message.endpoint, message.load, now)
             is BalancerMessage.Paced -> balancer.paced(message.endpoint, message.ratio, now)
             is BalancerMessage.GroupReported -> balancer.groupReported(message.endpoint, message.report, now)
+            is BalancerMessage.LimitNamed -> recordLimit(message)
+            is BalancerMessage.LimitsReported -> balancer.limitsReported(message.reports, now)
+            is BalancerMessage.ReadLimits<*> -> message.answer(balancer, now)
         }
     }
 
+    private fun recordLimit(message: BalancerMessage.LimitNamed) {
+        if (message.limit is NamedLimit.Unreadable) unreadable.received(message.endpoint, message.limit)
+        balancer.limitNamed(message.endpoint, message.limit, clock.now(), message.sentAt)
+    }
+
     private fun cancel(ticket: DispatchTicket) {
         dispatcher.cancel(ticket)
         waiting.remove(ticket)
@@ -216,19 +239,22 @@
     private fun place(message: BalancerMessage.Place) {
         lastTicket += 1
         val ticket = DispatchTicket(lastTicket)
+        val service = message.request.endpoint.service
         val decision = dispatcher.submit(ticket, message.request, clock.now())
-        if (decision !is DispatchDecision.Wait) return reply(message.reply, decision)
+        if (decision !is DispatchDecision.Wait) return reply(service, message.reply, decision)
         val outcome = CompletableDeferred<Placement>()
-        waiting[ticket] = outcome
+        waiting[ticket] = WaitingRequest(service, outcome)
+        if (decision.cause == Unavailability.AT_NAMED_LIMIT) dependencies.onLimited(service, LimitAction.WAITED)
         if (!message.reply.complete(Placement.Waiting(decision.cause, ticket, outcome))) cancel(ticket)
     }
 
     private fun decide(decision: DispatchDecision) {
-        waiting.remove(decision.ticket)?.let { reply(it, decision) }
+        waiting.remove(decision.ticket)?.let { reply(it.service, it.outcome, decision) }
     }
 
     /** Replies with [decision], or stops counting the request at the endpoint if nobody waits for the reply. */
     private fun reply(
+        service: ServiceId,
         reply: CompletableDeferred<Placement>,
         decision: DispatchDecision,
     ) {
@@ -238,6 +264,8 @@
                 is DispatchDecision.Reject -> Placement.Rejected(decision.cause, decision.retryAfter)
                 is DispatchDecision.Wait -> return
             }
+        val isLimited = placement is Placement.Rejected && placement.cause == Unavailability.AT_NAMED_LIMIT
+        if (isLimited) dependencies.onLimited(service, LimitAction.REFUSED)
         if (!reply.complete(placement)) undo(placement)
     }
 
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/BalancerMessage.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/BalancerMessage.kt
@@ -4,11 +4,15 @@
 import org.cicadaturn.decisions.dispatch.DispatchRequest
 import org.cicadaturn.decisions.dispatch.DispatchTicket
 import org.cicadaturn.decisions.dispatch.GroupReport
+import org.cicadaturn.decisions.gateway.EndpointBalancer
 import org.cicadaturn.decisions.gateway.EndpointUse
 import org.cicadaturn.decisions.gateway.FleetState
 import org.cicadaturn.decisions.gateway.LoadSample
+import org.cicadaturn.decisions.ratelimit.NamedLimit
 import org.cicadaturn.schema.generated.EndpointId
+import org.cicadaturn.schema.generated.EndpointLimitReport
 import org.cicadaturn.schema.generated.ServiceId
+import kotlin.time.Instant
 
 /** Message to the task that owns the endpoint balancer and the waiting requests. */
 internal sealed interface BalancerMessage {
@@ -58,4 +62,29 @@
         val endpoint: EndpointId,
         val report: GroupReport?,
     ) : BalancerMessage
+
+    /** What an answer to a request that was sent at [sentAt] says about the limit of its endpoint. */
+    class LimitNamed(
+        val endpoint: EndpointId,
+        val limit: NamedLimit,
+        val sentAt: Instant,
+    ) : BalancerMessage
+
+    class LimitsReported(
+        val reports: List<EndpointLimitReport>,
+    ) : BalancerMessage
+
+    /** Request for what is known about limits; [fallback] is the reply if [read] fails. */
+    class ReadLimits<T>(
+        val read: (EndpointBalancer, Instant) -> T,
+        val fallback: T,
+        val reply: CompletableDeferred<T>,
+    ) : BalancerMessage {
+        fun answer(
+            balancer: EndpointBalancer,
+            now: Instant,
+        ) = reply.complete(read(balancer, now))
+
+        fun reject() = reply.complete(fallback)
+    }
 }
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/GatewayAdmin.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/GatewayAdmin.kt
@@ -4,9 +4,13 @@
 import io.prometheus.metrics.model.registry.PrometheusRegistry
 import kotlinx.serialization.builtins.ListSerializer
 import kotlinx.serialization.json.Json
+import kotlinx.serialization.json.JsonArray
 import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.buildJsonObject
 import kotlinx.serialization.json.jsonObject
+import kotlinx.serialization.json.put
 import org.cicadaturn.decisions.gateway.FleetState
+import org.cicadaturn.decisions.ratelimit.EndpointLimitStatus
 import org.cicadaturn.schema.generated.FleetView
 import org.cicadaturn.schema.generated.Header
 import org.cicadaturn.schema.generated.SegmentStatus
@@ -21,6 +25,7 @@
     private val isReady: () -> Boolean,
     private val state: () -> FleetState,
     private val segments: suspend () -> List<SegmentStatus>,
+    private val limits: suspend () -> List<EndpointLimitStatus>,
 ) {
     /** Answers the requests on [link] until the connection ends. */
     suspend fun serve(link: HttpLink) {
@@ -54,16 +59,27 @@
         return out.toByteArray()
     }
 
-    /** Returns the fleet view as JSON, without the keys of organisations, and the suspected prompt segments. */
+    /** Returns the fleet view as JSON, without the keys of organisations, suspected prompt segments, and limits of endpoints. */
     private suspend fun dump(): ByteArray {
         val view = state().view
         val tenancies = view.configuration?.tenancies?.map { it.copy(keys = emptyList()) }
         val shown = view.copy(configuration = view.configuration?.copy(tenancies = tenancies))
         val fleet = Json.encodeToJsonElement(FleetView.serializer(), shown).jsonObject
         val suspected = Json.encodeToJsonElement(ListSerializer(SegmentStatus.serializer()), segments())
-        return JsonObject(fleet + ("suspectedSegments" to suspected)).toString().encodeToByteArray()
+        val limited = JsonArray(limits().map { jsonOf(it) })
+        val added = mapOf("suspectedSegments" to suspected, "endpointLimits" to limited)
+        return JsonObject(fleet + added).toString().encodeToByteArray()
     }
 
+    private fun jsonOf(status: EndpointLimitStatus): JsonObject =
+        buildJsonObject {
+            put("endpoint", status.endpoint.text)
+            put("perSecond", status.perSecond)
+            put("ownPerSecond", status.ownPerSecond)
+            put("sentInFourSeconds", status.recentlySent)
+            put("confirmedMsAgo", status.confirmedBefore.inWholeMilliseconds)
+        }
+
     private companion object {
         const val TEXT = "text/plain; charset=utf-8"
         const val OK = 200
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/GatewayNode.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/GatewayNode.kt
@@ -22,9 +22,6 @@
 import org.cicadaturn.decisions.gateway.reportTimes
 import org.cicadaturn.decisions.gateway.routeTable
 import org.cicadaturn.decisions.gateway.sharedWatchTimes
-import org.cicadaturn.decisions.quarantine.lossWeights
-import org.cicadaturn.decisions.quarantine.segmentQuarantine
-import org.cicadaturn.decisions.quarantine.trialRegistry
 import org.cicadaturn.decisions.retry.WatchTimes
 import org.cicadaturn.decisions.retry.fullJitterBackoff
 import org.cicadaturn.schema.generated.CallerLimits
@@ -51,7 +48,6 @@
 import org.cicadaturn.tasks.http.HttpRuntime
 import org.cicadaturn.tasks.http.ResponseHead
 import org.cicadaturn.tasks.http.httpConnector
-import org.cicadaturn.tasks.http.isRefusedAt
 import org.cicadaturn.tasks.http.listen
 import kotlin.random.Random
 import kotlin.time.Clock
@@ -132,6 +128,8 @@
 
     // Has a pool of its own, so that a surplus answer to a caller's request is never read as the answer of a rank.
     private val rankClient = dependencies.rankClient(connector, startPool(), memory)
+    private val peerTasks = PeerTasks(scope, peer, fleet, connector, dependencies, supervisor)
+    private val limitMetrics = LimitMetrics(registry)
     private val balancer = startRequestBalancer()
     private val exchange = Exchange(connector, pool, balancer, dependencies.dialect, dependencies.clock, memory)
     private val lease = leaseOfPlacement()
@@ -140,8 +138,9 @@
     private val requestEnds =
         RequestEndLog(dependencies.journal, metrics, dependencies.dialect, dependencies.clock, shutdown, times)
     private val quarantineMetrics = QuarantineMetrics(registry)
-    private val quarantine = startSegmentQuarantine()
-    private val admin = GatewayAdmin(registry, ::isReady, { fleet.state.value }, quarantine::status)
+    private val quarantine = peerTasks.startQuarantine(quarantineMetrics)
+    private val admin =
+        GatewayAdmin(registry, ::isReady, { fleet.state.value }, quarantine::status, balancer.limits::status)
     private val handler =
         RequestHandler(
             RequestDependencies(
@@ -206,30 +205,13 @@
         val dispatcher = dispatcher(endpoints, dependencies.random::nextDouble)
         return startBalancer(
             scope,
-            BalancerDependencies(endpoints, dispatcher, fleet, askGroup, dependencies.clock),
+            BalancerDependencies(endpoints, dispatcher, fleet, askGroup, dependencies.clock, limitMetrics::held),
             supervisor,
         )
     }
 
-    private fun startSegmentQuarantine(): Quarantine =
-        startQuarantine(
-            scope,
-            QuarantineDependencies(
-                self = peer.id,
-                quarantine = segmentQuarantine(),
-                weights = lossWeights(),
-                trials = trialRegistry(peer.id),
-                fleet = fleet,
-                store = dependencies.store,
-                refusesConnections = { connector.isRefusedAt(it, CRASH_PROBE_TIMEOUT, dependencies.clock) },
-                exchange = { other, news -> exchangeNews(connector, other, news) },
-                metrics = quarantineMetrics,
-                random = dependencies.random,
-                clock = dependencies.clock,
-                wallClock = dependencies.wallClock,
-            ),
-            supervisor,
-        )
+    private fun peerService(): PeerService =
+        PeerService(fleet::ownView, ::pledge, quarantine::receive, fleet::storeReport)
 
     suspend fun start() {
         callerListener = listen(dependencies.runtime, scope, settings.listen, HEADER_BYTES) { serveCaller(it) }
@@ -240,7 +222,7 @@
                 scope,
                 settings.peerListen,
                 HEADER_BYTES,
-            ) { servePeer(it, PeerService(fleet::ownView, ::pledge, quarantine::receive, fleet::storeReport)) }
+            ) { servePeer(it, peerService()) }
         adminListener = listen(dependencies.runtime, scope, file.process.adminListen, HEADER_BYTES) { admin.serve(it) }
         startExpertBalancer(scope, fleet, lease, rankClient, dependencies.clock, supervisor)
         logger.info("gateway: {} listens on {}", file.process.id, settings.listen)
@@ -343,9 +325,6 @@
         /** Longest wait for the end of cancelled tasks, none of which waits for another process. */
         val MAX_CANCEL_TIME = 100.milliseconds
 
-        /** The host of an endpoint that has ended refuses connections within a few milliseconds. */
-        val CRASH_PROBE_TIMEOUT = 150.milliseconds
-
         const val HEADER_BYTES = 65_536
         const val OK = 200
         const val UNAVAILABLE = 503
--- /dev/null
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/PeerTasks.kt
@@ -0,0 +1,47 @@
+package org.cicadaturn.tasks.gateway
+
+import kotlinx.coroutines.CoroutineScope
+import org.cicadaturn.decisions.quarantine.lossWeights
+import org.cicadaturn.decisions.quarantine.segmentQuarantine
+import org.cicadaturn.decisions.quarantine.trialRegistry
+import org.cicadaturn.schema.generated.GatewayPeer
+import org.cicadaturn.tasks.Supervisor
+import org.cicadaturn.tasks.http.HttpConnector
+import org.cicadaturn.tasks.http.isRefusedAt
+import kotlin.time.Duration.Companion.milliseconds
+
+/** Starts the tasks of a gateway process that exchange what they know with those of its peers. */
+internal class PeerTasks(
+    private val scope: CoroutineScope,
+    private val self: GatewayPeer,
+    private val fleet: Fleet,
+    private val connector: HttpConnector,
+    private val dependencies: GatewayDependencies,
+    private val supervisor: Supervisor,
+) {
+    /** Starts the quarantine of prompt segments that crash endpoints. */
+    fun startQuarantine(metrics: QuarantineMetrics): Quarantine =
+        startQuarantine(
+            scope,
+            QuarantineDependencies(
+                self = self.id,
+                quarantine = segmentQuarantine(),
+                weights = lossWeights(),
+                trials = trialRegistry(self.id),
+                fleet = fleet,
+                store = dependencies.store,
+                refusesConnections = { connector.isRefusedAt(it, CRASH_PROBE_TIMEOUT, dependencies.clock) },
+                exchange = { other, news -> exchangeNews(connector, other, news) },
+                metrics = metrics,
+                random = dependencies.random,
+                clock = dependencies.clock,
+                wallClock = dependencies.wallClock,
+            ),
+            supervisor,
+        )
+
+    private companion object {
+        /** The host of an endpoint that has ended refuses connections within a few milliseconds. */
+        val CRASH_PROBE_TIMEOUT = 150.milliseconds
+    }
+}
