Tell other gateways which limits endpoints name

Each gateway knew only the limits in its own answers, so one that had just started, was cut off or got few answers used an endpoint without knowing its limit, or went on keeping one that had ended.

--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/GatewayNode.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/GatewayNode.kt
@@ -131,6 +131,7 @@
     private val peerTasks = PeerTasks(scope, peer, fleet, connector, dependencies, supervisor)
     private val limitMetrics = LimitMetrics(registry)
     private val balancer = startRequestBalancer()
+    private val limitExchange = peerTasks.startLimitExchange(balancer.limits, limitMetrics)
     private val exchange = Exchange(connector, pool, balancer, dependencies.dialect, dependencies.clock, memory)
     private val lease = leaseOfPlacement()
     private val shutdown = StopSequence(file.process.stopTimeout, dependencies.clock) { balancer.isIsolated.value }
@@ -211,7 +212,7 @@
     }
 
     private fun peerService(): PeerService =
-        PeerService(fleet::ownView, ::pledge, quarantine::receive, fleet::storeReport)
+        PeerService(fleet::ownView, ::pledge, quarantine::receive, limitExchange::receive, fleet::storeReport)
 
     suspend fun start() {
         callerListener = listen(dependencies.runtime, scope, settings.listen, HEADER_BYTES) { serveCaller(it) }
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/PeerRelay.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/PeerRelay.kt
@@ -12,6 +12,7 @@
 import org.cicadaturn.schema.generated.FleetView
 import org.cicadaturn.schema.generated.GatewayPeer
 import org.cicadaturn.schema.generated.Header
+import org.cicadaturn.schema.generated.LimitNews
 import org.cicadaturn.schema.generated.NetworkAddress
 import org.cicadaturn.schema.generated.PledgeAnswer
 import org.cicadaturn.schema.generated.PledgeRequest
@@ -35,12 +36,14 @@
  * @property view returns the fleet view of this process
  * @property pledge answers a request for a pledge
  * @property receiveNews takes news about crashes and returns what the peer should know
+ * @property receiveLimits takes news about limits that endpoints name and returns what the peer should know
  * @property storeReport returns the next answers of the store to this process, or null if it reports to enough peers
  */
 internal class PeerService(
     val view: suspend () -> FleetView,
     val pledge: (PledgeRequest) -> PledgeAnswer,
     val receiveNews: suspend (QuarantineNews) -> QuarantineNews,
+    val receiveLimits: suspend (LimitNews) -> LimitNews,
     val storeReport: suspend (StoreReportRequest) -> StoreReport?,
 )
 
@@ -73,6 +76,11 @@
             val news = decode(QuarantineNews.serializer(), body)
             news?.let { encode(QuarantineNews.serializer(), service.receiveNews(it)) }
         }
+        LIMITS_PATH -> {
+            val news = decode(LimitNews.serializer(), body)
+            if (news == null) logger.info("limits: a message of a peer cannot be read and is ignored")
+            news?.let { encode(LimitNews.serializer(), service.receiveLimits(it)) }
+        }
         REPORT_PATH -> {
             val request = decode(StoreReportRequest.serializer(), body)
             request?.let { service.storeReport(it) }?.let { encode(StoreReport.serializer(), it) }
@@ -100,6 +108,15 @@
     callPeer(connector, peer.address, "POST", QUARANTINE_PATH, encode(QuarantineNews.serializer(), news))
         ?.let { decode(QuarantineNews.serializer(), it) }
 
+/** Sends [news] to [peer] and returns its answer, or null if there is none. */
+internal suspend fun exchangeLimits(
+    connector: HttpConnector,
+    peer: GatewayPeer,
+    news: LimitNews,
+): LimitNews? =
+    callPeer(connector, peer.address, "POST", LIMITS_PATH, encode(LimitNews.serializer(), news))
+        ?.let { decode(LimitNews.serializer(), it) }
+
 /** Returns the body of a request, or null if it is incomplete or too long. */
 private suspend fun receiveBody(link: HttpLink): ByteArray? {
     var body = ByteArray(0)
@@ -218,6 +235,7 @@
 private const val PLEDGE_PATH = "/pledge"
 private const val REPORT_PATH = "/store-report"
 private const val QUARANTINE_PATH = "/quarantine"
+private const val LIMITS_PATH = "/limits"
 
 /**
  * Returns the type of the answer to a request for [path].
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/PeerTasks.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/PeerTasks.kt
@@ -19,6 +19,25 @@
     private val dependencies: GatewayDependencies,
     private val supervisor: Supervisor,
 ) {
+    /** Starts the exchange of the [limits] that endpoints name. */
+    fun startLimitExchange(
+        limits: EndpointLimits,
+        metrics: LimitMetrics,
+    ): LimitExchange =
+        startLimitExchange(
+            scope,
+            LimitExchangeDependencies(
+                self = self.id,
+                limits = limits,
+                fleet = fleet,
+                exchange = { other, news -> exchangeLimits(connector, other, news) },
+                metrics = metrics,
+                random = dependencies.random,
+                clock = dependencies.clock,
+            ),
+            supervisor,
+        )
+
     /** Starts the quarantine of prompt segments that crash endpoints. */
     fun startQuarantine(metrics: QuarantineMetrics): Quarantine =
         startQuarantine(
--- a/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/ForeignPeerAnswerTest.kt
+++ b/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/ForeignPeerAnswerTest.kt
@@ -10,6 +10,7 @@
 import org.cicadaturn.schema.generated.FailureDomainId
 import org.cicadaturn.schema.generated.FleetView
 import org.cicadaturn.schema.generated.GatewayPeer
+import org.cicadaturn.schema.generated.LimitNews
 import org.cicadaturn.schema.generated.NetworkAddress
 import org.cicadaturn.schema.generated.PledgeAnswer
 import org.cicadaturn.schema.generated.PledgeRequest
@@ -66,6 +67,9 @@
             PeerCall("news", "quarantine", encode(QuarantineNews.serializer(), QuarantineNews(isQuery = true))) {
                 exchangeNews(connector, it, QuarantineNews()) != null
             },
+            PeerCall("limits", "limits", encode(LimitNews.serializer(), LimitNews(isQuery = true))) {
+                exchangeLimits(connector, it, LimitNews()) != null
+            },
             PeerCall(
                 "report",
                 "store-report",
@@ -142,6 +146,7 @@
                 view = { view },
                 pledge = { PledgeAnswer(true, emptyList()) },
                 receiveNews = { it },
+                receiveLimits = { it },
                 storeReport = { StoreReport(1, Duration.ZERO) },
             )
         val believed =
--- a/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/LimitSite.kt
+++ b/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/LimitSite.kt
@@ -9,6 +9,7 @@
 import java.util.concurrent.Executors
 import java.util.concurrent.TimeUnit
 import java.util.concurrent.atomic.AtomicInteger
+import java.util.concurrent.atomic.AtomicReferenceArray
 import kotlin.random.Random
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.nanoseconds
@@ -39,7 +40,7 @@
     /** Accepts connections of gateways that cannot reach each other, and never answers. */
     private val silent = ServerSocket(0, SILENT_BACKLOG)
     private val ports = freePorts(count)
-    private val gateways = arrayOfNulls<TestGateway>(count)
+    private val gateways = AtomicReferenceArray<TestGateway?>(count)
     private val sender = Executors.newScheduledThreadPool(SENDERS) { run -> Thread(run).apply { isDaemon = true } }
     private val lastId = AtomicInteger()
     val answers = ConcurrentLinkedQueue<Answered>()
@@ -55,24 +56,18 @@
                 val port = if (other == index || canReach(index, other)) ports[other] else silent.localPort
                 GatewayPeer(ProcessId("g$other"), NetworkAddress("127.0.0.1", port), FailureDomainId("a"))
             }
-        gateways[index] =
-            TestGateway(
-                endpoints,
-                random = Random(index),
-                id = "g$index",
-                peerPort = ports[index],
-                peers = peers,
-            )
+        val random = Random(index)
+        gateways.set(
+            index,
+            TestGateway(endpoints, random = random, id = "g$index", peerPort = ports[index], peers = peers),
+        )
     }
 
     /** Ends the gateway with [index] as a kill does. */
     fun killGateway(index: Int) {
-        gateways[index]?.close()
-        gateways[index] = null
+        gateways.getAndSet(index, null)?.close()
     }
 
-    fun gateway(index: Int): TestGateway = checkNotNull(gateways[index]) { "gateway $index does not run" }
-
     /** Sends [perSecond] requests to [path] through the gateway with [index] for [time]; returns at once. */
     fun send(
         index: Int,
@@ -93,19 +88,33 @@
     ): Answered? {
         val sent = TimeSource.Monotonic.markNow()
         val bytes = request(path, "Connection: close\r\n", id = "r${lastId.incrementAndGet()}")
-        val port = gateways[index]?.port ?: return null
-        val received = runCatching { exchange(port, bytes) }.getOrNull() ?: return null
+        val gateway = gateways.get(index) ?: return null
+        val received = runCatching { exchange(gateway.port, bytes) }.getOrNull() ?: return null
+        // A kill cuts the requests in progress.
+        if (received.status == 0 && gateways.get(index) !== gateway) return null
         val retryAfter = headerIn(received.head, "Retry-After")?.toDouble()?.seconds
         return Answered(index, received.status, retryAfter, sent - start, sent.elapsedNow()).also { answers += it }
     }
 
+    /** Sends one request, and again at the time that each refusal states; returns the number of refusals. */
+    fun returnUntilServed(index: Int): Int {
+        repeat(MAX_RETURNS) { refusals ->
+            val answered = sendOne(index, "/once/x") ?: return MAX_RETURNS
+            if (answered.status == OK) return refusals
+            TimeUnit.MILLISECONDS.sleep(answered.retryAfter?.inWholeMilliseconds ?: return MAX_RETURNS)
+        }
+        return MAX_RETURNS
+    }
+
     override fun close() {
         sender.shutdownNow()
-        gateways.forEach { it?.close() }
+        ports.indices.forEach { gateways.get(it)?.close() }
         silent.close()
     }
 
     private companion object {
+        const val MAX_RETURNS = 10
+        const val OK = 200
         const val SENDERS = 32
         const val SILENT_BACKLOG = 4_096
         const val MILLIS_PER_SECOND = 1_000
--- a/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/LimitedEndpoint.kt
+++ b/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/LimitedEndpoint.kt
@@ -44,8 +44,11 @@
         return times.indices.maxOfOrNull { i -> times.drop(i).count { it - times[i] < COUNTED_TIME } } ?: 0
     }
 
-    /** Returns the number of requests that arrived after [mark]. */
-    fun receivedSince(mark: TimeSource.Monotonic.ValueTimeMark): Int = arrivals.count { it >= mark }
+    /** Returns the number of requests that arrived from [start] until before [end]. */
+    fun receivedBetween(
+        start: TimeSource.Monotonic.ValueTimeMark,
+        end: TimeSource.Monotonic.ValueTimeMark,
+    ): Int = arrivals.count { it >= start && it < end }
 
     override fun close() = endpoint.close()
 
