Answer requests that have arrived when a stop closes connections

Callers saw connections closed without an answer 3 s after the begin of a planned stop, in three ways: a connection counted as idle although a part of a request, or a whole one in the inbox of the link, had been read; a request that arrived together with the one before it was dropped with the close that the first answer announced; and after an answer that began before the stop, and so did not announce a close, the connection was closed at once, while the caller sent its next request.

A link now tells whether bytes of a request have arrived. Such a connection stays open, and an answer does not announce a close before another request. A connection whose last answer did not announce its close stays open for 0.2 s. The stop waits for open connections, not only for requests whose head was complete.

--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/CallerAnswer.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/CallerAnswer.kt
@@ -29,8 +29,9 @@
     private var closes = callerCloses
     private var status = 0
 
+    /** The connection stays open for a request that has arrived already, which would get no answer. */
     private fun closesConnection(): Boolean {
-        closes = callerCloses || isStopping()
+        closes = callerCloses || (isStopping() && !caller.hasRequest)
         return closes
     }
 
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/CallerConnection.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/CallerConnection.kt
@@ -29,16 +29,18 @@
 
     suspend fun serve() {
         // Idle connections are closed, as a new request on one could not be finished before the process ends.
-        val onDrainStart = tracker.drainStarted.invokeOnCompletion { if (isIdle) link.close() }
+        val onDrainStart = tracker.drainStarted.invokeOnCompletion { if (isIdle && !link.hasRequest) link.close() }
+        tracker.changeConnections(+1)
         try {
             serveAll()
         } finally {
+            tracker.changeConnections(-1)
             onDrainStart.dispose()
         }
     }
 
     private suspend fun serveAll() {
-        while (!tracker.drainStarted.isCompleted) {
+        while (true) {
             val part = awaitRequest() ?: return
             val head =
                 when (part) {
@@ -59,7 +61,9 @@
 
     private suspend fun awaitRequest(): HttpPart? {
         val bounds = limits()
-        return withTimeoutOrNull(bounds.idleTimeout + bounds.headerTimeout) { link.receive() }
+        val isClosing = tracker.drainStarted.isCompleted && !link.hasRequest
+        val limit = if (isClosing) LAST_REQUEST_TIME else bounds.idleTimeout + bounds.headerTimeout
+        return withTimeoutOrNull(limit) { link.receive() }
     }
 
     private suspend fun sendError(status: Int) {
@@ -165,6 +169,12 @@
         const val BAD_REQUEST = 400
         const val TOO_LARGE = 413
 
+        /**
+         * Time for which a connection stays open after an answer that began before the stop and did not announce its
+         * close, as the caller may send its next request at once.
+         */
+        val LAST_REQUEST_TIME = 200.milliseconds
+
         /** Callers abandon a request that is not read within a second. */
         val MEMORY_WAIT = 500.milliseconds
     }
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/Shutdown.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/Shutdown.kt
@@ -29,6 +29,9 @@
 
     /** Adds [change] to the number of requests in progress. */
     fun changeInProgress(change: Int)
+
+    /** Adds [change] to the number of open connections of callers. */
+    fun changeConnections(change: Int)
 }
 
 /**
@@ -48,6 +51,7 @@
     override val drainStarted = Job()
     override val lastCall = Job()
     private var inProgress = 0
+    private var connections = 0
 
     override fun asksToReconnect(): Boolean = times != null || isIsolated()
 
@@ -55,9 +59,13 @@
         inProgress += change
     }
 
+    override fun changeConnections(change: Int) {
+        connections += change
+    }
+
     /**
-     * Accepts connections until readiness checks have failed, then calls [closeListener] and waits for the requests in
-     * progress. Returns the number of requests that are still in progress at the end.
+     * Accepts connections until readiness checks have failed, then calls [closeListener] and waits for the connections
+     * that are not idle. Returns the number of requests that are still in progress at the end.
      */
     suspend fun run(closeListener: suspend () -> Unit): Int {
         logger.info("gateway: stopping with {} requests in progress", inProgress)
@@ -66,18 +74,20 @@
         times = StopTimes(start, end)
         delay(UNREADY_TIME)
         closeListener()
+        // The requests that have reached the sockets before are read meanwhile.
+        delay(STOP_POLL)
         drainStarted.complete()
-        awaitRequests(until = end)
+        awaitConnections(until = end)
         val unfinished = inProgress
         lastCall.complete()
-        awaitRequests(until = end + LAST_CALL_TIME)
+        awaitConnections(until = end + LAST_CALL_TIME)
         val cut = inProgress
         logger.info("gateway: ends with {} requests unfinished and {} cut", unfinished, cut)
         return cut
     }
 
-    private suspend fun awaitRequests(until: Instant) {
-        while (inProgress > 0 && clock.now() < until) delay(STOP_POLL)
+    private suspend fun awaitConnections(until: Instant) {
+        while (connections > 0 && clock.now() < until) delay(STOP_POLL)
     }
 
     private companion object {
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/http/HttpLink.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/http/HttpLink.kt
@@ -53,6 +53,9 @@
     /** True if a server has sent a part of a head, but not its end. */
     public val isWithinHead: Boolean
 
+    /** True if bytes of a request have arrived from a client that were not received yet. */
+    public val hasRequest: Boolean
+
     /** Returns the next part, or null if the connection has ended; a truncated message has no [HttpPart.End]. */
     public suspend fun receive(): HttpPart?
 
@@ -90,12 +93,14 @@
 /**
  * @property decoder decoder of the answers, or null if the other side is a client
  * @property encoder encoder of the answers, or null if the other side is a server
+ * @property requestDecoder decoder of the requests, or null if the other side is a server
  */
 internal class NettyLink(
     private val channel: Channel,
     private val onFatalError: FatalErrorHandler,
     private val decoder: AnswerDecoder? = null,
     private val encoder: AnswerEncoder? = null,
+    private val requestDecoder: StrictRequestDecoder? = null,
 ) : ChannelInboundHandlerAdapter(),
     HttpLink {
     // Unbounded, but filled by one read of the socket at a time, which is requested when the inbox is empty.
@@ -107,6 +112,8 @@
     override val closed: Deferred<Unit> get() = ended
     override val hasSurplus: Boolean get() = decoder?.hasSurplus == true
     override val isWithinHead: Boolean get() = decoder?.isWithinHead == true
+    override val hasRequest: Boolean
+        get() = requestDecoder != null && (pending > 0 || requestDecoder.isWithinRequest)
     override val isIdle: Boolean get() = channel.isActive && pending == 0 && !hasSurplus
 
     override suspend fun receive(): HttpPart? {
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/http/HttpListener.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/http/HttpListener.kt
@@ -1,7 +1,9 @@
 package org.cicadaturn.tasks.http
 
 import io.netty.bootstrap.ServerBootstrap
+import io.netty.buffer.ByteBuf
 import io.netty.channel.Channel
+import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInitializer
 import io.netty.channel.ChannelOption
 import io.netty.channel.socket.SocketChannel
@@ -11,6 +13,7 @@
 import io.netty.handler.codec.http.HttpRequestDecoder
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpResponseEncoder
+import io.netty.handler.codec.http.LastHttpContent
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.launch
 import org.cicadaturn.schema.generated.NetworkAddress
@@ -41,8 +44,9 @@
         object : ChannelInitializer<SocketChannel>() {
             override fun initChannel(channel: SocketChannel) {
                 val encoder = AnswerEncoder()
-                val link = NettyLink(channel, runtime.onFatalError, encoder = encoder)
-                channel.pipeline().addLast(StrictRequestDecoder(headerBytes), encoder, link)
+                val decoder = StrictRequestDecoder(headerBytes)
+                val link = NettyLink(channel, runtime.onFatalError, encoder = encoder, requestDecoder = decoder)
+                channel.pipeline().addLast(decoder, encoder, link)
                 scope.launch {
                     try {
                         serve(link)
@@ -83,7 +87,7 @@
 }
 
 /** Decoder that refuses requests with an ambiguous length, which would allow request smuggling. */
-private class StrictRequestDecoder(
+internal class StrictRequestDecoder(
     headerBytes: Int,
 ) : HttpRequestDecoder(
         HttpDecoderConfig()
@@ -92,6 +96,19 @@
             .setChunkedSupported(true)
             .setAllowDuplicateContentLengths(false),
     ) {
+    /** True if bytes of a request have arrived, but not its end. */
+    var isWithinRequest = false
+        private set
+
+    override fun decode(
+        context: ChannelHandlerContext,
+        buffer: ByteBuf,
+        out: MutableList<Any>,
+    ) {
+        super.decode(context, buffer, out)
+        isWithinRequest = out.lastOrNull() !is LastHttpContent
+    }
+
     override fun handleTransferEncodingChunkedWithContentLength(message: HttpMessage): Unit =
         throw IllegalArgumentException("both Transfer-Encoding and Content-Length; send one of them")
 }
