Let other links than those of clients leave out HttpLink.hasRequest

The member that was added for requests of clients has no meaning on a link to a server, and two links of the platform's tests did not compile without it.

--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/http/HttpLink.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/http/HttpLink.kt
@@ -54,7 +54,7 @@
     public val isWithinHead: Boolean
 
     /** True if bytes of a request have arrived from a client that were not received yet. */
-    public val hasRequest: Boolean
+    public val hasRequest: Boolean get() = false
 
     /** Returns the next part, or null if the connection has ended; a truncated message has no [HttpPart.End]. */
     public suspend fun receive(): HttpPart?
