Ignore a further SIGTERM while a process stops

A second SIGTERM ended the process at once, with all requests in progress. Platforms and scripts send it more than once, and a process that takes too long is ended with SIGKILL. A SIGINT after the first signal still ends the process at once, for an operator at a terminal.

--- a/daemons/src/main/kotlin/org/cicadaturn/daemons/Nodes.kt
+++ b/daemons/src/main/kotlin/org/cicadaturn/daemons/Nodes.kt
@@ -89,14 +89,16 @@
 
 private val logger = LogManager.getLogger("org.cicadaturn.daemons.Nodes")
 
-/** Returns a deferred that completes on the first SIGTERM or SIGINT; a second signal ends the process immediately. */
+/**
+ * Returns a deferred that completes on the first SIGTERM or SIGINT; a SIGINT after it ends the process immediately.
+ *
+ * A further SIGTERM is ignored, as platforms and scripts send it more than once and end a process that takes too long
+ * with SIGKILL.
+ */
 internal fun stopSignal(): CompletableDeferred<Unit> {
     val stop = CompletableDeferred<Unit>()
-    listOf("TERM", "INT").forEach { name ->
-        Signal.handle(Signal(name)) {
-            if (!stop.complete(Unit)) Runtime.getRuntime().halt(FAILED_RUN)
-        }
-    }
+    Signal.handle(Signal("TERM")) { stop.complete(Unit) }
+    Signal.handle(Signal("INT")) { if (!stop.complete(Unit)) Runtime.getRuntime().halt(FAILED_RUN) }
     return stop
 }
 
--- a/daemons/src/test/kotlin/org/cicadaturn/daemons/StoppedGatewayTest.kt
+++ b/daemons/src/test/kotlin/org/cicadaturn/daemons/StoppedGatewayTest.kt
@@ -93,6 +93,34 @@
         }
     }
 
+    /** Guards against a second SIGTERM, or a SIGHUP, that cuts the requests in progress of a process that is stopping. */
+    @Test
+    fun `further signals do not shorten a stop`() {
+        val process = start()
+        try {
+            awaitPort()
+            val begin = System.nanoTime()
+            process.destroy()
+            Thread.sleep(500)
+            signal(process, "HUP")
+            process.destroy()
+            assertTrue(process.waitFor(10, TimeUnit.SECONDS))
+            val seconds = (System.nanoTime() - begin) / 1e9
+            assertEquals(0, process.exitValue(), "${directory.resolve("log").readLines()}")
+            // Readiness checks need 2 s to fail, and connections that were opened before need another.
+            assertTrue(seconds >= 3, "ended after $seconds s")
+        } finally {
+            process.destroyForcibly()
+        }
+    }
+
+    private fun signal(
+        process: Process,
+        name: String,
+    ) {
+        ProcessBuilder("kill", "-$name", process.pid().toString()).start().waitFor()
+    }
+
     private companion object {
         const val MAIN_CLASS = "org.cicadaturn.daemons.MainKt"
     }
