Judge requests in a stop by the longest time once others can serve them

A repeatable request that was sent late in a planned stop was judged by 1.5 times the mean time, and was cut or answered 504 at the end of the grace if it was one of the slower ones, although another process would have served it at once. A single short time known after a start stood for all requests, and a process that knew no times refused repeatable requests that end in 0.2 s.

The mean now counts only for 2 s, in which readiness checks have not failed and a refused caller may come back to the same process. From then on the longest time counts for all requests, so that what may outlast the process is refused as not run. A third of the request's limit is counted as one time beside the known ones. Requests that reach their limit count as known times; those whose caller left no longer do.

PlannedStopTest: 4 of 4 streams that may outlast the process got 504 before, 503 now.

--- a/decisions/src/main/kotlin/org/cicadaturn/decisions/gateway/ShutdownPolicy.kt
+++ b/decisions/src/main/kotlin/org/cicadaturn/decisions/gateway/ShutdownPolicy.kt
@@ -8,22 +8,25 @@
 /**
  * Times of a planned stop of a process.
  *
+ * @property unreadyAt time from which new connections are led to other processes, as readiness checks have failed
  * @property endsAt time at which the requests in progress are ended
  */
 public data class StopTimes(
     val startedAt: Instant,
+    val unreadyAt: Instant,
     val endsAt: Instant,
 )
 
-/** Mean and longest of the times from the sending of a request to the end of its answer. */
+/** Mean and longest of [count] times from the sending of a request to the end of its answer. */
 public data class RequestTimes(
+    val count: Int,
     val mean: Duration,
     val longest: Duration,
 )
 
 /** Recent times of requests, by service. Has one owner and is not safe for concurrent use. */
 public interface RequestTimeTracker {
-    /** Records that a request to [service] was answered [time] after it was sent. */
+    /** Records that a request to [service] was answered, or reached its limit, [time] after it was sent. */
     public fun answered(
         service: ServiceId,
         time: Duration,
@@ -37,23 +40,55 @@
 /** Returns a tracker without any data. */
 public fun requestTimeTracker(): RequestTimeTracker = TwoWindowTracker()
 
+/** Which of the recent times a request is judged by. */
+public enum class TimeEstimate {
+    /** The mean, for a request that should be served unless it will probably not end. */
+    MEAN,
+
+    /** The longest, for a request that should be served only if it will almost certainly end. */
+    LONGEST,
+}
+
 /**
- * Returns true if a request that is sent now can be expected to end within [timeLeft], after which the process ends.
+ * Returns by which times a stopping process judges at [now] whether a request can still end.
  *
- * A request that [isRepeatable] is judged by the mean time, as its caller may repeat it if it is ended early, but may
- * have no attempt left after a refusal. Any other is judged by the longest time, as nobody could tell whether it ran.
+ * A request that [isRepeatable] and arrives while refused callers may come back to this process is judged by the mean,
+ * as its caller may have no attempt left after a refusal. Later, another process can serve what is refused, so all are
+ * judged by the longest time, as a request that may run once always is: nobody could tell whether it ran.
+ */
+public fun StopTimes.estimateAt(
+    now: Instant,
+    isRepeatable: Boolean,
+): TimeEstimate = if (isRepeatable && now < unreadyAt) TimeEstimate.MEAN else TimeEstimate.LONGEST
+
+/**
+ * Returns true if a request that is sent now can be expected to end within [timeLeft], after which the process ends.
  *
  * @param limit time after which the request ends in any case
- * @param recent recent times of requests to the service, or null if none are known; then [limit] counts
+ * @param recent recent times of requests to the service, or null if none are known
  */
 public fun canEndBefore(
     timeLeft: Duration,
     limit: Duration,
     recent: RequestTimes?,
-    isRepeatable: Boolean,
-): Boolean {
-    val expected = if (isRepeatable) recent?.mean else recent?.longest
-    return minOf(limit, expected?.times(TIME_MARGIN) ?: limit) <= timeLeft
+    estimate: TimeEstimate,
+): Boolean = expectedTime(limit, recent, estimate) <= timeLeft
+
+/**
+ * Returns the expected time of a request that ends after [limit] in any case.
+ *
+ * A share of the limit is counted as one time beside the known ones, so that the first short times after a start do not
+ * stand for all requests. If no time is known, the longest is the limit.
+ */
+private fun expectedTime(
+    limit: Duration,
+    recent: RequestTimes?,
+    estimate: TimeEstimate,
+): Duration {
+    val assumed = limit * ASSUMED_SHARE
+    if (recent == null) return if (estimate == TimeEstimate.MEAN) assumed else limit
+    val known = if (estimate == TimeEstimate.MEAN) recent.mean else recent.longest
+    return minOf(limit, (known * TIME_MARGIN * recent.count + assumed) / (recent.count + 1))
 }
 
 private class TwoWindowTracker : RequestTimeTracker {
@@ -83,7 +118,7 @@
         advance(now)
         val both = HashMap(latest)
         earlier.forEach { (service, window) -> both.merge(service, window, Window::plus) }
-        return both.mapValues { (_, window) -> RequestTimes(window.sum / window.count, window.longest) }
+        return both.mapValues { (_, window) -> RequestTimes(window.count, window.sum / window.count, window.longest) }
     }
 
     private fun advance(now: Instant) {
@@ -98,5 +133,8 @@
     }
 }
 
+/** Limits are set to several times what requests usually take. */
+private const val ASSUMED_SHARE = 1.0 / 3
+
 /** The slowest of the recent requests need not be the slowest possible one. */
 private const val TIME_MARGIN = 1.5
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/RequestExecution.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/RequestExecution.kt
@@ -14,7 +14,10 @@
 import org.cicadaturn.decisions.gateway.EndpointUse
 import org.cicadaturn.decisions.gateway.NextStep
 import org.cicadaturn.decisions.gateway.RequestTimes
+import org.cicadaturn.decisions.gateway.StopTimes
+import org.cicadaturn.decisions.gateway.TimeEstimate
 import org.cicadaturn.decisions.gateway.canEndBefore
+import org.cicadaturn.decisions.gateway.estimateAt
 import org.cicadaturn.decisions.gateway.finalStep
 import org.cicadaturn.decisions.gateway.maxHoldTime
 import org.cicadaturn.decisions.gateway.nextStep
@@ -100,6 +103,7 @@
 
     /** Ends the request, whose time is over or whose process ends. */
     private suspend fun expire(): RequestEnd {
+        recordTime()
         val cause = if (dependencies.shutdown.lastCall.isCompleted) "the process ends" else "deadline passed"
         return when {
             answer.isBegun -> answer.cut("$cause within the answer")
@@ -112,13 +116,20 @@
      * Returns false if the process is stopping and would probably end within the request. An answer that has begun goes
      * on in any case, as only a cut could end it.
      */
-    private fun canEndBeforeShutdown(): Boolean = answer.isBegun || canAttemptEnd(isRepeatable)
-
-    private fun canAttemptEnd(isRepeatable: Boolean): Boolean {
-        val end = dependencies.shutdown.times?.endsAt ?: return true
-        return canEndBefore(end - clock.now(), remaining(), recentTimes(), isRepeatable)
+    private fun canEndBeforeShutdown(): Boolean {
+        val stop = dependencies.shutdown.times ?: return true
+        return answer.isBegun || canAttemptEnd(stop, stop.estimateAt(clock.now(), isRepeatable))
     }
 
+    /** Judged by the longest time, as an endpoint that is silent may still answer earlier. */
+    private fun canRepeatInTime(): Boolean =
+        dependencies.shutdown.times?.let { canAttemptEnd(it, TimeEstimate.LONGEST) } ?: true
+
+    private fun canAttemptEnd(
+        stop: StopTimes,
+        estimate: TimeEstimate,
+    ): Boolean = canEndBefore(stop.endsAt - clock.now(), remaining(), recentTimes(), estimate)
+
     private fun recentTimes(): RequestTimes? = dependencies.times.recent.value[service]
 
     private suspend fun refuseForShutdown(last: AttemptEnd): RequestEnd {
@@ -160,8 +171,14 @@
     }
 
     private fun answered(summary: AnswerSummary?): RequestEnd {
+        val end = answer.result().copy(summary = summary)
+        // A caller that left tells nothing about the time of a whole answer.
+        if (end.outcome == RequestOutcome.ANSWERED) recordTime()
+        return end
+    }
+
+    private fun recordTime() {
         progress.placedAt?.let { dependencies.times.answered(service, clock.now() - it) }
-        return answer.result().copy(summary = summary)
     }
 
     /** Ends the request without sending it, or sending it again, because of [verdict]. */
@@ -262,8 +279,7 @@
                 endpoint,
                 remaining(),
                 canTryAnother = triedEndpoints.size < route.attempts,
-                // Judged by the longest time, as the endpoint that is silent may answer earlier.
-                canRepeatInTime = { canAttemptEnd(isRepeatable = false) },
+                canRepeatInTime = ::canRepeatInTime,
                 onConnected = { progress.earlierRequests = it },
                 onProgress = { recordProgress(observation, it) },
             )
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/RequestTimeRecord.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/RequestTimeRecord.kt
@@ -16,7 +16,7 @@
     /** Recent times by service. */
     val recent: StateFlow<Map<ServiceId, RequestTimes>>
 
-    /** Records that a request to [service] was answered [time] after it was sent. */
+    /** Records that a request to [service] was answered, or reached its limit, [time] after it was sent. */
     fun answered(
         service: ServiceId,
         time: Duration,
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/Shutdown.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/Shutdown.kt
@@ -71,7 +71,7 @@
         logger.info("gateway: stopping with {} requests in progress", inProgress)
         val start = clock.now()
         val end = start + stopTimeout - STOP_RESERVE
-        times = StopTimes(start, end)
+        times = StopTimes(start, unreadyAt = start + READINESS_DELAY, endsAt = end)
         delay(UNREADY_TIME)
         closeListener()
         // The requests that have reached the sockets before are read meanwhile.
@@ -93,11 +93,14 @@
     private companion object {
         val logger = LogManager.getLogger(StopSequence::class.java)
 
+        /** Time until readiness checks have failed: two of them, a second apart. */
+        val READINESS_DELAY = 2.seconds
+
         /**
-         * Time for which connections are accepted after readiness is withdrawn: new connections arrive until two checks
-         * a second apart have failed, and one second is left for connections that were opened just before.
+         * Time for which connections are accepted after readiness is withdrawn; one second is left for connections that
+         * were opened just before the checks failed.
          */
-        val UNREADY_TIME = 3.seconds
+        val UNREADY_TIME = READINESS_DELAY + 1.seconds
         val STOP_POLL = 20.milliseconds
 
         /** Time before the stop timeout at which requests are ended, as the platform kills the process at the timeout. */
--- a/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/PlannedStopTest.kt
+++ b/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/PlannedStopTest.kt
@@ -90,7 +90,7 @@
     @Test
     fun `a repeatable request whose endpoint is silent late in a stop waits for its answer`() {
         val slow: (RawRequest, OutputStream) -> Boolean = { r, out ->
-            CountDownLatch(1).await(1_500, TimeUnit.MILLISECONDS)
+            CountDownLatch(1).await(2, TimeUnit.SECONDS)
             answerOk(r, out)
         }
         ScriptedEndpoint(slow).use { first ->
@@ -100,7 +100,7 @@
                         val earlier = List(4) { async { exchange(gateway.port, request("/safe/x", id = "a$it")) } }
                         assertEquals(List(4) { 200 }, earlier.awaitAll().map { it.status })
                         val stop = async { gateway.stop() }
-                        delay(1_900.milliseconds)
+                        delay(1_400.milliseconds)
                         val answers = List(4) { async { exchange(gateway.port, request("/safe/x", id = "c$it")) } }
                         assertEquals(List(4) { 200 }, answers.awaitAll().map { it.status })
                         stop.await()
@@ -109,4 +109,47 @@
             }
         }
     }
+
+    /** Guards against a slow repeatable request that is sent late in a stop and gets no answer of its endpoint. */
+    @Test
+    fun `a repeatable request that may outlast the process is refused as not run`() {
+        val oftenFast: (RawRequest, OutputStream) -> Boolean = { r, out ->
+            if (r.id == "slow") CountDownLatch(1).await(1_500, TimeUnit.MILLISECONDS)
+            if (r.id?.startsWith("slower") == true) CountDownLatch(1).await(2_500, TimeUnit.MILLISECONDS)
+            out.text(streamAnswer(r, "s", event(1)))
+        }
+        ScriptedEndpoint(oftenFast).use { endpoint ->
+            TestGateway(listOf(endpoint), stopTimeout, retrySlack = 10_000.0).use { gateway ->
+                runBlocking(Dispatchers.IO) {
+                    val earlier = listOf("slow") + List(20) { "a$it" }
+                    assertTrue(earlier.all { exchange(gateway.port, request("/long-stream/x", id = it)).isComplete })
+                    val stop = async { gateway.stop() }
+                    delay(2_300.milliseconds)
+                    val answers =
+                        List(
+                            4,
+                        ) { async { exchange(gateway.port, request("/long-stream/x", id = "slower$it")) } }.awaitAll()
+                    assertEquals(List(4) { 503 }, answers.map { it.status })
+                    assertTrue(answers.all { "Retry-After" in it.head && "close" in it.head })
+                    stop.await()
+                }
+            }
+        }
+    }
+
+    /** Guards against a process that refuses short requests in a stop because it has just started. */
+    @Test
+    fun `a process that knows a few short times serves short requests in a stop`() {
+        ScriptedEndpoint(::answerOk).use { endpoint ->
+            TestGateway(listOf(endpoint), stopTimeout).use { gateway ->
+                runBlocking(Dispatchers.IO) {
+                    repeat(10) { exchange(gateway.port, request("/patient/x", id = "a$it")) }
+                    val stop = async { gateway.stop() }
+                    delay(2_500.milliseconds)
+                    assertEquals(200, exchange(gateway.port, request("/patient/x", id = "b")).status)
+                    stop.await()
+                }
+            }
+        }
+    }
 }
