Name the right source of a limit in the log

A refresh forgot who had reported a change that was not logged yet, so that its line named an answer to this process as the source.

--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/Balancer.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/Balancer.kt
@@ -10,6 +10,7 @@
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.selects.onTimeout
 import kotlinx.coroutines.selects.select
+import org.apache.logging.log4j.LogManager
 import org.cicadaturn.decisions.dispatch.DispatchDecision
 import org.cicadaturn.decisions.dispatch.DispatchRequest
 import org.cicadaturn.decisions.dispatch.DispatchTicket
@@ -155,7 +156,7 @@
     private val isolation = MutableStateFlow(false)
     override val isIsolated: StateFlow<Boolean> = isolation
     override val limits = BalancerLimits(::send)
-    private val unreadable = UnreadableLimits(clock)
+    private val unreadable = UnreadableLimits()
     private var lastTicket = 0L
 
     @OptIn(ExperimentalCoroutinesApi::class)
@@ -227,8 +228,11 @@
     }
 
     private fun recordLimit(message: BalancerMessage.LimitNamed) {
-        if (message.limit is NamedLimit.Unreadable) unreadable.received(message.endpoint, message.limit)
-        balancer.limitNamed(message.endpoint, message.limit, clock.now(), message.sentAt)
+        val now = clock.now()
+        if (message.limit is NamedLimit.Unreadable) {
+            unreadable.textOf(message.endpoint, message.limit, now)?.let { logger.warn("limits: {}", it) }
+        }
+        balancer.limitNamed(message.endpoint, message.limit, now, message.sentAt)
     }
 
     private fun cancel(ticket: DispatchTicket) {
@@ -341,6 +345,8 @@
     }
 
     private companion object {
+        val logger = LogManager.getLogger(Balancer::class.java)
+
         /** Delay stated to a caller whose request met a defect. */
         val DEFECT_RETRY_DELAY = 500.milliseconds
     }
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/LimitExchange.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/LimitExchange.kt
@@ -15,6 +15,7 @@
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.selects.onTimeout
 import kotlinx.coroutines.selects.select
+import org.apache.logging.log4j.LogManager
 import org.cicadaturn.schema.generated.EndpointId
 import org.cicadaturn.schema.generated.EndpointLimitReport
 import org.cicadaturn.schema.generated.GatewayPeer
@@ -153,7 +154,7 @@
         lastSentAt = now
         if (refreshAt == null) refreshAt = now + REFRESH_INTERVAL
         val changes = limits.takeNews()
-        log.changed(changes) { change -> sourceOf(change) }
+        log.textsOf(changes, ::sourceOf).forEach { logger.info("limits: {}", it) }
         reported.clear()
         send(changes, chosenPeers(PEERS_PER_CHANGE))
         metrics.limits(limits.status())
@@ -176,7 +177,7 @@
             dependencies.fleet.state.value.view.endpoints
                 .mapTo(HashSet()) { it.id },
         )
-        reported.clear()
+        if (sendAt == null) reported.clear()
         refreshAt = if (known.isEmpty()) null else now + REFRESH_INTERVAL
         send(known.shuffled(dependencies.random).take(REPORTS_PER_MESSAGE), chosenPeers(1))
         metrics.limits(limits.status())
@@ -229,6 +230,7 @@
     )
 
     private companion object {
+        val logger = LogManager.getLogger(LimitExchangeTask::class.java)
         const val TASK = "limits"
 
         /** Shortest time between two messages about changes; it bounds the messages if the limits change all the time. */
