Bench how gateways keep to limits that endpoints name

bin/cicadaturn bench endpoint-limits runs the decisions against endpoints and callers in virtual time, beside gateways that ignore limits, that keep the whole limit each, and one process that places everything. It prints requests in the worst 4 s, the used share, refusals, what becomes of callers that return, and the messages of news and of leases at 350 gateways and 3,800 endpoints.

--- a/daemons/src/main/kotlin/org/cicadaturn/daemons/Benches.kt
+++ b/daemons/src/main/kotlin/org/cicadaturn/daemons/Benches.kt
@@ -11,6 +11,8 @@
 import org.cicadaturn.bench.confirmations.confirmationsBench
 import org.cicadaturn.bench.confirmations.isClean
 import org.cicadaturn.bench.confirmations.toText
+import org.cicadaturn.bench.endpointlimits.endpointLimitsBench
+import org.cicadaturn.bench.endpointlimits.renderEndpointLimits
 import org.cicadaturn.bench.limits.limitsBench
 import org.cicadaturn.bench.limits.limitsBenchText
 import org.cicadaturn.bench.overload.overloadBench
@@ -31,6 +33,8 @@
 import org.cicadaturn.schema.generated.CapacityResult
 import org.cicadaturn.schema.generated.ConfirmationsBenchOptions
 import org.cicadaturn.schema.generated.ConfirmationsBenchResult
+import org.cicadaturn.schema.generated.EndpointLimitsBenchOptions
+import org.cicadaturn.schema.generated.EndpointLimitsBenchResult
 import org.cicadaturn.schema.generated.LimitsBenchOptions
 import org.cicadaturn.schema.generated.LimitsBenchResult
 import org.cicadaturn.schema.generated.OverloadBenchOptions
@@ -80,6 +84,14 @@
             val result = overloadBench(decodeOptions(it, OverloadBenchOptions.serializer()))
             printResult(it, result, OverloadBenchResult.serializer(), ::renderOverload)
         },
+        Bench(
+            "endpoint-limits",
+            "Compares how gateways keep to the limits that endpoints name.",
+            endpointLimitsOptions,
+        ) {
+            val result = endpointLimitsBench(decodeOptions(it, EndpointLimitsBenchOptions.serializer()))
+            printResult(it, result, EndpointLimitsBenchResult.serializer(), ::renderEndpointLimits)
+        },
     )
 
 /** Returns the options of a benchmark, including the seed from the command line. */
@@ -123,6 +135,22 @@
         ),
     )
 
+private val endpointLimitsOptions =
+    listOf(
+        integerOption("gateways", "Number of gateways.", default = 4, range = 1..1_000),
+        integerOption("endpoints", "Endpoints.", default = 5, range = 1..1_000),
+        integerOption("limited", "Endpoints that name a limit.", default = 3, range = 1..1_000),
+        integerOption("limit-per-minute", "Requests per minute that they name.", default = 390, range = 0..1_000_000),
+        integerOption("load", "Requests of callers per second.", default = 390, range = 1..100_000),
+        integerOption(
+            "busy-percent",
+            "Percentage of the load at one gateway in the runs with uneven load.",
+            default = 70,
+            range = 0..100,
+        ),
+        integerOption("seconds", "Virtual duration of a run, in seconds.", default = 60, range = 30..3_600),
+    )
+
 private val limitsOptions =
     listOf(
         integerOption("nodes", "Number of entry processes.", default = 20, range = 1..1_000),
