Try messages again whose loss leaves a task with an outdated state

Cause: Supervisor rejects a message that a task cannot handle, and nothing sent it again.

The newest state is now applied again with pauses from 50 ms to 5 s until it is taken over (`applyLatest`). An update of the balancer that fails is applied without the entries of the endpoints with which it fails; these are found by halves of the changed entries, at most 8 of them, and get no requests. That does not help where the cause is no changed entry; then only the retry remains.

The messages, by task. Balancer: `Updated` matters; the end of a request is counted first, a ticket that is not cancelled is placed or rejected, reports come again. Connections: `Retain` matters, and `Surplus`, whose connections are now closed before the count that may fail; the connections behind one whose closing fails are closed too. Quarantine: `Listed` matters, the question to the peers, which ended for good, and the start and end of a trial, after which no other one could be claimed; the others lose evidence that the next crashes and answers replace. Fleet: none, as a part that was not applied is listed again, failures and views of peers come again, and without a report a part is watched alone. Lease: it has no messages. Experts: a group that fails is discovered again after 5 s while another group is balanced; if none is, the lease is given up as before. A failure in the search for groups still concerns all of them.

--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/experts/ExpertBalancer.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/experts/ExpertBalancer.kt
@@ -26,6 +26,7 @@
 import org.cicadaturn.tasks.gateway.Fleet
 import kotlin.time.Clock
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 import kotlin.time.Instant
 
 /**
@@ -33,6 +34,7 @@
  *
  * The lease is renewed only as long as the groups are balanced, as a group may be held. After a failure of either, the
  * lease is given up: this process acts again only with a higher token, for which the ranks refuse its earlier orders.
+ * While other groups are balanced, a group that fails is discovered again after a pause.
  */
 public fun startExpertBalancer(
     scope: CoroutineScope,
@@ -42,12 +44,14 @@
     clock: Clock,
     supervisor: Supervisor = Supervisor(clock),
 ) {
-    supervisor.start(scope, "experts", beforeRestart = lease::forfeit) {
+    supervisor.start(scope, EXPERTS_TASK, beforeRestart = lease::forfeit) {
         launch { lease.keep() }
-        ExpertBalancer(fleet, lease, client, clock).run()
+        ExpertBalancer(fleet, lease, client, clock, supervisor).run()
     }
 }
 
+private const val EXPERTS_TASK = "experts"
+
 /** Group of ranks in one epoch. */
 internal class Group(
     val name: String,
@@ -76,6 +80,7 @@
     private val lease: Lease,
     private val client: RankClient,
     private val clock: Clock,
+    private val supervisor: Supervisor,
 ) {
     private class GroupTask(
         val group: String,
@@ -85,6 +90,9 @@
     )
 
     private val groupTasks = mutableListOf<GroupTask>()
+
+    /** Groups whose balancing has failed and pauses. */
+    private val failedGroups = HashSet<String>()
     private val versions = mapVersions()
 
     /** Last known demand by group; it outlasts the epochs of a group, whose map does not. */
@@ -157,7 +165,12 @@
             if (!isComplete(members.map { it.value })) continue
             val first = members.first().value
             val ids = members.map { it.key.id }.toSet()
-            val job = scope.launch { balance(service, profile, members.associate { it.toPair() }) }
+            val job =
+                scope.launch {
+                    isolate(
+                        first.group,
+                    ) { balance(service, profile, members.associate { it.toPair() }) }
+                }
             groupTasks += GroupTask(first.group, first.state.epoch, ids, job)
         }
     }
@@ -170,6 +183,19 @@
         return epochs.size == 1 && ranks == (0 until size).toSet() && reports.size == size && reports.all { it.isOpen }
     }
 
+    /** Runs [balance] for [group] and pauses after a failure, which ends the other tasks only if all groups fail. */
+    private suspend fun isolate(
+        group: String,
+        balance: suspend () -> Unit,
+    ) {
+        supervisor.attempt(EXPERTS_TASK, "group $group") { balance() }?.let { return }
+        failedGroups += group
+        check(groupTasks.any { it.job.isActive && it.group !in failedGroups }) { "no group can be balanced" }
+        // The endpoints are not discovered again while this coroutine is active.
+        delay(GROUP_PAUSE)
+        failedGroups -= group
+    }
+
     /** Balances a group until the lease is lost or the group has to be discovered again. */
     private suspend fun balance(
         service: ServiceId,
@@ -232,6 +258,9 @@
     private companion object {
         val logger = LogManager.getLogger(ExpertBalancer::class.java)
 
+        /** Bounds the calls and log lines of a group whose data is the cause of a failure each time. */
+        val GROUP_PAUSE = 5.seconds
+
         /** Time between checks of the lease and for new groups; one endpoint is asked each time. */
         val DISCOVERY_INTERVAL = 100.milliseconds
 
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/Balancer.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/Balancer.kt
@@ -21,15 +21,20 @@
 import org.cicadaturn.decisions.gateway.FleetState
 import org.cicadaturn.decisions.gateway.LoadSample
 import org.cicadaturn.decisions.gateway.Unavailability
+import org.cicadaturn.decisions.gateway.applyView
 import org.cicadaturn.decisions.ratelimit.NamedLimit
 import org.cicadaturn.schema.generated.EndpointId
+import org.cicadaturn.schema.generated.FleetView
 import org.cicadaturn.schema.generated.LiveEndpoint
 import org.cicadaturn.schema.generated.ServiceId
 import org.cicadaturn.tasks.Supervisor
+import org.cicadaturn.tasks.applyLatest
 import org.cicadaturn.tasks.completedValueOrNull
+import org.cicadaturn.tasks.sendAndAwait
 import kotlin.time.Clock
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Instant
 
 /** Answer of the [Balancer] to a request for an endpoint. */
 public sealed interface Placement {
@@ -128,7 +133,11 @@
 ): Balancer {
     val task = BalancerTask(scope, dependencies, supervisor)
     supervisor.start(scope, BALANCER_TASK, isVital = true) {
-        launch { dependencies.fleet.state.collect { task.send(BalancerMessage.Updated(it)) } }
+        launch {
+            dependencies.fleet.state.applyLatest { state ->
+                sendAndAwait { task.send(BalancerMessage.Updated(state, it)) }
+            }
+        }
         task.processMessages()
     }
     return task
@@ -159,6 +168,9 @@
     private val unreadable = UnreadableLimits()
     private var lastTicket = 0L
 
+    /** View of the fleet that the endpoint balancer has. */
+    private var view = FleetView()
+
     @OptIn(ExperimentalCoroutinesApi::class)
     suspend fun processMessages() {
         while (true) {
@@ -191,9 +203,15 @@
         supervisor.attempt(BALANCER_TASK, message) { handle(message) } ?: reject(message)
     }
 
-    /** Answers a message that could not be handled. */
+    /**
+     * Answers a message that could not be handled.
+     *
+     * The loss of the others ends by itself: the end of a request is counted first when it is handled, the dispatcher
+     * places or rejects a request that was not cancelled, and reports come again.
+     */
     private fun reject(message: BalancerMessage) {
         when (message) {
+            is BalancerMessage.Updated -> message.isApplied.complete(false)
             is BalancerMessage.Place -> {
                 message.reply.complete(Placement.Rejected(Unavailability.DEFECT, DEFECT_RETRY_DELAY))
                 // The request may already wait, and would be counted in flight without being sent.
@@ -208,7 +226,7 @@
     private fun handle(message: BalancerMessage) {
         val now = clock.now()
         when (message) {
-            is BalancerMessage.Updated -> balancer.update(message.state.view, now)
+            is BalancerMessage.Updated -> update(message, now)
             is BalancerMessage.Arrived -> balancer.arrived(message.service, now)
             is BalancerMessage.Place -> place(message)
             is BalancerMessage.Cancelled -> cancel(message.ticket)
@@ -235,6 +253,16 @@
         balancer.limitNamed(message.endpoint, message.limit, now, message.sentAt)
     }
 
+    private fun update(
+        message: BalancerMessage.Updated,
+        now: Instant,
+    ) {
+        val outcome = applyView(view, message.state.view) { balancer.update(it, now) }
+        view = outcome.view
+        outcome.failure?.let { throw IllegalStateException("endpoints left out: ${outcome.leftOut}", it) }
+        message.isApplied.complete(true)
+    }
+
     private fun cancel(ticket: DispatchTicket) {
         dispatcher.cancel(ticket)
         waiting.remove(ticket)
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/BalancerMessage.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/BalancerMessage.kt
@@ -18,6 +18,7 @@
 internal sealed interface BalancerMessage {
     class Updated(
         val state: FleetState,
+        val isApplied: CompletableDeferred<Boolean>,
     ) : BalancerMessage
 
     class Arrived(
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/ConnectionPool.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/ConnectionPool.kt
@@ -8,8 +8,10 @@
 import org.apache.logging.log4j.LogManager
 import org.cicadaturn.schema.generated.EndpointId
 import org.cicadaturn.tasks.Supervisor
+import org.cicadaturn.tasks.applyLatest
 import org.cicadaturn.tasks.completedValueOrNull
 import org.cicadaturn.tasks.http.HttpLink
+import org.cicadaturn.tasks.sendAndAwait
 import kotlin.time.Clock
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
@@ -71,7 +73,12 @@
 ): ConnectionPool {
     val task = PoolTask(clock, maxIdlePerEndpoint, supervisor, onSurplus)
     supervisor.start(scope, POOL_TASK, isVital = true) {
-        launch { fleet.state.collect { state -> task.retain(state.view.endpoints.mapTo(HashSet()) { it.id }) } }
+        launch {
+            fleet.state.applyLatest { state ->
+                val listed = state.view.endpoints.mapTo(HashSet()) { it.id }
+                sendAndAwait { task.retain(listed, it) }
+            }
+        }
         task.processMessages()
     }
     return task
@@ -97,6 +104,7 @@
 
     class Retain(
         val endpoints: Set<EndpointId>,
+        val isApplied: CompletableDeferred<Boolean>,
     ) : PoolMessage
 }
 
@@ -130,7 +138,10 @@
             is PoolMessage.Take -> take(message)
             is PoolMessage.Put -> put(message)
             is PoolMessage.Surplus -> stopReuse(message.endpoint)
-            is PoolMessage.Retain -> closeOthers(message.endpoints)
+            is PoolMessage.Retain -> {
+                closeOthers(message.endpoints)
+                message.isApplied.complete(true)
+            }
         }
     }
 
@@ -139,12 +150,17 @@
         when (message) {
             is PoolMessage.Take -> message.reply.complete(null)
             is PoolMessage.Put -> message.connection.link.close()
-            is PoolMessage.Surplus, is PoolMessage.Retain -> Unit
+            // The connections are closed before anything that may fail.
+            is PoolMessage.Surplus -> Unit
+            is PoolMessage.Retain -> message.isApplied.complete(false)
         }
     }
 
-    fun retain(endpoints: Set<EndpointId>) {
-        messages.trySend(PoolMessage.Retain(endpoints))
+    fun retain(
+        endpoints: Set<EndpointId>,
+        isApplied: CompletableDeferred<Boolean>,
+    ) {
+        messages.trySend(PoolMessage.Retain(endpoints, isApplied))
     }
 
     /** Replies with the connection that was used last, so that the others can time out. */
@@ -194,17 +210,25 @@
         if (until == null || until <= now) {
             logger.warn("connections: {} sent bytes that belong to no request; each serves one request", endpoint.text)
         }
-        onSurplus(endpoint)
         closeAll(endpoint)
+        onSurplus(endpoint)
     }
 
     private fun closeOthers(endpoints: Set<EndpointId>) {
-        idle.keys.filter { it !in endpoints }.forEach(::closeAll)
         notReusedUntil.keys.retainAll(endpoints)
+        idle.keys.filter { it !in endpoints }.forEach(::closeAll)
     }
 
+    /** Closes the connections to [endpoint]; those after one whose closing fails stay in the pool, to be closed later. */
     private fun closeAll(endpoint: EndpointId) {
-        idle.remove(endpoint)?.forEach { it.connection.link.close() }
+        val list = idle[endpoint] ?: return
+        while (list.isNotEmpty()) {
+            list
+                .removeFirst()
+                .connection.link
+                .close()
+        }
+        idle.remove(endpoint)
     }
 
     override suspend fun take(
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/QuarantineMessage.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/QuarantineMessage.kt
@@ -69,6 +69,7 @@
 
     class Listed(
         val entries: List<QuarantinedSegment>,
+        val isApplied: CompletableDeferred<Boolean>,
     ) : QuarantineMessage
 
     /** The delay before a write to the store is over. */
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/QuarantinePeers.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/QuarantinePeers.kt
@@ -4,9 +4,14 @@
 import kotlinx.coroutines.awaitAll
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.flow.distinctUntilChanged
+import kotlinx.coroutines.flow.filter
+import kotlinx.coroutines.flow.map
 import kotlinx.coroutines.withTimeoutOrNull
 import org.cicadaturn.schema.generated.GatewayPeer
 import org.cicadaturn.schema.generated.QuarantineNews
+import org.cicadaturn.tasks.Supervisor
+import org.cicadaturn.tasks.applyLatest
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -30,6 +35,26 @@
             .filterNotNull()
     }
 
+/** Name of the task in the log and the metrics. */
+internal const val QUARANTINE_TASK = "quarantine"
+
+/**
+ * Calls [onAnswer] with what the other processes know, at the start and after each time that this process was cut off.
+ */
+internal suspend fun QuarantineDependencies.askPeers(
+    supervisor: Supervisor,
+    onAnswer: (QuarantineNews) -> Unit,
+) {
+    fleet.state
+        .filter { it.isKnown }
+        .map { it.isConfigurationCurrent }
+        .distinctUntilChanged()
+        .applyLatest {
+            supervisor.attempt(QUARANTINE_TASK, "what the peers know") { askAny()?.let(onAnswer) ?: Unit } !=
+                null
+        }
+}
+
 /** Returns what another process knows about crashes, or null if none answers. */
 internal suspend fun QuarantineDependencies.askAny(): QuarantineNews? {
     repeat(QUERY_ROUNDS) {
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/QuarantineTask.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/QuarantineTask.kt
@@ -8,9 +8,7 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.flow.MutableStateFlow
 import kotlinx.coroutines.flow.StateFlow
-import kotlinx.coroutines.flow.collectLatest
 import kotlinx.coroutines.flow.distinctUntilChanged
-import kotlinx.coroutines.flow.filter
 import kotlinx.coroutines.flow.first
 import kotlinx.coroutines.flow.map
 import kotlinx.coroutines.launch
@@ -32,6 +30,8 @@
 import org.cicadaturn.schema.generated.SegmentTrial
 import org.cicadaturn.schema.generated.ServiceId
 import org.cicadaturn.tasks.Supervisor
+import org.cicadaturn.tasks.applyLatest
+import org.cicadaturn.tasks.sendAndAwait
 import org.cicadaturn.tasks.store.StoreError
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -73,30 +73,20 @@
     private var isStoring = false
 
     fun start() {
-        supervisor.start(scope, TASK) {
-            launch { supervisor.attempt(TASK, "what the peers know") { askPeers() } }
+        supervisor.start(scope, QUARANTINE_TASK) {
+            launch {
+                dependencies.askPeers(supervisor) { send(QuarantineMessage.PeersAnswered(listOf(it), report = null)) }
+            }
             launch {
                 dependencies.fleet.state
                     .map { it.view.quarantine }
                     .distinctUntilChanged()
-                    .collect { send(QuarantineMessage.Listed(it)) }
+                    .applyLatest { entries -> sendAndAwait { send(QuarantineMessage.Listed(entries, it)) } }
             }
             processMessages()
         }
     }
 
-    /** Learns what the other processes know, at the start and after each time that this process was cut off. */
-    private suspend fun askPeers() {
-        dependencies.fleet.state
-            .filter { it.isKnown }
-            .map { it.isConfigurationCurrent }
-            .distinctUntilChanged()
-            .collectLatest {
-                val answer = dependencies.askAny() ?: return@collectLatest
-                send(QuarantineMessage.PeersAnswered(listOf(answer), report = null))
-            }
-    }
-
     private fun send(message: QuarantineMessage) {
         messages.trySend(message)
     }
@@ -113,15 +103,29 @@
     }
 
     private fun receive(message: QuarantineMessage) {
-        supervisor.attempt(TASK, message) { handle(message) } ?: reject(message)
+        supervisor.attempt(QUARANTINE_TASK, message) { handle(message) } ?: reject(message)
     }
 
-    /** Answers a message that could not be handled, so that no request waits for it; a trial is not permitted. */
+    /**
+     * Answers a message that could not be handled, so that no request waits for it; a trial is not permitted.
+     *
+     * A trial that does not end would prevent all later ones of its service. What is lost with the others is evidence
+     * about prompts, which the next crashes and answers replace.
+     */
     private fun reject(message: QuarantineMessage) {
         when (message) {
             is QuarantineMessage.Lost -> message.reply.complete(Unit)
             is QuarantineMessage.Claim -> message.reply.complete(false)
-            is QuarantineMessage.ClaimAnswered -> message.reply.complete(false)
+            is QuarantineMessage.ClaimAnswered -> {
+                message.reply.complete(false)
+                endTrial(message.service)
+            }
+            is QuarantineMessage.EndTrial ->
+                scope.launch {
+                    delay(END_RETRY_DELAY)
+                    send(message)
+                }
+            is QuarantineMessage.Listed -> message.isApplied.complete(false)
             is QuarantineMessage.Received -> message.reply.complete(QuarantineNews())
             is QuarantineMessage.GetStatus -> message.reply.complete(emptyList())
             QuarantineMessage.UpdateStore -> isStoring = false
@@ -134,7 +138,7 @@
         fallback: QuarantineMessage,
         call: suspend () -> QuarantineMessage,
     ) {
-        scope.launch { send(supervisor.attempt(TASK, fallback) { call() } ?: fallback) }
+        scope.launch { send(supervisor.attempt(QUARANTINE_TASK, fallback) { call() } ?: fallback) }
     }
 
     private fun handle(message: QuarantineMessage) {
@@ -153,6 +157,7 @@
             is QuarantineMessage.Listed -> {
                 quarantine.listed(message.entries, now, dependencies.wallClock.now())
                 publish()
+                message.isApplied.complete(true)
             }
             QuarantineMessage.UpdateStore -> updateStore()
             QuarantineMessage.StoreUpdated -> isStoring = false
@@ -367,7 +372,6 @@
 
     private companion object {
         val logger = LogManager.getLogger(QuarantineTask::class.java)
-        const val TASK = "quarantine"
 
         /** The connections of a process that has ended are reset within a few milliseconds. */
         val COLLECTION_TIME = 10.milliseconds
@@ -378,6 +382,9 @@
         /** Longest wait for objections to a trial; a process that does not answer within it has probably ended. */
         val CLAIM_TIMEOUT = 150.milliseconds
 
+        /** Bounds the log lines of a defect that prevents the end of a trial each time. */
+        val END_RETRY_DELAY = 1.seconds
+
         /** Requests in a row that are held back, without an answer of their service, until one of them is tried. */
         const val MAX_HELD_BACK = 50
 
--- a/tasks/src/test/kotlin/org/cicadaturn/tasks/experts/PlacementFailureTest.kt
+++ b/tasks/src/test/kotlin/org/cicadaturn/tasks/experts/PlacementFailureTest.kt
@@ -176,6 +176,56 @@
             assertTrue(ranks.tokens.isNotEmpty(), "orders were sent")
         }
 
+    /** Guards against groups that are not balanced because the data of a rank of another group fails each time. */
+    @Test
+    fun `a group that fails each time does not stop the balancing of another one`() =
+        runTest {
+            val ranks = Ranks()
+            val failing = Ranks { error("planted failure") }
+            val others =
+                endpoints.map { it.copy(id = EndpointId("f${it.id.text}"), service = ServiceId("t")) }
+            val client =
+                object : RankClient by ranks {
+                    private fun clientOf(endpoint: LiveEndpoint): RankClient =
+                        if (endpoint in
+                            others
+                        ) {
+                            failing
+                        } else {
+                            ranks
+                        }
+
+                    private fun same(endpoint: LiveEndpoint): LiveEndpoint =
+                        others.indexOf(endpoint).let { if (it < 0) endpoint else endpoints[it] }
+
+                    override suspend fun report(
+                        endpoint: LiveEndpoint,
+                        isFresh: Boolean,
+                    ): RankReport? {
+                        val report = clientOf(endpoint).report(same(endpoint), isFresh)
+                        return if (endpoint in others) report?.copy(group = "h") else report
+                    }
+
+                    override suspend fun map(endpoint: LiveEndpoint) = clientOf(endpoint).map(same(endpoint))
+
+                    override suspend fun selections(endpoint: LiveEndpoint) =
+                        clientOf(endpoint).selections(same(endpoint))
+                }
+            val services =
+                fleet.state.value.view.configuration!!
+                    .services
+            val configuration =
+                fleet.state.value.view.configuration!!
+                    .copy(services = services + services.map { it.copy(id = ServiceId("t")) })
+            fleet.state.value = FleetState(FleetView(configuration, endpoints + others), true, true)
+            val lease = start("a", LeaseStore(), client)
+            delay(5.seconds)
+            ranks.tokens.clear()
+            delay(20.seconds)
+            assertEquals(1L, lease.token())
+            assertTrue(ranks.tokens.isNotEmpty(), "orders were sent")
+        }
+
     /** Guards against a fleet without a holder of the lease, as its tasks have ended one after the other. */
     @Test
     fun `the lease is acquired after a call to the store failed`() =
