--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/PeerRelay.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/PeerRelay.kt
@@ -57,7 +57,9 @@
         val body = receiveBody(link) ?: return
         val answer = answerTo(request.head.path, body, service)
         val status = if (answer != null) OK else NOT_FOUND
-        val head = ResponseHead(status, listOf(Header("Content-Type", typeOf(request.head.path))))
+        // Only the path of a document that this process knows has an answer, so no other path gets into the head.
+        val headers = if (answer != null) listOf(Header("Content-Type", typeOf(request.head.path))) else emptyList()
+        val head = ResponseHead(status, headers)
         if (!link.sendResponse(head, answer ?: ByteArray(0))) return
     }
 }
@@ -238,7 +240,7 @@
 private const val LIMITS_PATH = "/limits"
 
 /**
- * Returns the type of the answer to a request for [path].
+ * Returns the type of the answer to a request for [path], which is that of a document.
  *
  * It names the document, as all fields of some documents have defaults, so that any other could be decoded as one.
  */
--- a/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/ForeignPeerAnswerTest.kt
+++ b/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/ForeignPeerAnswerTest.kt
@@ -1,9 +1,11 @@
 package org.cicadaturn.tasks.gateway
 
 import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.cancel
 import kotlinx.coroutines.runBlocking
+import kotlinx.coroutines.withContext
 import kotlinx.serialization.ExperimentalSerializationApi
 import kotlinx.serialization.SerializationStrategy
 import kotlinx.serialization.cbor.Cbor
@@ -28,6 +30,7 @@
 import org.junit.jupiter.api.Test
 import org.junit.jupiter.api.TestFactory
 import org.junit.jupiter.api.TestInstance
+import java.net.Socket
 import kotlin.random.Random
 import kotlin.time.Duration
 
@@ -163,6 +166,53 @@
         assertEquals(calls.map { it.name }, believed)
     }
 
+    /** Guards against an answer that declares a document by a path that only its request contains. */
+    @Test
+    fun `an answer without a document declares no type`() {
+        val requests =
+            listOf(
+                "GET /other HTTP/1.1",
+                "GET /fleet/ HTTP/1.1",
+                "GET /store-report HTTP/1.1",
+                "GET /fleet HTTP/1.1",
+            )
+        val service =
+            PeerService(
+                view = { view },
+                pledge = { PledgeAnswer(true, emptyList()) },
+                receiveNews = { it },
+                storeReport = { null },
+            )
+        val heads =
+            runBlocking(runtime.dispatcher) {
+                val scope = CoroutineScope(SupervisorJob() + runtime.dispatcher)
+                val listener =
+                    listen(runtime, scope, NetworkAddress("127.0.0.1", 0), HEADER_BYTES) { servePeer(it, service) }
+                withContext(Dispatchers.IO) { requests.map { headOf(listener.address.port, it) } }.also {
+                    listener.close()
+                    scope.cancel()
+                }
+            }
+        val types = heads.map { head -> head.filter { it.startsWith("content-type:", ignoreCase = true) } }
+        assertEquals(listOf("404", "404", "404", "200"), heads.map { it.first().split(' ')[1] })
+        assertEquals(listOf(0, 0, 0, 1), types.map { it.size }, "$types")
+    }
+
+    /** Returns the lines of the head of the answer to [request] at [port]. */
+    private fun headOf(
+        port: Int,
+        request: String,
+    ): List<String> =
+        Socket("127.0.0.1", port).use { socket ->
+            socket.getOutputStream().write("$request\r\nHost: h\r\nContent-Length: 0\r\n\r\n".encodeToByteArray())
+            socket
+                .getInputStream()
+                .bufferedReader()
+                .lineSequence()
+                .takeWhile { it.isNotEmpty() }
+                .toList()
+        }
+
     /** Guards against a task that ends with an exception and is not started again, such as that of the lease. */
     @TestFactory
     fun `a call with an unreadable answer of the right type ends without an exception`(): List<DynamicTest> =
