Keep the state of the fleet's reports in its task

Found by review of: `storeReport` and `watch` read and wrote `askedAt` and `heldRequests` from the coroutines of peers and parts, and `fetchFromPeers` read `unavailableParts`, although tasks own their state and talk by messages. ReportingPeer was a public class without a factory function.

A request of a peer is now a message that the fleet's task holds (`HeldReportRequests`) and answers; the time of the last request and the unavailable parts are flows that only the task writes. ReportingPeer is an interface with the function `reportingPeer`. Behaviour is the same, except that the place of a cancelled request is free when the next one arrives, not at once.

--- a/decisions/src/main/kotlin/org/cicadaturn/decisions/gateway/ReportingPeer.kt
+++ b/decisions/src/main/kotlin/org/cicadaturn/decisions/gateway/ReportingPeer.kt
@@ -7,14 +7,35 @@
 import kotlin.time.Instant
 
 /**
- * Choice of the peer that reports the answers of the store to [self]. Has one owner and is not safe for concurrent use.
+ * Choice of the peer that reports the answers of the store to this process. Has one owner and is not safe for concurrent
+ * use.
  *
  * Peers are preferred by their identifiers, and only those before the own one are used. So most processes rely on the
  * same peer, which relies on none, and no two processes rely on each other.
  */
-public class ReportingPeer(
+public interface ReportingPeer {
+    /** Returns the peer to ask at [now], or null if there is none, so that this process must follow the store alone. */
+    public fun choose(
+        peers: List<GatewayPeer>,
+        now: Instant,
+    ): GatewayPeer?
+
+    /** Records that [peer] has reported an answer of the store. */
+    public fun succeeded(peer: ProcessId)
+
+    /** Records that [peer] has not answered, is of a version without reports, or has had no answer of the store. */
+    public fun failed(
+        peer: ProcessId,
+        now: Instant,
+    )
+}
+
+/** Returns a choice for the process [self] that knows of no failures. */
+public fun reportingPeer(self: ProcessId): ReportingPeer = FirstReportingPeer(self)
+
+private class FirstReportingPeer(
     private val self: ProcessId,
-) {
+) : ReportingPeer {
     private class Failures(
         val count: Int,
         val until: Instant,
@@ -22,8 +43,7 @@
 
     private val failures = HashMap<ProcessId, Failures>()
 
-    /** Returns the peer to ask at [now], or null if there is none, so that this process must follow the store alone. */
-    public fun choose(
+    override fun choose(
         peers: List<GatewayPeer>,
         now: Instant,
     ): GatewayPeer? =
@@ -36,13 +56,11 @@
         now: Instant,
     ): Boolean = failures[peer]?.let { now < it.until } == true
 
-    /** Records that [peer] has reported an answer of the store. */
-    public fun succeeded(peer: ProcessId) {
+    override fun succeeded(peer: ProcessId) {
         failures.remove(peer)
     }
 
-    /** Records that [peer] has not answered, is of a version without reports, or has had no answer of the store. */
-    public fun failed(
+    override fun failed(
         peer: ProcessId,
         now: Instant,
     ) {
--- a/decisions/src/test/kotlin/org/cicadaturn/decisions/gateway/StoreReportsTest.kt
+++ b/decisions/src/test/kotlin/org/cicadaturn/decisions/gateway/StoreReportsTest.kt
@@ -109,7 +109,7 @@
     /** Guards against processes that rely on each other. */
     @Test
     fun `only peers before the own name are chosen`() {
-        val choice = ReportingPeer(ProcessId("b"))
+        val choice = reportingPeer(ProcessId("b"))
         assertEquals("a", choice.choose(peers("c", "b", "a"), start)?.id?.text)
         assertNull(choice.choose(peers("c", "b"), start))
     }
@@ -117,7 +117,7 @@
     /** Guards against a process that asks a peer which is gone again and again, and so never finds a live one. */
     @Test
     fun `a peer that reports nothing is left out for longer each time`() {
-        val choice = ReportingPeer(ProcessId("c"))
+        val choice = reportingPeer(ProcessId("c"))
         val all = peers("a", "b")
         choice.failed(ProcessId("a"), start)
         assertEquals("b", choice.choose(all, start + 9.seconds)?.id?.text)
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/FleetMessage.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/FleetMessage.kt
@@ -5,8 +5,8 @@
 import org.cicadaturn.decisions.gateway.FleetPart
 import org.cicadaturn.schema.generated.FleetView
 import org.cicadaturn.schema.generated.StoreReport
+import org.cicadaturn.schema.generated.StoreReportRequest
 import org.cicadaturn.tasks.store.StoreError
-import kotlin.time.Duration
 import kotlin.time.Instant
 
 /** Message to the task that tracks the state of the fleet. */
@@ -34,7 +34,8 @@
     ) : FleetMessage
 
     class GetReport(
-        val held: Duration,
+        val request: StoreReportRequest,
+        val receivedAt: Instant,
         val reply: CompletableDeferred<StoreReport?>,
     ) : FleetMessage
 
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/FleetTask.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/FleetTask.kt
@@ -21,8 +21,8 @@
 import org.cicadaturn.decisions.gateway.FleetChanges
 import org.cicadaturn.decisions.gateway.FleetPart
 import org.cicadaturn.decisions.gateway.FleetState
-import org.cicadaturn.decisions.gateway.ReportingPeer
 import org.cicadaturn.decisions.gateway.fleetTracker
+import org.cicadaturn.decisions.gateway.reportingPeer
 import org.cicadaturn.decisions.gateway.storeReports
 import org.cicadaturn.decisions.retry.WatchTimes
 import org.cicadaturn.schema.generated.FleetView
@@ -56,15 +56,16 @@
 
     // Bounded, so that senders wait while this task is busy; each sender has at most one message in progress.
     private val messages = Channel<FleetMessage>(QUEUED_MESSAGES)
+
+    // Only this task writes the flows; the coroutines that call the store and the peers read them.
     private val published = MutableStateFlow(tracker.state(dependencies.clock.now()))
-    private var unavailableParts = emptySet<FleetPart>()
+    private val unavailableParts = MutableStateFlow(emptySet<FleetPart>())
     private val refusedParts = MutableStateFlow(emptySet<FleetPart>())
     private val answeredAt = HashMap<FleetPart, Instant>()
     private val reports = storeReports { sharing?.times?.invoke(it)?.validity }
-    private val answerCount = MutableStateFlow(0L)
+    private val heldRequests = heldReportRequests()
     private val confirmedUntil = MutableStateFlow(emptyMap<FleetPart, Instant>())
-    private var askedAt = Instant.DISTANT_PAST
-    private var heldRequests = 0
+    private val askedAt = MutableStateFlow(Instant.DISTANT_PAST)
 
     override val state: StateFlow<FleetState> = published
 
@@ -83,25 +84,20 @@
     }
 
     override suspend fun storeReport(request: StoreReportRequest): StoreReport? {
-        if (heldRequests >= MAX_HELD_REQUESTS) return null
-        val receivedAt = dependencies.clock.now()
-        askedAt = receivedAt
-        heldRequests += 1
+        val reply = CompletableDeferred<StoreReport?>()
+        messages.send(FleetMessage.GetReport(request, dependencies.clock.now(), reply))
         try {
-            withTimeoutOrNull(request.wait.coerceAtMost(MAX_REPORT_WAIT)) { answerCount.first { it != request.seen } }
+            return reply.await()
         } finally {
-            heldRequests -= 1
+            reply.cancel()
         }
-        val reply = CompletableDeferred<StoreReport?>()
-        messages.send(FleetMessage.GetReport(dependencies.clock.now() - receivedAt, reply))
-        return reply.await()
     }
 
     @OptIn(ExperimentalCoroutinesApi::class)
     private suspend fun processMessages() {
         while (true) {
             val now = dependencies.clock.now()
-            val expiry = tracker.nextExpiry(now)
+            val expiry = listOfNotNull(tracker.nextExpiry(now), heldRequests.nextEnd()).minOrNull()
             // A receive that is cancelled by a time-out may lose a message; the selection of one of both does not.
             select {
                 messages.onReceive { receive(it) }
@@ -109,7 +105,9 @@
             }
             published.value = tracker.state(dependencies.clock.now())
             confirmedUntil.value = FleetPart.entries.associateWith(reports::confirmedUntil)
-            answerCount.value = reports.count
+            heldRequests.complete(reports.count, dependencies.clock.now()) { held ->
+                supervisor.attempt(TASK, "a report") { reports.answer(held, suspendAwareTime()) }
+            }
         }
     }
 
@@ -143,8 +141,7 @@
                 reports.relayed(message.view)
             }
             is FleetMessage.Reported -> reports.reported(message.answer, message.sentAt, now)
-            is FleetMessage.GetReport ->
-                message.reply.complete(reports.answer(message.held, suspendAwareTime()))
+            is FleetMessage.GetReport -> if (heldRequests.add(message, now)) askedAt.value = message.receivedAt
             is FleetMessage.GetOwnView -> message.reply.complete(tracker.ownView())
         }
     }
@@ -173,8 +170,8 @@
         now: Instant,
     ) {
         reports.answered(part, revision, isChanged, suspendAwareTime())
-        if (part in unavailableParts) {
-            unavailableParts = unavailableParts - part
+        if (part in unavailableParts.value) {
+            unavailableParts.value -= part
             refusedParts.value -= part
             logger.info("fleet: {} available again at revision {}, {}", part, revision, silence(part, now))
         }
@@ -186,10 +183,10 @@
         error: StoreError,
         now: Instant,
     ) {
-        if (part !in unavailableParts) {
+        if (part !in unavailableParts.value) {
             logger.warn("fleet: {} unavailable, {}: {}", part, silence(part, now), error.message)
         }
-        unavailableParts = unavailableParts + part
+        unavailableParts.value += part
         if (error is StoreError.Unavailable) refusedParts.value += part else refusedParts.value -= part
     }
 
@@ -252,7 +249,7 @@
         val now = dependencies.clock.now()
         val alone = dependencies.watchTimes(part)
         val shared = sharing?.times?.invoke(part) ?: return watch(part, revision, alone)
-        if (now - askedAt < REPORTING_TIME) return watch(part, revision, shared.reporting)
+        if (now - askedAt.value < REPORTING_TIME) return watch(part, revision, shared.reporting)
         if (now >= confirmedUntil(part)) return watch(part, revision, alone)
         watchWhileConfirmed(part, revision, shared.longestWait)?.let { return it }
         logger.info("fleet: {} at revision {} is read, as no peer confirms it any longer", part, revision)
@@ -318,7 +315,7 @@
 
     /** Learns from a peer what the store answers to it, so that this process need not ask the store as often. */
     private suspend fun followPeer(sharing: WatchSharing) {
-        val choice = ReportingPeer(dependencies.self.id)
+        val choice = reportingPeer(dependencies.self.id)
         var last: GatewayPeer? = null
         var seen = 0L
         while (true) {
@@ -363,7 +360,7 @@
         while (true) {
             delay(RELAY_INTERVAL)
             val current = published.value
-            if (unavailableParts.isEmpty() && current.isKnown) continue
+            if (unavailableParts.value.isEmpty() && current.isKnown) continue
             dependencies.fetchPeerView(current.view.peers)?.let { messages.send(FleetMessage.Relayed(it)) }
         }
     }
@@ -380,12 +377,6 @@
         /** Wait of a call that returns the changes up to now. */
         val CATCH_UP_WAIT = 1.milliseconds
 
-        /** Longest time for which the request of a peer is held, whatever it says. */
-        val MAX_REPORT_WAIT = 10.seconds
-
-        /** Bounds the work of a process that reports to others, which is a call of each of them about every second. */
-        const val MAX_HELD_REQUESTS = 40
-
         /** Time after a request of a peer for which this process follows the store closely. */
         val REPORTING_TIME = 3.seconds
 
