Pass the type of an answer on as it came in the entry process

What callers saw: an entry process left out a Content-Type that Ktor cannot parse, such as `json`, and wrote others anew (`text/plain; a="b" ;c=d` as `a=b; c=d`), although docs/design.md says that the answers of plain services are passed on unchanged.

Cause: the type went through ContentType.parse to the body of the answer. It is now passed on as any other header; the server adds none of its own.

--- a/daemons/src/test/kotlin/org/cicadaturn/daemons/system/PlainAnswerTest.kt
+++ b/daemons/src/test/kotlin/org/cicadaturn/daemons/system/PlainAnswerTest.kt
@@ -130,4 +130,37 @@
             assertEquals(expected, received)
         }
     }
+
+    /** Guards against a type that is lost or rewritten on its way to the caller. */
+    @Test
+    fun `the type of an answer is passed on as it came`() {
+        val types =
+            listOf(
+                "application/json",
+                "application/JSON;charset=utf-8",
+                "text/plain; a=\"b\" ;c=d",
+                "json",
+                "text/plain; charset",
+                "a/b/c",
+                "\u0021/*",
+            )
+        val large = ByteArray(STREAMED_BYTES) { 'x'.code.toByte() }
+        val answers =
+            types.indices.associate { i ->
+                "t$i" to scriptedAnswer(BOOKED.encodeToByteArray(), Framing.LENGTH, listOf("Content-Type: ${types[i]}"))
+            } +
+                types.indices.associate { i ->
+                    "l$i" to scriptedAnswer(large, Framing.LENGTH, listOf("Content-Type: ${types[i]}"))
+                } + ("none" to scriptedAnswer(BOOKED.encodeToByteArray(), Framing.LENGTH, emptyList()))
+        withBackend(answers) { system, _ ->
+            val caller = StandardCaller()
+            val received =
+                answers.keys.map { name ->
+                    val answer = caller.call(system.entry("entry-1"), "GET", "/$ORDERS/%23$name%23")
+                    answer.status to answer.contentType
+                }
+            val expected = (types + types).map { 200 to it } + (200 to null)
+            assertEquals(expected, received)
+        }
+    }
 }
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/entry/CallerServer.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/entry/CallerServer.kt
@@ -3,7 +3,6 @@
 import arrow.core.Either
 import arrow.core.left
 import arrow.core.right
-import io.ktor.http.BadContentTypeFormatException
 import io.ktor.http.ContentType
 import io.ktor.http.HttpHeaders
 import io.ktor.http.HttpStatusCode
@@ -179,18 +178,16 @@
         service: String,
         answer: Answer,
     ) {
-        val type = answer.headers.firstOrNull { it.name.equals(HttpHeaders.ContentType, ignoreCase = true) }
-        val contentType = type?.let { contentTypeOf(it.value) }
         val status = HttpStatusCode.fromValue(answer.status)
         addHeaders(call, id, answer.headers)
         when (answer) {
             is Answer.Buffered -> {
                 metrics.requests.labelValues(service, "whole").inc()
-                call.respondBytes(answer.body, contentType, status)
+                call.respondBytes(answer.body, status = status)
             }
 
             is Answer.Streamed -> {
-                call.respond(StreamedContent(contentType, status) { relay(it, id, service, answer) })
+                call.respond(StreamedContent(status) { relay(it, id, service, answer) })
             }
         }
     }
@@ -250,7 +247,6 @@
 }
 
 private class StreamedContent(
-    override val contentType: ContentType?,
     override val status: HttpStatusCode,
     private val writeBody: suspend (ByteWriteChannel) -> Unit,
 ) : OutgoingContent.WriteChannelContent() {
@@ -264,16 +260,8 @@
         headers.names().associate { it.lowercase() to headers.getAll(it).orEmpty().joinToString(",") }
     }
 
-/** Returns the content type [value]; null if it is unreadable, which is no reason to withhold an answer. */
-private fun contentTypeOf(value: String): ContentType? =
-    try {
-        ContentType.parse(value)
-    } catch (_: BadContentTypeFormatException) {
-        null
-    }
-
-/** Headers that the HTTP server sets itself. */
-private val serverHeaders = setOf("content-type", "content-length", "transfer-encoding", "date", "server")
+/** Headers that the HTTP server sets itself. The type is passed on as it came, which a parsed one is not in each case. */
+private val serverHeaders = setOf("content-length", "transfer-encoding", "date", "server")
 
 private fun addHeaders(
     call: ApplicationCall,
