Exchange budget between entries on a thread of its own

Where processor time is short, requests in a burst are refused with 503 "the limits of organisation org could not be checked in time" although no limit is used: the answer of the entry process that allocates the budget takes longer than the 2.2 to 2.8 s that a request waits.

Cause: limits and the links between entries ran on the dispatcher of the requests, and a budget request and its grant pass some ten coroutines. A resumed coroutine can stay in the local queue of one worker thread while the shared queues have work. In a trace on one core beside four busy processes a grant was ready at 2507 ms and passed to the link at 4386 ms; the limits task ran and answered three repeats in between.

PeerNetwork runs the limits and the links to other entries on one thread. The exchange of configurations stays on the shared dispatcher, because decoding a large one would delay limit messages.

--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/entry/EntryNode.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/entry/EntryNode.kt
@@ -116,6 +116,7 @@
     private val localDrain = LocalDrainTask(configurationManager.inForce)
     private lateinit var callers: RunningServer
     private lateinit var admin: RunningServer
+    private lateinit var network: PeerNetwork
     private lateinit var peers: WireListener
 
     override val listeners: Map<String, NetworkAddress>
@@ -126,7 +127,6 @@
         scope.launch { localDrain.run() }
         scope.launch { directory.run() }
         scope.launch { registry.run() }
-        scope.launch { limits.run() }
         scope.launch {
             configurationManager.inForce.filterNotNull().collect {
                 limits.configure(
@@ -149,23 +149,8 @@
         val identity = wireIdentity(Role.ENTRY, file.process, file.wire, dependencies.incarnation)
         val wire =
             Wire(selector, identity, wireTimes(file.wire)) { commonMetrics.wireErrors.labelValues(it.kind).inc() }
-        peers =
-            wire.listen(
-                settings.peerListen,
-                setOf(Role.ENTRY),
-                scope,
-            ) { exchangeWithPeer(it, configurationManager, limits) }
-        settings.peers.forEach {
-            scope.launch {
-                keepPeerConnected(
-                    wire,
-                    it,
-                    configurationManager,
-                    limits,
-                    backoff(MAX_LINK_BACKOFF),
-                )
-            }
-        }
+        network = PeerNetwork(wire, configurationManager, limits)
+        peers = network.start(scope, settings.peerListen, settings.peers) { backoff(MAX_LINK_BACKOFF) }
         val connections = EndpointConnections(wire, configurationManager, directory) { backoff(MAX_LINK_BACKOFF) }
         scope.launch { connections.run(configurationManager.inForce) }
     }
@@ -234,6 +219,7 @@
         peers.close()
         admin.close()
         scope.cancel()
+        network.close()
         selector.close()
         log.info("entry: stopped, {} requests cut", cut)
         return cut
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/entry/PeerConnections.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/entry/PeerConnections.kt
@@ -1,5 +1,6 @@
 package org.cicadaturn.tasks.entry
 
+import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.cancelChildren
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
@@ -22,7 +23,8 @@
 ) {
     coroutineScope {
         val exchange = ConfigurationExchange(link, configurationManager)
-        launch { exchange.run() }
+        // Decoding a large configuration must not delay limit messages.
+        launch(Dispatchers.Default) { exchange.run() }
         launch { limits.serve(link) }
         for (frame in link.incoming) {
             val known = exchange.accept(frame) || limits.accept(link.peer.process, frame)
--- /dev/null
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/entry/PeerNetwork.kt
@@ -0,0 +1,57 @@
+package org.cicadaturn.tasks.entry
+
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.asCoroutineDispatcher
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.plus
+import org.cicadaturn.decisions.retry.Backoff
+import org.cicadaturn.schema.generated.NetworkAddress
+import org.cicadaturn.schema.generated.Role
+import org.cicadaturn.tasks.configuration.ConfigurationManager
+import org.cicadaturn.tasks.limits.LimitsTask
+import org.cicadaturn.tasks.wire.Wire
+import org.cicadaturn.tasks.wire.WireListener
+import java.util.concurrent.ScheduledThreadPoolExecutor
+
+/**
+ * Runs [limits] and the links to the other entry processes on a thread of their own.
+ *
+ * A budget request and its grant are passed between some ten coroutines. On the dispatcher of the requests, each of
+ * them would wait behind the work for requests, and the requests would be refused before the grant arrives.
+ */
+internal class PeerNetwork(
+    private val wire: Wire,
+    private val configurationManager: ConfigurationManager,
+    private val limits: LimitsTask,
+) {
+    private val dispatcher =
+        ScheduledThreadPoolExecutor(1) { Thread(it, "cicadaturn-peers").apply { isDaemon = true } }
+            .asCoroutineDispatcher()
+
+    /**
+     * Accepts links on [listen] and maintains links to [peers] until [scope] is cancelled.
+     *
+     * [newBackoff] is called for each peer.
+     */
+    suspend fun start(
+        scope: CoroutineScope,
+        listen: NetworkAddress,
+        peers: Collection<NetworkAddress>,
+        newBackoff: () -> Backoff,
+    ): WireListener {
+        val ownScope = scope + dispatcher
+        ownScope.launch { limits.run() }
+        val listener =
+            wire.listen(listen, setOf(Role.ENTRY), ownScope) { exchangeWithPeer(it, configurationManager, limits) }
+        peers.forEach {
+            val backoff = newBackoff()
+            ownScope.launch { keepPeerConnected(wire, it, configurationManager, limits, backoff) }
+        }
+        return listener
+    }
+
+    /** Ends the thread; the scope of [start] must be cancelled before. */
+    fun close() {
+        dispatcher.close()
+    }
+}
