--- a/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/ForeignPeerAnswerTest.kt
+++ b/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/ForeignPeerAnswerTest.kt
@@ -181,6 +181,7 @@
                 view = { view },
                 pledge = { PledgeAnswer(true, emptyList()) },
                 receiveNews = { it },
+                receiveLimits = { it },
                 storeReport = { null },
             )
         val heads =
