Run tasks of entry and endpoint processes again after a failure

Cause: these tasks ran once, in a scope that only logs.

A message that fails is still lost with its reply.

Only the store watch has a test.

--- a/daemons/src/test/kotlin/org/cicadaturn/daemons/control/RunningSystem.kt
+++ b/daemons/src/test/kotlin/org/cicadaturn/daemons/control/RunningSystem.kt
@@ -40,6 +40,7 @@
 import org.cicadaturn.tasks.endpoint.endpointNode
 import org.cicadaturn.tasks.entry.EntryDependencies
 import org.cicadaturn.tasks.entry.entryNode
+import org.cicadaturn.tasks.store.ObjectStore
 import java.net.ServerSocket
 import java.net.URI
 import java.net.http.HttpClient
@@ -72,20 +73,23 @@
     }
 }
 
-/** Starts the processes; the store runs in [scope]. */
-internal suspend fun startSystem(scope: CoroutineScope): RunningSystem {
+/** Starts the processes; the store runs in [scope], and each process uses what [storeOf] returns for it. */
+internal suspend fun startSystem(
+    scope: CoroutineScope,
+    storeOf: (ObjectStore) -> ObjectStore = { it },
+): RunningSystem {
     val store = fakeObjectStore(scope)
     val endpoint =
         endpointNode(
             endpointFile(),
-            EndpointDependencies(store.client(domain), Clock.System, incarnation(1), registry()),
+            EndpointDependencies(storeOf(store.client(domain)), Clock.System, incarnation(1), registry()),
         )
     val text = encodeConfiguration(configuration(endpoint.listeners.getValue("listen")))
     store.client(domain).put(CONFIGURATION_KEY, text, null).value()
     val random = Random(7404)
     val dependencies =
         EntryDependencies(
-            store.client(domain),
+            storeOf(store.client(domain)),
             Clock.System,
             incarnation(2),
             registry(),
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/Supervisor.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/Supervisor.kt
@@ -19,7 +19,8 @@
 import kotlin.time.Instant
 
 /**
- * Keeps the tasks of a process running after failures, which it counts and logs; used by the coroutines of one thread.
+ * Keeps the tasks of a process running after failures, which it counts and logs. Vital tasks are used by the coroutines of
+ * one thread.
  *
  * A failure of a single message is reported by [attempt]: the task rejects the message and goes on with its state, so
  * that one request or entry that meets a defect ends no process. A failure of the task itself makes [start] run it
@@ -82,7 +83,7 @@
         try {
             delay(pauses.delayBefore(failures - 1))
         } finally {
-            pausing.value -= task
+            if (isVital) pausing.value -= task
         }
     }
 
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/endpoint/EndpointNode.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/endpoint/EndpointNode.kt
@@ -36,6 +36,7 @@
 import org.cicadaturn.schema.generated.Role
 import org.cicadaturn.schema.generated.ServiceId
 import org.cicadaturn.tasks.Node
+import org.cicadaturn.tasks.Supervisor
 import org.cicadaturn.tasks.configuration.CONFIGURATION_KEY
 import org.cicadaturn.tasks.configuration.ConfigurationExchange
 import org.cicadaturn.tasks.configuration.ConfigurationTask
@@ -91,6 +92,7 @@
     private val log = LogManager.getLogger("endpoint")
     private val settings = file.endpoint
     private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
+    private val supervisor = Supervisor(dependencies.clock)
     private val selector = SelectorManager(Dispatchers.IO)
     private val client = backendClient()
     private val configurationManager = ConfigurationTask()
@@ -131,13 +133,13 @@
 
     suspend fun start() {
         scope.launch { configurationManager.run() }
-        scope.launch { localDrain.run() }
-        scope.launch { gate.run() }
-        scope.launch { publishReports() }
-        scope.launch { updateGate() }
-        scope.launch { loadConfigurationFromStore() }
+        supervisor.start(scope, "local drain") { localDrain.run() }
+        supervisor.start(scope, "gate") { gate.run() }
+        supervisor.start(scope, "reports") { publishReports() }
+        supervisor.start(scope, "gate state") { updateGate() }
+        supervisor.start(scope, "configuration from the store") { loadConfigurationFromStore() }
         if (settings.kind == "engine") {
-            scope.launch {
+            supervisor.start(scope, "engine probe") {
                 probeEngine(client, settings.backend, settings.probeInterval, gate) { engineReachable.value = it }
             }
         }
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/entry/EntryNode.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/entry/EntryNode.kt
@@ -30,6 +30,7 @@
 import org.cicadaturn.schema.generated.RequestId
 import org.cicadaturn.schema.generated.Role
 import org.cicadaturn.tasks.Node
+import org.cicadaturn.tasks.Supervisor
 import org.cicadaturn.tasks.configuration.ConfigurationTask
 import org.cicadaturn.tasks.configuration.StoreWatch
 import org.cicadaturn.tasks.configuration.configurationView
@@ -97,6 +98,7 @@
     private val settings = file.entry
     private val domain = FailureDomainId(file.process.failureDomain)
     private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
+    private val supervisor = Supervisor(dependencies.clock)
     private val selector = SelectorManager(Dispatchers.IO)
     private val metrics = entryMetrics(dependencies.registry)
     private val commonMetrics = processMetrics(dependencies.registry)
@@ -124,9 +126,9 @@
 
     suspend fun start() {
         scope.launch { configurationManager.run() }
-        scope.launch { localDrain.run() }
-        scope.launch { directory.run() }
-        scope.launch { registry.run() }
+        supervisor.start(scope, "local drain") { localDrain.run() }
+        supervisor.start(scope, "directory") { directory.run() }
+        supervisor.start(scope, "requests") { registry.run() }
         scope.launch {
             configurationManager.inForce.filterNotNull().collect {
                 limits.configure(
@@ -134,10 +136,10 @@
                 )
             }
         }
-        scope.launch { updateConfigurationMetrics() }
+        supervisor.start(scope, "configuration metrics") { updateConfigurationMetrics() }
         val times = watchTimes(file.store.watchWait, file.store.maxSilence)
         val watch = StoreWatch(dependencies.store, configurationManager, times, backoff(MAX_STORE_BACKOFF))
-        scope.launch { watch.run() }
+        supervisor.start(scope, "store watch") { watch.run() }
         connect()
         val content = AdminContent(::isReady, { Json.encodeToString(dump()) }, dependencies.registry)
         admin = adminServer(file.process.adminListen, content) { controlRoutes(operatorControl()) }
@@ -152,7 +154,7 @@
         network = PeerNetwork(wire, configurationManager, limits)
         peers = network.start(scope, settings.peerListen, settings.peers) { backoff(MAX_LINK_BACKOFF) }
         val connections = EndpointConnections(wire, configurationManager, directory) { backoff(MAX_LINK_BACKOFF) }
-        scope.launch { connections.run(configurationManager.inForce) }
+        supervisor.start(scope, "endpoint connections") { connections.run(configurationManager.inForce) }
     }
 
     private fun callerServer(): CallerServer {
