Let requests wait behind others for budget only up to their aim

With 40 requests a second where all limits together allow 32.5, refused callers were told so after 1,156 ms on average: a request that waited past its aim was overtaken by each later one until its time was over. A request that would wait behind others for budget is now admitted only if it comes by its aim, and of equal requests the earlier ones count as ahead.

The new test in EndpointLimitDispatchTest fails without the change: 4 wait instead of 2; its aim is 50 ms later here, by the interval that allows for.

--- a/decisions/src/main/kotlin/org/cicadaturn/decisions/dispatch/Dispatcher.kt
+++ b/decisions/src/main/kotlin/org/cicadaturn/decisions/dispatch/Dispatcher.kt
@@ -161,7 +161,9 @@
         if (now >= request.waitUntil) return false
         // Another refusal would be the last answer to a caller that has come back, so the slightest chance is worth it.
         if (candidate.cause == Unavailability.DOWN && request.hasReturned) return true
-        return now + expectedWait(candidate, now) <= request.waitUntil
+        // Behind others, a request that is past its aim would be overtaken by later ones until its time is over.
+        val isBehind = candidate.budget != null && ahead(candidate, now) > 0
+        return now + expectedWait(candidate, now) <= (if (isBehind) request.aimUntil else request.waitUntil)
     }
 
     /** Returns the time until [candidate] is placed, as expected from the outage or the requests ahead of it. */
@@ -180,10 +182,8 @@
         candidate: Waiting,
         now: Instant,
     ): Duration {
-        val service = candidate.request.endpoint.service
-        val order = order(now)
-        val ahead = queue.values.count { it.request.endpoint.service == service && order.compare(it, candidate) < 0 }
-        return (ahead / rates.perSecond(service, now).coerceAtLeast(MIN_RATE)).seconds
+        val rate = rates.perSecond(candidate.request.endpoint.service, now).coerceAtLeast(MIN_RATE)
+        return (ahead(candidate, now) / rate).seconds
     }
 
     /**
@@ -203,6 +203,18 @@
         return budget.nextAt - now + (others / budget.perSecond).seconds
     }
 
+    /** Returns the number of waiting requests that are placed before [candidate], which is the last of its equals. */
+    private fun ahead(
+        candidate: Waiting,
+        now: Instant,
+    ): Int {
+        val service = candidate.request.endpoint.service
+        val order = order(now)
+        return queue.values.count {
+            it !== candidate && it.request.endpoint.service == service && order.compare(it, candidate) <= 0
+        }
+    }
+
     private fun downTime(
         service: ServiceId,
         now: Instant,
--- a/decisions/src/test/kotlin/org/cicadaturn/decisions/ratelimit/EndpointLimitDispatchTest.kt
+++ b/decisions/src/test/kotlin/org/cicadaturn/decisions/ratelimit/EndpointLimitDispatchTest.kt
@@ -86,6 +86,17 @@
         assertTrue(later.size >= 8 && refused == 0, "$refused of ${later.size} that waited were rejected")
     }
 
+    /** Guards against requests that later ones overtake once they are past their aim, and that are rejected at the end. */
+    @Test
+    fun `a request waits behind others only up to its aim`() {
+        val dispatcher = dispatcher(limit = 2.0)
+        val decisions = List(40) { dispatcher.submit(START, wait = 2.seconds, aim = 1_050.milliseconds) }
+        assertEquals(2, decisions.count { it is DispatchDecision.Wait })
+        assertTrue(dispatcher.submit(START, 2.seconds, aim = 300.milliseconds) is DispatchDecision.Reject)
+        val first = dispatcher(limit = 2.0).submit(START, 2.seconds, aim = 300.milliseconds)
+        assertTrue(first is DispatchDecision.Wait, "$first")
+    }
+
     /** Guards against requests that wait at a process which may not send at all. */
     @Test
     fun `a process that is no sender rejects at once`() {
