--- a/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/ScriptedEndpoint.kt
+++ b/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/ScriptedEndpoint.kt
@@ -24,6 +24,9 @@
 /** Endpoint that listens on [port] of the loopback address. */
 internal interface TestEndpoint {
     val port: Int
+
+    /** Service that it belongs to. */
+    val service: String get() = "s"
 }
 
 /** Endpoint on loopback that answers each request with [script], which returns false to close the connection. */
--- a/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/TestGateway.kt
+++ b/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/TestGateway.kt
@@ -40,6 +40,7 @@
  * Gateway on loopback in front of [endpoints]; if they are null, its store is unavailable.
  *
  * @param bodyBytes longest body of a request
+ * @param streamService service of the routes of streams; the others have the service s
  * @param promptOf returns the prompt of a request with the given headers
  * @param id identifier of the gateway
  * @param peerPort port for peers; 0 for any
@@ -53,6 +54,7 @@
     onFatalError: FatalErrorHandler = {},
     random: Random = Random(1),
     retrySlack: Double = 100.0,
+    streamService: String = "s",
     journal: RequestJournal = {},
     id: String = "g1",
     peerPort: Int = 0,
@@ -62,7 +64,10 @@
     private val dependencies =
         GatewayDependencies(
             runtime = runtime,
-            store = FixedFleetStore(endpoints?.let { contentFor(it, bodyBytes) + peers.map(FleetChange::PeerListed) }),
+            store =
+                FixedFleetStore(
+                    endpoints?.let { contentFor(it, bodyBytes, streamService) + peers.map(FleetChange::PeerListed) },
+                ),
             rankClient = { _, _, _ -> NoRankClient },
             dialect = testDialect(promptOf),
             clock = Clock.System,
@@ -238,21 +243,29 @@
 private fun contentFor(
     endpoints: List<TestEndpoint>,
     bodyBytes: Int,
+    streamService: String,
 ): List<FleetChange> {
     val routes =
         listOf(
             route("safe", RouteKind.IDEMPOTENT, attempts = 2),
             route("once", RouteKind.AT_MOST_ONCE, attempts = 1),
             route("patient", RouteKind.AT_MOST_ONCE, attempts = 1, timeout = 9.seconds),
-            route("stream", RouteKind.STREAM, attempts = 2, resumable = true),
-            route("long-stream", RouteKind.STREAM, attempts = 2, resumable = true, timeout = 9.seconds),
-            route("stream-once", RouteKind.STREAM, attempts = 2),
+            route("stream", RouteKind.STREAM, attempts = 2, resumable = true, service = streamService),
+            route(
+                "long-stream",
+                RouteKind.STREAM,
+                attempts = 2,
+                resumable = true,
+                service = streamService,
+                timeout = 9.seconds,
+            ),
+            route("stream-once", RouteKind.STREAM, attempts = 2, service = streamService),
         )
     val configuration =
         RoutingConfiguration(
             version = 1,
             routes = routes,
-            services = listOf(RoutedService(ServiceId("s"), 400)),
+            services = setOf("s", streamService).map { RoutedService(ServiceId(it), 400) },
             tenancies = listOf(Tenancy(OrganisationId("org"), listOf("key"))),
             limits = CallerLimits(bodyBytes = bodyBytes),
         )
@@ -261,7 +274,7 @@
             FleetChange.EndpointListed(
                 LiveEndpoint(
                     id = EndpointId("e$i"),
-                    service = ServiceId("s"),
+                    service = ServiceId(e.service),
                     address = NetworkAddress("127.0.0.1", e.port),
                     // The first endpoint is in the failure domain of the gateway and is therefore chosen first.
                     failureDomain = FailureDomainId(if (i == 0) "a" else "b"),
@@ -279,13 +292,14 @@
     attempts: Int,
     resumable: Boolean = false,
     timeout: Duration = 3.seconds,
+    service: String = "s",
 ) = Route(
     name = name,
     host = "shop.example",
     pathPrefix = "/$name/",
     kind = kind,
     resumable = resumable,
-    shares = listOf(ServiceShare(ServiceId("s"), 1)),
+    shares = listOf(ServiceShare(ServiceId(service), 1)),
     timeout = timeout,
     latencyTarget = 100.milliseconds,
     attempts = attempts,
