--- a/tasks/src/test/kotlin/org/cicadaturn/tasks/experts/ForeignRankAnswerTest.kt
+++ b/tasks/src/test/kotlin/org/cicadaturn/tasks/experts/ForeignRankAnswerTest.kt
@@ -66,13 +66,13 @@
         epoch: Long = 1,
     ) = { prepared: Long? -> RankReport(group, rank, RANKS, true, RankState(epoch, 90, 0, prepared, null, null)) }
 
-    private val strangers =
+    private val foreignReports =
         mapOf("another group" to foreignReport("h", 1), "another rank of the group" to foreignReport("g", 2))
 
     /** Guards against a pass with two maps, as a rank without the copies is armed for it. */
     @TestFactory
     fun `copies are not complete by the report of another rank`(): List<DynamicTest> =
-        strangers.map { (name, report) ->
+        foreignReports.map { (name, report) ->
             DynamicTest.dynamicTest(name) {
                 runTest {
                     val ranks = ForeignReport(report) { _, _ -> OrderAnswer.REFUSED }
--- a/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/TaskFailureTest.kt
+++ b/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/TaskFailureTest.kt
@@ -181,7 +181,7 @@
         }
 
     /** Store with an endpoint that drains; the answer to a watch that says so cannot be applied the first time. */
-    private inner class PoisonedStore : FleetStore by FixedFleetStore(content = null) {
+    private inner class UnappliedDrainStore : FleetStore by FixedFleetStore(content = null) {
         private val failure = PlantedFailure()
         private val drained = listOf(FleetChange.EndpointListed(endpoint(state = AdmissionState.DRAINED)))
         private var isDrained = false
@@ -230,7 +230,7 @@
     @Test
     fun `a change that cannot be applied is read again`() =
         runTest {
-            val fleet = fleetWith(PoisonedStore())
+            val fleet = fleetWith(UnappliedDrainStore())
             delay(3.seconds)
             assertEquals(
                 AdmissionState.DRAINED,
