Give up a silent endpoint within an answer only if another can go on

Callers saw a stream cut after a pause of 1.6 s, in a stop and in calm, although its endpoint went on 0.2 s later: the attempt was given up first, and only then was it found that no other endpoint is in service, that the retry budget is used up or that the others are at the limits that they name. With a part of the answer passed on, each of these refusals is a cut.

Before a silent endpoint is given up within an answer, the balancer is now asked whether another endpoint could get the request, within the retry budget and the limits; nothing is taken or counted.

Of five new cases of StreamInStopTest all failed before (10 streams each in three of them); four pass.

--- a/decisions/src/main/kotlin/org/cicadaturn/decisions/gateway/EndpointBalancer.kt
+++ b/decisions/src/main/kotlin/org/cicadaturn/decisions/gateway/EndpointBalancer.kt
@@ -37,6 +37,12 @@
         now: Instant,
     ): EndpointChoice
 
+    /** Returns true if [choose] would find an endpoint for [request], which takes and counts nothing here. */
+    public fun canPlace(
+        request: EndpointRequest,
+        now: Instant,
+    ): Boolean
+
     /** Counts the end of a request at [endpoint]. */
     public fun finished(
         endpoint: EndpointId,
--- a/decisions/src/main/kotlin/org/cicadaturn/decisions/gateway/GatewayRetryBudget.kt
+++ b/decisions/src/main/kotlin/org/cicadaturn/decisions/gateway/GatewayRetryBudget.kt
@@ -15,6 +15,12 @@
     /** Counts a caller's request at [now]. */
     public fun request(now: Instant)
 
+    /** Returns true if [tryRetry] would take a retry. */
+    public fun hasRetry(
+        now: Instant,
+        slack: Double,
+    ): Boolean
+
     /**
      * Takes one retry from the budget and returns true, or returns false if none is left.
      *
@@ -65,17 +71,20 @@
         requests += 1
     }
 
-    override fun tryRetry(
+    override fun hasRetry(
         now: Instant,
         slack: Double,
     ): Boolean {
         dropExpired(now)
         val usable = if (now - start < window) slack * FIRST_WINDOW_SLACK_SHARE else slack
-        if (retries.size + 1 > requests * ratio + usable) return false
-        retries.addLast(now)
-        return true
+        return retries.size + 1 <= requests * ratio + usable
     }
 
+    override fun tryRetry(
+        now: Instant,
+        slack: Double,
+    ): Boolean = hasRetry(now, slack).also { if (it) retries.addLast(now) }
+
     /**
      * Drops what has left the window.
      *
--- a/decisions/src/main/kotlin/org/cicadaturn/decisions/gateway/LeastLoadBalancer.kt
+++ b/decisions/src/main/kotlin/org/cicadaturn/decisions/gateway/LeastLoadBalancer.kt
@@ -114,6 +114,20 @@
         )
     }
 
+    override fun canPlace(
+        request: EndpointRequest,
+        now: Instant,
+    ): Boolean {
+        val pool = pool(request.service, now)
+        if (request.isRetry && !pool.budget.hasRetry(now, slack(now))) return false
+        // Without a running group, the search for candidates would count a probe.
+        val isUp =
+            serving[request.service].orEmpty().any {
+                it.endpoint.id !in request.excluded && groups.health(it.endpoint.id, now) in RUNNING
+            }
+        return isUp && candidates(request, pool, now).isRight()
+    }
+
     private fun cost(
         member: BalancedEndpoint,
         now: Instant,
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/AttemptRequests.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/AttemptRequests.kt
@@ -26,13 +26,13 @@
      *
      * @param remaining time left until the deadline of the caller
      * @param canTryAnother true if the request may still be sent to a further endpoint
-     * @param canRepeatInTime returns true if an attempt that begins now can be expected to end before the process
+     * @param canRepeat returns true if another attempt could begin now and be expected to end before the process
      */
     fun to(
         endpoint: LiveEndpoint,
         remaining: Duration,
         canTryAnother: Boolean,
-        canRepeatInTime: () -> Boolean,
+        canRepeat: suspend () -> Boolean,
         onConnected: (earlierRequests: Int) -> Unit,
         onProgress: (AnswerProgress) -> Unit,
     ): AttemptRequest {
@@ -51,7 +51,7 @@
             requestId = request.head.headers.valueOf(dialect.requestId),
             silenceLimit = minOf(limit, remaining - ANSWER_RESERVE).coerceAtLeast(1.milliseconds),
             canBeAbandoned = route.kind == RouteKind.STREAM && limit == STREAM_STALL_TIMEOUT,
-            canMoveOn = { !triesAnother || (canContinueElsewhere() && canRepeatInTime()) },
+            canMoveOn = { !triesAnother || (canContinueElsewhere() && canRepeat()) },
             events = expectedEvents(),
             pauseTarget = route.pauseTarget,
             remaining = remaining,
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/Balancer.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/Balancer.kt
@@ -17,6 +17,7 @@
 import org.cicadaturn.decisions.dispatch.Dispatcher
 import org.cicadaturn.decisions.dispatch.GroupReport
 import org.cicadaturn.decisions.gateway.EndpointBalancer
+import org.cicadaturn.decisions.gateway.EndpointRequest
 import org.cicadaturn.decisions.gateway.EndpointUse
 import org.cicadaturn.decisions.gateway.FleetState
 import org.cicadaturn.decisions.gateway.LoadSample
@@ -65,6 +66,9 @@
     /** Returns the first decision on [request]. */
     public suspend fun place(request: DispatchRequest): Placement
 
+    /** Returns true if [request] could be placed now; nothing is placed or counted. */
+    public suspend fun canPlace(request: EndpointRequest): Boolean
+
     /** Returns the decision that ends the wait of a request; it is not [Placement.Waiting]. */
     public suspend fun await(waiting: Placement.Waiting): Placement
 
@@ -217,6 +221,7 @@
                 // The request may already wait, and would be counted in flight without being sent.
                 supervisor.attempt(BALANCER_TASK, message) { cancel(DispatchTicket(lastTicket)) }
             }
+            is BalancerMessage.CanPlace -> message.reply.complete(false)
             is BalancerMessage.Stalled -> message.reply.complete(false)
             is BalancerMessage.ReadLimits<*> -> message.reject()
             else -> Unit
@@ -229,6 +234,7 @@
             is BalancerMessage.Updated -> update(message, now)
             is BalancerMessage.Arrived -> balancer.arrived(message.service, now)
             is BalancerMessage.Place -> place(message)
+            is BalancerMessage.CanPlace -> message.reply.complete(balancer.canPlace(message.request, now))
             is BalancerMessage.Cancelled -> cancel(message.ticket)
             is BalancerMessage.Finished -> balancer.finished(message.endpoint, message.use, now)
             is BalancerMessage.Accepted -> balancer.accepted(message.endpoint, now)
@@ -319,6 +325,12 @@
         return awaitOrUndo(reply)
     }
 
+    override suspend fun canPlace(request: EndpointRequest): Boolean {
+        val reply = CompletableDeferred<Boolean>()
+        send(BalancerMessage.CanPlace(request, reply))
+        return reply.await()
+    }
+
     override suspend fun await(waiting: Placement.Waiting): Placement {
         try {
             return awaitOrUndo(waiting.outcome)
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/BalancerMessage.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/BalancerMessage.kt
@@ -5,6 +5,7 @@
 import org.cicadaturn.decisions.dispatch.DispatchTicket
 import org.cicadaturn.decisions.dispatch.GroupReport
 import org.cicadaturn.decisions.gateway.EndpointBalancer
+import org.cicadaturn.decisions.gateway.EndpointRequest
 import org.cicadaturn.decisions.gateway.EndpointUse
 import org.cicadaturn.decisions.gateway.FleetState
 import org.cicadaturn.decisions.gateway.LoadSample
@@ -30,6 +31,11 @@
         val reply: CompletableDeferred<Placement>,
     ) : BalancerMessage
 
+    class CanPlace(
+        val request: EndpointRequest,
+        val reply: CompletableDeferred<Boolean>,
+    ) : BalancerMessage
+
     class Cancelled(
         val ticket: DispatchTicket,
     ) : BalancerMessage
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/Exchange.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/Exchange.kt
@@ -39,7 +39,7 @@
     val requestId: String?,
     val silenceLimit: Duration,
     val canBeAbandoned: Boolean,
-    val canMoveOn: () -> Boolean,
+    val canMoveOn: suspend () -> Boolean,
     val events: ExpectedEvents?,
     val pauseTarget: Duration?,
     val remaining: Duration,
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/RequestExecution.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/RequestExecution.kt
@@ -266,6 +266,15 @@
         return minOf(holdUntil - clock.now(), remaining()).coerceAtLeast(Duration.ZERO)
     }
 
+    /**
+     * Returns true if an answer that has begun could be continued now at another endpoint than [endpoint], which is
+     * silent. If not, giving [endpoint] up could only end in a cut.
+     */
+    private suspend fun canContinueBeside(endpoint: LiveEndpoint): Boolean {
+        val request = endpointRequest()
+        return gate.isOpen() && balancer.canPlace(request.copy(excluded = request.excluded + endpoint.id))
+    }
+
     private suspend fun attempt(endpoint: LiveEndpoint): AttemptResult {
         // Counted before the request is sent, as expire() must not answer "not run" once it may have been sent.
         triedEndpoints += endpoint.id
@@ -279,7 +288,7 @@
                 endpoint,
                 remaining(),
                 canTryAnother = triedEndpoints.size < route.attempts,
-                canRepeatInTime = ::canRepeatInTime,
+                canRepeat = { canRepeatInTime() && (!answer.isBegun || canContinueBeside(endpoint)) },
                 onConnected = { progress.earlierRequests = it },
                 onProgress = { recordProgress(observation, it) },
             )
--- a/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/PlannedStopTest.kt
+++ b/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/PlannedStopTest.kt
@@ -7,6 +7,7 @@
 import kotlinx.coroutines.runBlocking
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Tag
 import org.junit.jupiter.api.Test
 import java.io.OutputStream
 import java.net.Socket
@@ -152,4 +153,24 @@
             }
         }
     }
+
+    /** Guards against a repeatable request that fails because its endpoint is silent although no other one is left. */
+    @Tag("known-red")
+    @Test
+    fun `a repeatable request whose only endpoint is silent for a while is answered`() {
+        val slow: (RawRequest, OutputStream) -> Boolean = { r, out ->
+            CountDownLatch(1).await(900, TimeUnit.MILLISECONDS)
+            answerOk(r, out)
+        }
+        ScriptedEndpoint(slow).use { endpoint ->
+            TestGateway(listOf(endpoint), 15.seconds).use { gateway ->
+                runBlocking(Dispatchers.IO) {
+                    val answers = List(4) { async { exchange(gateway.port, request("/safe/x", id = "c$it")).status } }
+                    while (endpoint.requests.size < 4) delay(10.milliseconds)
+                    gateway.stop()
+                    assertEquals(List(4) { 200 }, answers.awaitAll())
+                }
+            }
+        }
+    }
 }
--- a/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/StreamInStopTest.kt
+++ b/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/StreamInStopTest.kt
@@ -7,6 +7,7 @@
 import kotlinx.coroutines.runBlocking
 import org.cicadaturn.schema.generated.RequestLine
 import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Tag
 import org.junit.jupiter.api.Test
 import java.io.OutputStream
 import java.util.concurrent.CopyOnWriteArrayList
@@ -95,6 +96,88 @@
         }
     }
 
+    /** Guards against a stream that is given up because its endpoint pauses although no other endpoint is left. */
+    @Test
+    fun `a stream whose only endpoint pauses goes on in calm`() {
+        ScriptedEndpoint(pausesBeforeEnd).use { only ->
+            TestGateway(listOf(only), stopTimeout, retrySlack = RETRY_SLACK, journal = { lines += it }).use { gateway ->
+                assertWhole(listOf(exchange(gateway.port, request("/long-stream/x", id = "c0"))))
+            }
+        }
+    }
+
+    /** Guards against a stream that is given up because its endpoint pauses although no retry is allowed. */
+    @Test
+    fun `a stream that pauses while the retry budget is used up goes on`() {
+        ScriptedEndpoint(pausesBeforeEnd).use { first ->
+            ScriptedEndpoint(pausesBeforeEnd).use { second ->
+                TestGateway(listOf(first, second), stopTimeout, retrySlack = 0.0, journal = { lines += it }).use {
+                    assertWhole(listOf(exchange(it.port, request("/long-stream/x", id = "c0"))))
+                }
+            }
+        }
+    }
+
+    /** Sends an event each 100 ms and pauses for 1.8 s before the second. */
+    private val pausesEarly: (RawRequest, OutputStream) -> Boolean = { r, out ->
+        val rest = restOf(r)
+        out.text(streamHead(r, rest.sumOf { it.length }))
+        for (event in rest) {
+            pause(if (event == event(2)) 1_800 else 100)
+            out.text(event)
+            out.flush()
+        }
+        true
+    }
+
+    /** Guards against a stream that a stop cuts because its endpoint pauses although no other endpoint is left. */
+    @Test
+    fun `a stream whose only endpoint pauses goes on in a stop`() {
+        ScriptedEndpoint(pausesEarly).use { only ->
+            TestGateway(listOf(only), 15.seconds, retrySlack = RETRY_SLACK, journal = { lines += it }).use { gateway ->
+                runBlocking(Dispatchers.IO) {
+                    val answers =
+                        List(CASES) { async { exchange(gateway.port, request("/long-stream/x", id = "c$it")) } }
+                    while (only.requests.size < CASES) delay(10.milliseconds)
+                    gateway.stop()
+                    assertWhole(answers.awaitAll())
+                }
+            }
+        }
+    }
+
+    /** Guards against a stream that a stop cuts because its endpoint pauses while the other one refuses. */
+    @Tag("known-red")
+    @Test
+    fun `a stream that pauses in a stop goes on if the other endpoint refuses`() =
+        assertGoesOnWithout { r, out ->
+            out.text("HTTP/1.1 503 Full\r\nX-Id: ${r.id}\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n")
+        }
+
+    /** Guards against a stream that a stop cuts because its endpoint pauses while the other one is at its limit. */
+    @Test
+    fun `a stream that pauses in a stop goes on if the other endpoint is at its limit`() =
+        assertGoesOnWithout { r, out ->
+            val refusal = "HTTP/1.1 503 Full\r\nX-Id: ${r.id}\r\nX-Not-Executed: 1\r\nX-Limit: 0\r\n"
+            out.text("${refusal}Content-Length: 0\r\n\r\n")
+        }
+
+    private fun assertGoesOnWithout(other: (RawRequest, OutputStream) -> Boolean) =
+        ScriptedEndpoint(pausesEarly).use { first ->
+            ScriptedEndpoint(other).use { second ->
+                val endpoints = listOf(first, second)
+                TestGateway(endpoints, 15.seconds, retrySlack = RETRY_SLACK, journal = { lines += it }).use { gateway ->
+                    runBlocking(Dispatchers.IO) {
+                        val answers =
+                            List(CASES) { async { exchange(gateway.port, request("/long-stream/x", id = "c$it")) } }
+                        while (first.requests.size < CASES) delay(10.milliseconds)
+                        gateway.stop()
+                        assertWhole(answers.awaitAll())
+                    }
+                }
+            }
+        }
+
     private companion object {
         const val EVENTS = 6
         const val CASES = 10
