Keep what was sent to an endpoint whose entry lapses for a moment

An endpoint that named a limit got more than it allows if its entry lapsed and came back, as entries do while the store is disturbed: each gateway forgot what it had sent, and its budget was filled anew from the begin of the limit. The same held for the rate of a cold endpoint.

The counts of an endpoint that is no longer listed are kept for a minute and used again if it is listed with the same start.

--- a/decisions/src/main/kotlin/org/cicadaturn/decisions/gateway/BalancedEndpoint.kt
+++ b/decisions/src/main/kotlin/org/cicadaturn/decisions/gateway/BalancedEndpoint.kt
@@ -8,10 +8,15 @@
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Instant
 
-/** What a balancer knows about an [endpoint], which the store listed at [listedAt]. */
+/**
+ * What a balancer knows about an [endpoint], which the store listed at [listedAt].
+ *
+ * @property sends requests that this process has sent lately
+ */
 internal class BalancedEndpoint(
     var endpoint: LiveEndpoint,
     val listedAt: Instant,
+    val sends: SendPacer = sendPacer(listedAt),
 ) {
     /** Position of this process among those that send to the endpoint; null until it is needed. */
     var senderRank: Int? = null
@@ -19,9 +24,6 @@
     /** Requests of this process in flight at the endpoint. */
     var inFlight: Int = 0
 
-    /** Requests that this process has sent lately. */
-    val sends = sendPacer(listedAt)
-
     /** Beginning of the limit, or of the return after its end, to which [sends] was set; null before the first. */
     var limitedSince: Instant? = null
 
--- a/decisions/src/main/kotlin/org/cicadaturn/decisions/gateway/LeastLoadBalancer.kt
+++ b/decisions/src/main/kotlin/org/cicadaturn/decisions/gateway/LeastLoadBalancer.kt
@@ -27,6 +27,7 @@
     private val random: Random,
 ) : EndpointBalancer {
     private val members = HashMap<EndpointId, BalancedEndpoint>()
+    private val lapsed = LapsedEndpoints()
     private val pools = HashMap<ServiceId, ServicePool>()
 
     /** Endpoints that get requests, by service; each request needs those of its service only. */
@@ -44,6 +45,7 @@
         gateways.update(view.peers.size, now)
         val drained = view.drainedDomains.toSet()
         val listed = view.endpoints.mapTo(HashSet()) { it.id }
+        lapsed.update(members.values, listed, now)
         members.keys.retainAll(listed)
         groups.retain(listed)
         val configuration = view.configuration
@@ -69,7 +71,7 @@
     ) {
         val known = members[endpoint.id]
         if (known == null || known.endpoint.startedAt != endpoint.startedAt) {
-            members[endpoint.id] = BalancedEndpoint(endpoint, now)
+            members[endpoint.id] = lapsed.listed(endpoint, now)
             groups.forget(endpoint.id)
             pool(endpoint.service, now)
             return
