Tell line ends and late beginnings of requests apart at the end of a connection

A line end behind a request counted as the begin of the next one, so its connection stayed open and the stop took the whole grace: 7,513 and 7,521 ms with a timeout of 8 s. And a request of which a part arrived within the 0.2 s that are left for it was not read on: 6 of 10 got a closed connection.

Bytes that are line ends only begin no request, and a connection with a part of a request is read on after the 0.2 s. LastRequestTest has a case for each; both failed before.

--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/CallerConnection.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/CallerConnection.kt
@@ -62,8 +62,10 @@
     private suspend fun awaitRequest(): HttpPart? {
         val bounds = limits()
         val isClosing = tracker.drainStarted.isCompleted && !link.hasRequest
-        val limit = if (isClosing) LAST_REQUEST_TIME else bounds.idleTimeout + bounds.headerTimeout
-        return withTimeoutOrNull(limit) { link.receive() }
+        val part = if (isClosing) withTimeoutOrNull(LAST_REQUEST_TIME) { link.receive() } else null
+        // A request of which the beginning has arrived meanwhile is still read.
+        if (part != null || (isClosing && !link.hasRequest)) return part
+        return withTimeoutOrNull(bounds.idleTimeout + bounds.headerTimeout) { link.receive() }
     }
 
     private suspend fun sendError(status: Int) {
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/http/HttpListener.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/http/HttpListener.kt
@@ -14,6 +14,7 @@
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpResponseEncoder
 import io.netty.handler.codec.http.LastHttpContent
+import io.netty.util.ByteProcessor
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.launch
 import org.cicadaturn.schema.generated.NetworkAddress
@@ -105,8 +106,10 @@
         buffer: ByteBuf,
         out: MutableList<Any>,
     ) {
+        // Line ends between two requests are skipped and begin none.
+        val isBlank = !isWithinRequest && buffer.forEachByte(ByteProcessor.FIND_NON_CRLF) < 0
         super.decode(context, buffer, out)
-        isWithinRequest = out.lastOrNull() !is LastHttpContent
+        isWithinRequest = !isBlank && out.lastOrNull() !is LastHttpContent
     }
 
     override fun handleTransferEncodingChunkedWithContentLength(message: HttpMessage): Unit =
--- a/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/LastRequestTest.kt
+++ b/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/LastRequestTest.kt
@@ -107,6 +107,46 @@
             assertEquals(List(CASES) { true to 200 }, statuses.awaitAll())
         }
 
+    /** Guards against a stop that waits until its end for a connection on which no request has begun. */
+    @Test
+    fun `an empty line after a request does not keep its connection open`() =
+        withGateway { gateway ->
+            connect(gateway).use { socket ->
+                socket.send(request("/once/x", id = "first") + "\r\n")
+                assertEquals(200, readAnswer(socket).status)
+                val start = System.nanoTime()
+                gateway.stop()
+                val millis = (System.nanoTime() - start) / 1_000_000
+                assertEquals(true, millis < 5_000, "the stop took $millis ms")
+            }
+        }
+
+    /** Guards against a connection that is closed after its last answer although a part of a request was read from it. */
+    @Test
+    fun `a request of which a part has arrived after an answer from before the stop is answered`() =
+        withGateway { gateway ->
+            val statuses =
+                List(CASES) {
+                    async {
+                        connect(gateway).use { socket ->
+                            socket.send(request("/long-stream/x", id = "stream$it"))
+                            val first = readAnswer(socket)
+                            val text = request("/once/x", id = "next$it")
+                            socket.send(text.take(30))
+                            delay(500.milliseconds)
+                            first.isComplete to
+                                runCatching {
+                                    socket.send(text.drop(30))
+                                    readAnswer(socket).status
+                                }.getOrDefault(0)
+                        }
+                    }
+                }
+            delay(500.milliseconds)
+            gateway.stop()
+            assertEquals(List(CASES) { true to 200 }, statuses.awaitAll())
+        }
+
     private companion object {
         const val CASES = 10
     }
