--- a/decisions/src/test/kotlin/org/cicadaturn/decisions/ratelimit/EndpointLimitDispatchTest.kt
+++ b/decisions/src/test/kotlin/org/cicadaturn/decisions/ratelimit/EndpointLimitDispatchTest.kt
@@ -9,6 +9,7 @@
 import org.cicadaturn.schema.generated.EndpointId
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Tag
 import org.junit.jupiter.api.Test
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -115,6 +116,22 @@
         assertTrue(later is DispatchDecision.Place, "$later")
     }
 
+    /** Guards against requests that wait in vain, as the limit has become lower since they began to wait. */
+    @Tag("known-red")
+    @Test
+    fun `requests that wait are rejected when a lower limit leaves them no budget in time`() {
+        val balancer = limitedBalancer("g0")
+        balancer.update(limitedView(listOf(limitedEndpoint("e0")), listOf("g0")), START)
+        balancer.limitNamed(e0, NamedLimit.Rate(2.0), START)
+        val dispatcher = dispatcher(balancer) { 0.0 }
+        val first = List(10) { dispatcher.submit(START, wait = 6.seconds) }
+        assertEquals(10, first.count { it is DispatchDecision.Wait })
+        balancer.limitNamed(e0, NamedLimit.Rate(0.0), START + 100.milliseconds)
+        val changed = START + 200.milliseconds
+        val rejected = dispatcher.advance(changed).count { it is DispatchDecision.Reject }
+        assertTrue(rejected >= 8, "$rejected of 10 rejected, one of which can be served in 6 s")
+    }
+
     private fun rounded(decision: DispatchDecision): DispatchDecision =
         (decision as DispatchDecision.Reject).let {
             it.copy(retryAfter = (it.retryAfter / 10.milliseconds).let { n -> Math.round(n) * 10 }.milliseconds)
--- a/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/EndpointLimitTest.kt
+++ b/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/EndpointLimitTest.kt
@@ -3,6 +3,7 @@
 import org.cicadaturn.tasks.gateway.LimitedEndpoint.Companion.allowed
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Tag
 import org.junit.jupiter.api.Test
 import org.junit.jupiter.params.ParameterizedTest
 import org.junit.jupiter.params.provider.ValueSource
@@ -205,6 +206,22 @@
         limited.close()
     }
 
+    /** Guards against callers that are told to return before there can be budget for them. */
+    @Tag("known-red")
+    @Test
+    fun `a refusal states the time of the next budget of a low limit`() {
+        val limited = LimitedEndpoint(listOf("0.25"))
+        LimitSite(listOf(limited), 1).use { site ->
+            repeat(20) { site.sendOne(0, "/once/x") }
+            val refusals = site.returnUntilServed(0)
+            assertTrue(
+                refusals <= 2,
+                "refused $refusals times at the stated times: ${site.answers.map { it.retryAfter }}",
+            )
+        }
+        limited.close()
+    }
+
     private companion object {
         const val TOTAL_PER_SECOND = 240
 
--- a/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/LimitExchangeTest.kt
+++ b/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/LimitExchangeTest.kt
@@ -28,6 +28,7 @@
 import org.cicadaturn.schema.generated.StoreReportRequest
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Tag
 import org.junit.jupiter.api.Test
 import kotlin.random.Random
 import kotlin.time.Clock
@@ -263,6 +264,51 @@
             assertEquals(mapOf<Double?, Int>(2.0 to 2), fleet.known())
         }
 
+    /** Guards against a limit that has ended long ago and stays in force at a gateway that was cut off meanwhile. */
+    @Tag("known-red")
+    @Test
+    fun `a gateway that was cut off from its peers for two minutes learns that a limit ended`() =
+        runTest {
+            val fleet = TestFleet(this, count = 8)
+            delay(1.seconds)
+            fleet.gateways.getValue("g0").answered(NamedLimit.Rate(2.0))
+            delay(5.seconds)
+            assertEquals(mapOf<Double?, Int>(2.0 to 8), fleet.known())
+            fleet.cutOff += "g7"
+            delay(1.seconds)
+            fleet.gateways.getValue("g0").answered(NamedLimit.None)
+            repeat(120) {
+                delay(1.seconds)
+                fleet.gateways.getValue("g0").answered(NamedLimit.None)
+            }
+            fleet.cutOff.clear()
+            delay(60.seconds)
+            assertEquals(mapOf<Double?, Int>(null to 8), fleet.known())
+            fleet.restart("g6")
+            delay(10.seconds)
+            assertEquals(mapOf<Double?, Int>(null to 8), fleet.known())
+        }
+
+    /** Guards against a limit that has ended long ago and is brought back by a gateway that was cut off meanwhile. */
+    @Tag("known-red")
+    @Test
+    fun `a gateway that starts takes no ended limit from one that was cut off`() =
+        runTest {
+            val fleet = TestFleet(this, count = 3)
+            delay(1.seconds)
+            fleet.gateways.getValue("g0").answered(NamedLimit.Rate(2.0))
+            delay(5.seconds)
+            fleet.cutOff += "g2"
+            repeat(120) {
+                delay(1.seconds)
+                fleet.gateways.getValue("g0").answered(NamedLimit.None)
+            }
+            fleet.cutOff.clear()
+            fleet.restart("g1")
+            delay(30.seconds)
+            assertEquals(null, fleet.gateways.getValue("g1").limit())
+        }
+
     private companion object {
         const val STARTED_AT = 1L
     }
