Write a line for each request that is in progress in a stop

A request now has a line with the event stop when its process begins to stop, or when it arrives later, with its endpoint, the events that its caller has and the state of the stop. A stop takes a few seconds and a gateway has about 20 requests a second, so the lines stay within the limit of the log.

RequestEndTest covers both moments.

--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/CallerConnection.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/CallerConnection.kt
@@ -83,11 +83,15 @@
         if (head.headers.valueOf("Expect") != null) link.sendContinue()
         val answer = CallerAnswer(link, tracker::asksToReconnect, head.closesConnection)
         val progress = RequestProgress(arrivedAt = clock.now())
+        val onStop =
+            tracker.stopStarted.invokeOnCompletion { ends.recordInStop(head, progress, answer.sentEvents) }
         try {
             return memory.reservation().use { serveBody(head, answer, progress, it) }
         } catch (e: CancellationException) {
             ends.record(head, progress, answer.sentEvents, answer.cut("the process ended before the answer"))
             throw e
+        } finally {
+            onStop.dispose()
         }
     }
 
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/RequestEnd.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/RequestEnd.kt
@@ -61,7 +61,7 @@
     var earlierRequests: Int? = null
 }
 
-/** Writes the last line of each request and counts how requests end. */
+/** Writes the last line of each request, and a line for each one in progress in a stop, and counts how requests end. */
 internal class RequestEndLog(
     private val journal: RequestJournal,
     private val metrics: GatewayMetrics,
@@ -78,25 +78,44 @@
         end: RequestEnd,
     ) {
         val now = clock.now()
-        val service = progress.service
-        metrics.ended(service, end, now - progress.arrivedAt)
-        journal(
-            RequestLine(
-                event = "end",
-                request = head.headers.valueOf(dialect.requestId),
-                service = service?.text,
-                endpoint = progress.endpoint?.text,
-                sends = progress.sends,
+        metrics.ended(progress.service, end, now - progress.arrivedAt)
+        val line =
+            lineOf("end", head, progress, sentEvents, now).copy(
                 prompt = promptText(dialect.promptOf(head.headers)),
-                earlierRequests = progress.earlierRequests,
                 detail = end.reason,
                 end = end.outcome.name,
                 status = end.status,
-                sentEvents = sentEvents.takeIf { it > 0 },
-                placedMs = progress.placedAt?.let { (it - progress.arrivedAt).inWholeMilliseconds },
-                firstMs = progress.begunAt?.let { (it - progress.arrivedAt).inWholeMilliseconds },
-                ms = (now - progress.arrivedAt).inWholeMilliseconds,
-            ).withAnswer(end.summary).withStop(shutdown.times, service?.let { times.recent.value[it] }, now),
-        )
+            )
+        journal(line.withAnswer(end.summary))
     }
+
+    /**
+     * Records that the request with [head] is in progress in a stop, as it was when the stop began or when it arrived
+     * later. A process that is killed within its stop leaves no other line of it.
+     */
+    fun recordInStop(
+        head: RequestHead,
+        progress: RequestProgress,
+        sentEvents: Int,
+    ) = journal(lineOf("stop", head, progress, sentEvents, clock.now()))
+
+    private fun lineOf(
+        event: String,
+        head: RequestHead,
+        progress: RequestProgress,
+        sentEvents: Int,
+        now: Instant,
+    ): RequestLine =
+        RequestLine(
+            event = event,
+            request = head.headers.valueOf(dialect.requestId),
+            service = progress.service?.text,
+            endpoint = progress.endpoint?.text,
+            sends = progress.sends,
+            earlierRequests = progress.earlierRequests,
+            sentEvents = sentEvents.takeIf { it > 0 },
+            placedMs = progress.placedAt?.let { (it - progress.arrivedAt).inWholeMilliseconds },
+            firstMs = progress.begunAt?.let { (it - progress.arrivedAt).inWholeMilliseconds },
+            ms = (now - progress.arrivedAt).inWholeMilliseconds,
+        ).withStop(shutdown.times, progress.service?.let { times.recent.value[it] }, now)
 }
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/Shutdown.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/Shutdown.kt
@@ -24,6 +24,9 @@
     /** Returns true while answers ask the caller for a new connection, which leads to another process. */
     fun asksToReconnect(): Boolean
 
+    /** Completes when the process begins to stop. */
+    val stopStarted: Job
+
     /** Completes when idle connections have to be closed. */
     val drainStarted: Job
 
@@ -48,6 +51,7 @@
     RequestTracker {
     override var times: StopTimes? = null
         private set
+    override val stopStarted = Job()
     override val drainStarted = Job()
     override val lastCall = Job()
     private var inProgress = 0
@@ -72,6 +76,7 @@
         val start = clock.now()
         val end = start + stopTimeout - STOP_RESERVE
         times = StopTimes(start, unreadyAt = start + READINESS_DELAY, endsAt = end)
+        stopStarted.complete()
         delay(UNREADY_TIME)
         closeListener()
         // The requests that have reached the sockets before are read meanwhile.
--- a/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/RequestEndTest.kt
+++ b/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/RequestEndTest.kt
@@ -121,6 +121,29 @@
         }
     }
 
+    /** Guards against a request that is in progress in a stop and leaves no line if its process is killed. */
+    @Test
+    fun `requests in progress in a stop have a line when it begins or when they arrive`() {
+        ScriptedEndpoint(pausesInStream).use { endpoint ->
+            TestGateway(listOf(endpoint), stopTimeout = 5.seconds, journal = { lines += it }).use { gateway ->
+                runBlocking(Dispatchers.IO) {
+                    val before = async { exchange(gateway.port, request("/stream-once/x", id = "before")) }
+                    delay(500.milliseconds)
+                    val stop = async { gateway.stop() }
+                    delay(500.milliseconds)
+                    val within = async { exchange(gateway.port, request("/stream-once/x", id = "within")) }
+                    stop.await()
+                    before.await()
+                    within.await()
+                }
+                val inStop = lines.filter { it.event == "stop" }
+                assertEquals(listOf("before", "within"), inStop.map { it.request })
+                assertEquals(listOf(2, null), inStop.map { it.sentEvents })
+                assertTrue(checkNotNull(inStop.first().ms) >= 400, "$inStop")
+            }
+        }
+    }
+
     private companion object {
         const val CASES = 20
     }
