Let a stream that has begun wait for an endpoint that accepts it

Cause: a request that may have run does not wait, so that a caller learns its outcome. For a stream that has begun, the only outcome is a cut, and an endpoint that refuses has not run it.

Change: such a stream is sent again to an endpoint that refused it, waits for a place if the reason may pass, and for the end of a trial, as long as its caller waits for the next event: two seconds, four times the latency target or eight times the pause target, as the platform states it. Reasons that do not pass end it at once, as its caller can go on at another process.

--- a/decisions/src/main/kotlin/org/cicadaturn/decisions/gateway/AttemptPolicy.kt
+++ b/decisions/src/main/kotlin/org/cicadaturn/decisions/gateway/AttemptPolicy.kt
@@ -3,6 +3,7 @@
 import org.cicadaturn.schema.generated.RouteKind
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 
 /** Outcome of one attempt at an endpoint. */
 public enum class AttemptEnd {
@@ -31,6 +32,7 @@
  * @property maxEndpoints number of different endpoints that it may be sent to
  * @property unsentAttempts number of attempts that ended with [AttemptEnd.NOT_SENT]
  * @property mayHaveRun true if any attempt may have run the request
+ * @property hasRefused true if an endpoint that the request was sent to has refused it, so that it may be asked again
  * @property isAnswerBegun true if the caller has already received a part of the answer
  * @property remaining time until the deadline
  * @property holdTimeLeft time for which the request may still wait for an endpoint that accepts it
@@ -42,6 +44,7 @@
     val maxEndpoints: Int,
     val unsentAttempts: Int,
     val mayHaveRun: Boolean,
+    val hasRefused: Boolean,
     val isAnswerBegun: Boolean,
     val remaining: Duration,
     val holdTimeLeft: Duration,
@@ -52,7 +55,7 @@
     /** Send the request to another endpoint, within the retry budget. */
     REPEAT,
 
-    /** Wait until the service accepts requests again, then send the request to an endpoint that has not run it. */
+    /** Wait until the service accepts requests again, then send the request to an endpoint that has refused it. */
     HOLD,
 
     /** Pass the endpoint's failure on to the caller. */
@@ -86,9 +89,10 @@
     val hasAttempts = history.endpointsTried < history.maxEndpoints && history.unsentAttempts <= MAX_UNSENT_ATTEMPTS
     if (isSafe && hasTime && hasAttempts) return NextStep.REPEAT
     // The limit on attempts counts only different endpoints, so after a wait, the request may be sent again to one that
-    // refused it.
+    // refused it. Without a wait, a stream that has begun would be cut while its caller still waits for the next event.
     val isRefused = end == AttemptEnd.NOT_EXECUTED && !history.mayHaveRun
-    if (isRefused && hasTime && history.holdTimeLeft > Duration.ZERO) return NextStep.HOLD
+    val canContinue = isResumable && history.isAnswerBegun && history.hasRefused
+    if ((isRefused || canContinue) && hasTime && history.holdTimeLeft > Duration.ZERO) return NextStep.HOLD
     return finalStep(end, history)
 }
 
@@ -122,6 +126,17 @@
     timeLimit: Duration,
 ): Duration = if (kind == RouteKind.STREAM) minOf(MAX_STREAM_HOLD, timeLimit * HOLD_SHARE) else timeLimit * HOLD_SHARE
 
+/**
+ * Returns how long callers wait for the next event of a stream before they abandon it, as the platform states it: two
+ * seconds, four times the [latencyTarget] or eight times the [pauseTarget], whichever is longest.
+ */
+public fun maxStreamGap(
+    latencyTarget: Duration,
+    pauseTarget: Duration?,
+): Duration = maxOf(MIN_STREAM_GAP, latencyTarget * 4, (pauseTarget ?: Duration.ZERO) * 8)
+
+private val MIN_STREAM_GAP = 2.seconds
+
 /**
  * Returns the delay after which a caller whose request was refused with [remaining] time left should retry: the
  * [expected] time until it can be served, but at most the part of its time that leaves room for the retry.
--- a/decisions/src/main/kotlin/org/cicadaturn/decisions/gateway/BalancerTypes.kt
+++ b/decisions/src/main/kotlin/org/cicadaturn/decisions/gateway/BalancerTypes.kt
@@ -68,18 +68,20 @@
  * Reason why no endpoint may get a request.
  *
  * @property text description for logs and answers
+ * @property mayPass true if it may end within a second or two, false if another process serves the request sooner
  */
 public enum class Unavailability(
     public val text: String,
+    public val mayPass: Boolean,
 ) {
-    NO_ENDPOINT("no endpoint of the service is in service"),
-    DOWN("every group of the service is down"),
-    REFUSING("the service refuses requests"),
-    AT_LIMIT("every group of the service is at its limit"),
-    AT_RATE("every endpoint is at its rate"),
-    AT_NAMED_LIMIT("every endpoint gets as many requests as it takes"),
-    NO_RETRY("the retry budget is used up"),
-    DEFECT("the placement failed by a defect, which the log of this process shows"),
+    NO_ENDPOINT("no endpoint of the service is in service", mayPass = false),
+    DOWN("every group of the service is down", mayPass = true),
+    REFUSING("the service refuses requests", mayPass = true),
+    AT_LIMIT("every group of the service is at its limit", mayPass = true),
+    AT_RATE("every endpoint is at its rate", mayPass = true),
+    AT_NAMED_LIMIT("every endpoint gets as many requests as it takes", mayPass = true),
+    NO_RETRY("the retry budget is used up", mayPass = false),
+    DEFECT("the placement failed by a defect, which the log of this process shows", mayPass = false),
 }
 
 /** Outcome of a request at an endpoint, as far as it affects the endpoint's health. */
--- a/decisions/src/test/kotlin/org/cicadaturn/decisions/gateway/AttemptPolicyTest.kt
+++ b/decisions/src/test/kotlin/org/cicadaturn/decisions/gateway/AttemptPolicyTest.kt
@@ -18,6 +18,7 @@
         isAnswerBegun: Boolean = false,
         isResumable: Boolean = false,
         holdTimeLeft: Duration = Duration.ZERO,
+        hasRefused: Boolean = false,
     ) = AttemptHistory(
         kind,
         isResumable,
@@ -25,6 +26,7 @@
         maxEndpoints,
         0,
         mayHaveRun,
+        hasRefused,
         isAnswerBegun,
         1.seconds,
         holdTimeLeft,
@@ -66,7 +68,27 @@
                 history(stream, mayHaveRun = true, isAnswerBegun = true, isResumable = true),
                 NextStep.REPEAT,
             ),
+        ) + listOf(AttemptEnd.NOT_EXECUTED, AttemptEnd.BROKEN).flatMap(::begunStreams)
+
+    /** Cases of a stream that has begun and was sent to as many endpoints as it may be sent to. */
+    private fun begunStreams(end: AttemptEnd): List<Case> {
+        val history =
+            history(
+                stream,
+                endpointsTried = 2,
+                mayHaveRun = true,
+                isAnswerBegun = true,
+                isResumable = true,
+                holdTimeLeft = 1.seconds,
+                hasRefused = true,
+            )
+        return listOf(
+            Case(end, history, NextStep.HOLD),
+            Case(end, history.copy(holdTimeLeft = Duration.ZERO), NextStep.CUT),
+            Case(end, history.copy(hasRefused = false), NextStep.CUT),
+            Case(end, history.copy(isResumable = false), NextStep.CUT),
         )
+    }
 
     /** Guards against a repetition that runs a request twice, and against a refusal that falsely says "not run". */
     @TestFactory
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/CallerAnswer.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/CallerAnswer.kt
@@ -5,14 +5,17 @@
 import org.cicadaturn.tasks.http.HttpLink
 import org.cicadaturn.tasks.http.ResponseHead
 import org.cicadaturn.tasks.http.endToEnd
+import kotlin.time.Clock
 import kotlin.time.Duration
 import kotlin.time.DurationUnit
+import kotlin.time.Instant
 
 /** Answer to one request, written to the connection of the caller. */
 internal class CallerAnswer(
     private val caller: HttpLink,
     private val isStopping: () -> Boolean,
     private val callerCloses: Boolean,
+    private val clock: Clock,
 ) : AnswerSink {
     override var isBegun = false
         private set
@@ -25,6 +28,10 @@
     var sentEvents = 0
         private set
 
+    /** Time at which the last event was sent to the caller; in the distant past before the first. */
+    var lastSentAt = Instant.DISTANT_PAST
+        private set
+
     private var isComplete = false
     private var closes = callerCloses
     private var status = 0
@@ -52,6 +59,7 @@
         begin(head)
         lastEventId = event.id
         sentEvents += 1
+        lastSentAt = clock.now()
         return caller.sendData(event.bytes)
     }
 
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/CallerConnection.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/CallerConnection.kt
@@ -81,7 +81,7 @@
             return false.also { sendError(BAD_REQUEST) }
         }
         if (head.headers.valueOf("Expect") != null) link.sendContinue()
-        val answer = CallerAnswer(link, tracker::asksToReconnect, head.closesConnection)
+        val answer = CallerAnswer(link, tracker::asksToReconnect, head.closesConnection, clock)
         val progress = RequestProgress(arrivedAt = clock.now())
         val onStop =
             tracker.stopStarted.invokeOnCompletion { ends.recordInStop(head, progress, answer.sentEvents) }
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/RequestAttempts.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/RequestAttempts.kt
@@ -121,6 +121,7 @@
             maxEndpoints = route.attempts,
             unsentAttempts = unsent,
             mayHaveRun = mayHaveRun,
+            hasRefused = tried.any { it !in excluded },
             isAnswerBegun = isAnswerBegun,
             remaining = remaining,
             holdTimeLeft = holdTimeLeft,
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/RequestExecution.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/RequestExecution.kt
@@ -17,10 +17,12 @@
 import org.cicadaturn.decisions.gateway.RequestTimes
 import org.cicadaturn.decisions.gateway.StopTimes
 import org.cicadaturn.decisions.gateway.TimeEstimate
+import org.cicadaturn.decisions.gateway.Unavailability
 import org.cicadaturn.decisions.gateway.canEndBefore
 import org.cicadaturn.decisions.gateway.estimateAt
 import org.cicadaturn.decisions.gateway.finalStep
 import org.cicadaturn.decisions.gateway.maxHoldTime
+import org.cicadaturn.decisions.gateway.maxStreamGap
 import org.cicadaturn.decisions.gateway.nextStep
 import org.cicadaturn.decisions.gateway.retryDelay
 import org.cicadaturn.decisions.quarantine.Verdict
@@ -165,6 +167,10 @@
                     }
                 }
                 is Placement.Rejected -> {
+                    if (canAwaitPlace(placement.cause)) {
+                        delay(minOf(holdTime(), HOLD_PAUSE))
+                        continue
+                    }
                     val step = finalStep(last, history())
                     return finish(step, placement.cause.text, retryDelay(remaining(), placement.retryAfter))
                 }
@@ -213,7 +219,7 @@
             priority = admission.priority,
             bytes = request.body.size,
             aimUntil = request.arrivedAt - timeSpent() + route.latencyTarget * START_SHARE,
-            waitUntil = clock.now() + holdTime(),
+            waitUntil = if (answer.isBegun) clock.now() else clock.now() + holdTime(),
             hasReturned = timeSpent() > MIN_RETURN_TIME,
         )
 
@@ -251,14 +257,28 @@
     }
 
     private fun endpointRequest(): EndpointRequest =
-        attempts.endpointRequest(canWait = holdTime() > Duration.ZERO)
+        attempts.endpointRequest(canWait = !answer.isBegun && holdTime() > Duration.ZERO)
 
-    /** Returns how long the request may still wait; a request that may have been run does not wait. */
+    /**
+     * Returns how long the request may still wait. A stream that has begun waits as long as its caller waits for the next
+     * event; another request that may have been run does not wait.
+     */
     private fun holdTime(): Duration {
-        if (attempts.mayHaveRun || answer.isBegun) return Duration.ZERO
-        return minOf(holdUntil - clock.now(), remaining()).coerceAtLeast(Duration.ZERO)
+        val until =
+            when {
+                answer.isBegun && isResumable ->
+                    answer.lastSentAt +
+                        maxStreamGap(route.latencyTarget, route.pauseTarget)
+                answer.isBegun || attempts.mayHaveRun -> return Duration.ZERO
+                else -> holdUntil
+            }
+        return minOf(until - clock.now(), remaining()).coerceAtLeast(Duration.ZERO)
     }
 
+    /** Returns true if an answer that has begun waits for a place, as a cut is worse for its caller than the wait. */
+    private fun canAwaitPlace(cause: Unavailability): Boolean =
+        answer.isBegun && cause.mayPass && holdTime() > Duration.ZERO
+
     private data class EndedAttempt(
         val endpoint: LiveEndpoint,
         val result: AttemptResult,
@@ -331,7 +351,7 @@
         attempts.history(
             isAnswerBegun = answer.isBegun,
             remaining = remaining(),
-            holdTimeLeft = holdUntil - clock.now(),
+            holdTimeLeft = if (answer.isBegun) holdTime() else holdUntil - clock.now(),
         )
 
     private suspend fun finish(
--- a/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/StreamInStopTest.kt
+++ b/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/StreamInStopTest.kt
@@ -181,6 +181,31 @@
             }
         }
 
+    /** Guards against a stream that is cut because the only other endpoint refuses at the moment of the break. */
+    @Test
+    fun `a stream that breaks off goes on once the other endpoint accepts it`() {
+        val start = System.nanoTime()
+        val acceptsLater: (RawRequest, OutputStream) -> Boolean = { r, out ->
+            if (System.nanoTime() - start < 800_000_000) {
+                out.text("HTTP/1.1 503 Full\r\nX-Id: ${r.id}\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n")
+            } else {
+                out.text(streamAnswer(r, "t", restOf(r).joinToString("")))
+            }
+        }
+        ScriptedEndpoint(breaksOffAfter(millis = 100)).use { first ->
+            ScriptedEndpoint(acceptsLater).use { second ->
+                val endpoints = listOf(first, second)
+                TestGateway(endpoints, retrySlack = RETRY_SLACK, journal = { lines += it }).use { gateway ->
+                    runBlocking(Dispatchers.IO) {
+                        val answers =
+                            List(CASES) { async { exchange(gateway.port, request("/long-stream/x", id = "c$it")) } }
+                        assertWhole(answers.awaitAll())
+                    }
+                }
+            }
+        }
+    }
+
     /** Guards against two endpoints that both write to a caller after one of them was silent for a while. */
     @Test
     fun `a stream whose endpoint goes on while another stands by has each event once`() {
@@ -214,6 +239,45 @@
         }
     }
 
+    /** Guards against a begun stream that is cut at once because another one with the same segment is on trial. */
+    @Test
+    fun `begun streams whose endpoint crashes go on one after the other`() {
+        val begins: (RawRequest, OutputStream) -> Boolean = { r, out ->
+            out.text(streamHead(r, "s").replace("\r\n\r\n", "\r\nContent-Length: 999\r\n\r\n") + event(1))
+            out.flush()
+            pause(5_000)
+            false
+        }
+        val resumes: (RawRequest, OutputStream) -> Boolean = { r, out ->
+            val rest = restOf(r)
+            out.text(streamHead(r, rest.sumOf { it.length }))
+            for (event in rest) {
+                out.text(event)
+                out.flush()
+                pause(80)
+            }
+            true
+        }
+        ScriptedEndpoint(begins).use { first ->
+            ScriptedEndpoint(resumes).use { second ->
+                val endpoints = listOf(first, second)
+                TestGateway(endpoints, retrySlack = RETRY_SLACK, journal = { lines += it }).use { gateway ->
+                    runBlocking(Dispatchers.IO) {
+                        val answers =
+                            List(3) {
+                                val prompt = "X-Prompt: shared own$it\r\n"
+                                async { exchange(gateway.port, request("/long-stream/x", prompt, id = "c$it")) }
+                            }
+                        while (first.requests.size + second.requests.size < 3) delay(10.milliseconds)
+                        delay(100.milliseconds)
+                        first.close()
+                        assertWhole(answers.awaitAll())
+                    }
+                }
+            }
+        }
+    }
+
     private companion object {
         const val EVENTS = 6
         const val CASES = 10
