Judge requests by their limit once new connections go elsewhere

What callers saw: a stream that followed on a kept connection more than 3 s after the SIGTERM was passed on and cut at the end of the process. Nothing excuses such a cut: the caller would have reached another process at once.

Cause: the request was admitted if 1.5 times the longest known time fits before the end, beside which a third of its limit counts as one more time. A process that has served for a second or two knows the times of its shortest requests only.

Change: a request that arrives after that moment is admitted only if its own time limit ends before the process does, and is refused as not run otherwise. The moment is 0.1 s before the connections are closed, as the signal may have been sent that much before the stop begins.

LastRequestTest fails on: the second stream of a connection is passed on 3.1 s after the begin of the stop and cut at 7.3 s.

--- a/decisions/src/main/kotlin/org/cicadaturn/decisions/gateway/ShutdownPolicy.kt
+++ b/decisions/src/main/kotlin/org/cicadaturn/decisions/gateway/ShutdownPolicy.kt
@@ -9,11 +9,13 @@
  * Times of a planned stop of a process.
  *
  * @property unreadyAt time from which new connections are led to other processes, as readiness checks have failed
+ * @property closedAt time from which requests arrive only on connections that were open before
  * @property endsAt time at which the requests in progress are ended
  */
 public data class StopTimes(
     val startedAt: Instant,
     val unreadyAt: Instant,
+    val closedAt: Instant,
     val endsAt: Instant,
 )
 
@@ -47,19 +49,30 @@
 
     /** The longest, for a request that should be served only if it will almost certainly end. */
     LONGEST,
+
+    /** The time limit of the request, whatever the recent times, for one that must end. */
+    LIMIT,
 }
 
 /**
- * Returns by which times a stopping process judges at [now] whether a request can still end.
+ * Returns by which times a stopping process judges at [now] whether a request that arrived at [arrivedAt] can still end.
  *
  * A request that [isRepeatable] and arrives while refused callers may come back to this process is judged by the mean,
  * as its caller may have no attempt left after a refusal. Later, another process can serve what is refused, so all are
- * judged by the longest time, as a request that may run once always is: nobody could tell whether it ran.
+ * judged by the longest time, as a request that may run once always is: nobody could tell whether it ran. What follows
+ * on a connection from before the stop once new ones go elsewhere must end in any case: the times of a process that has
+ * just started are those of its shortest requests, and a refused caller reaches another process at once.
  */
 public fun StopTimes.estimateAt(
     now: Instant,
+    arrivedAt: Instant,
     isRepeatable: Boolean,
-): TimeEstimate = if (isRepeatable && now < unreadyAt) TimeEstimate.MEAN else TimeEstimate.LONGEST
+): TimeEstimate =
+    when {
+        arrivedAt >= closedAt -> TimeEstimate.LIMIT
+        isRepeatable && now < unreadyAt -> TimeEstimate.MEAN
+        else -> TimeEstimate.LONGEST
+    }
 
 /**
  * Returns true if a request that is sent now can be expected to end within [timeLeft], after which the process ends.
@@ -85,6 +98,7 @@
     recent: RequestTimes?,
     estimate: TimeEstimate,
 ): Duration {
+    if (estimate == TimeEstimate.LIMIT) return limit
     val assumed = limit * ASSUMED_SHARE
     if (recent == null) return if (estimate == TimeEstimate.MEAN) assumed else limit
     val known = if (estimate == TimeEstimate.MEAN) recent.mean else recent.longest
--- a/decisions/src/test/kotlin/org/cicadaturn/decisions/gateway/ShutdownPolicyTest.kt
+++ b/decisions/src/test/kotlin/org/cicadaturn/decisions/gateway/ShutdownPolicyTest.kt
@@ -13,6 +13,13 @@
 class ShutdownPolicyTest {
     private val start = Instant.fromEpochSeconds(1_000)
     private val service = ServiceId("s")
+    private val stop =
+        StopTimes(
+            start,
+            unreadyAt = start + 2.seconds,
+            closedAt = start + 2_900.milliseconds,
+            endsAt = start + 7.seconds,
+        )
 
     private fun canEnd(
         timeLeft: Duration,
@@ -33,9 +40,8 @@
     /** Guards against a stop during a slow time that refuses requests whose callers have no attempt left. */
     @Test
     fun `a repeatable request that a refusal may lead back is judged by the mean`() {
-        val stop = StopTimes(start, unreadyAt = start + 2.seconds, endsAt = start + 7.seconds)
-        assertEquals(TimeEstimate.MEAN, stop.estimateAt(start + 1.seconds, isRepeatable = true))
-        assertEquals(TimeEstimate.LONGEST, stop.estimateAt(start + 1.seconds, isRepeatable = false))
+        assertEquals(TimeEstimate.MEAN, stop.estimateAt(start + 1.seconds, start, isRepeatable = true))
+        assertEquals(TimeEstimate.LONGEST, stop.estimateAt(start + 1.seconds, start, isRepeatable = false))
         assertTrue(canEnd(timeLeft = 1_510.milliseconds, estimate = TimeEstimate.MEAN))
         assertFalse(canEnd(timeLeft = 1_490.milliseconds, estimate = TimeEstimate.MEAN))
     }
@@ -43,8 +49,17 @@
     /** Guards against a repeatable request that is cut, although another process would have served it at once. */
     @Test
     fun `a repeatable request is judged by the longest time once new connections are led elsewhere`() {
-        val stop = StopTimes(start, unreadyAt = start + 2.seconds, endsAt = start + 7.seconds)
-        assertEquals(TimeEstimate.LONGEST, stop.estimateAt(start + 2.seconds, isRepeatable = true))
+        assertEquals(TimeEstimate.LONGEST, stop.estimateAt(start + 2.seconds, start, isRepeatable = true))
+    }
+
+    /** Guards against a request that a stop admits by short times and cuts, although it was refused at no cost. */
+    @Test
+    fun `a request that arrives after new connections go elsewhere is judged by its limit`() {
+        val at = start + 3.seconds
+        listOf(true, false).forEach { assertEquals(TimeEstimate.LIMIT, stop.estimateAt(at, at, isRepeatable = it)) }
+        assertEquals(TimeEstimate.LONGEST, stop.estimateAt(at, start + 2.seconds, isRepeatable = true))
+        assertFalse(canEnd(timeLeft = 4.seconds, limit = 5.seconds, estimate = TimeEstimate.LIMIT))
+        assertTrue(canEnd(timeLeft = 4.seconds, limit = 1.seconds, estimate = TimeEstimate.LIMIT))
     }
 
     /** Guards against a process that has just started and accepts, or refuses, everything when it is stopped. */
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/RequestExecution.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/RequestExecution.kt
@@ -123,7 +123,7 @@
      */
     private fun canEndBeforeShutdown(): Boolean {
         val stop = dependencies.shutdown.times ?: return true
-        return answer.isBegun || canAttemptEnd(stop, stop.estimateAt(clock.now(), isRepeatable))
+        return answer.isBegun || canAttemptEnd(stop, stop.estimateAt(clock.now(), request.arrivedAt, isRepeatable))
     }
 
     /** Judged by the longest time, as an endpoint that is silent may still answer earlier. */
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/Shutdown.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/Shutdown.kt
@@ -75,7 +75,8 @@
         logger.info("gateway: stopping with {} requests in progress", inProgress)
         val start = clock.now()
         val end = start + stopTimeout - STOP_RESERVE
-        times = StopTimes(start, unreadyAt = start + READINESS_DELAY, endsAt = end)
+        val closedAt = start + UNREADY_TIME - SIGNAL_DELAY
+        times = StopTimes(start, unreadyAt = start + READINESS_DELAY, closedAt, endsAt = end)
         stopStarted.complete()
         delay(UNREADY_TIME)
         closeListener()
@@ -106,6 +107,9 @@
          * were opened just before the checks failed.
          */
         val UNREADY_TIME = READINESS_DELAY + 1.seconds
+
+        /** Longest time from the sending of the signal to the start of the stop, also on a busy machine. */
+        val SIGNAL_DELAY = 100.milliseconds
         val STOP_POLL = 20.milliseconds
 
         /** Time before the stop timeout at which requests are ended, as the platform kills the process at the timeout. */
--- a/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/LastRequestTest.kt
+++ b/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/LastRequestTest.kt
@@ -147,6 +147,40 @@
             assertEquals(List(CASES) { true to 200 }, statuses.awaitAll())
         }
 
+    /**
+     * Guards against a stream that is read after new connections go elsewhere, passed on because few times are known,
+     * and cut at the end of the process.
+     */
+    @Test
+    fun `a stream that follows one from before the stop and may outlast the process is refused`() {
+        val slower: (RawRequest, OutputStream) -> Boolean = { r, out ->
+            out.text(streamHead(r, "s").replace("\r\n\r\n", "\r\nContent-Length: ${2 * event(1).length}\r\n\r\n"))
+            out.text(event(1))
+            out.flush()
+            CountDownLatch(1).await(if (r.id == "first") 3_300 else 4_600, TimeUnit.MILLISECONDS)
+            out.text(event(2))
+        }
+        ScriptedEndpoint(slower).use { endpoint ->
+            TestGateway(listOf(endpoint)).use { gateway ->
+                runBlocking(Dispatchers.IO) {
+                    val answers =
+                        async {
+                            connect(gateway).use { socket ->
+                                socket.send(request("/long-stream/x", id = "first"))
+                                val first = readAnswer(socket)
+                                socket.send(request("/long-stream/x", "X-Deadline: 5000\r\n", id = "next"))
+                                listOf(first, readAnswer(socket))
+                            }
+                        }
+                    delay(200.milliseconds)
+                    gateway.stop()
+                    assertEquals(listOf(200 to true, 503 to true), answers.await().map { it.status to it.isComplete })
+                }
+                assertEquals(1, endpoint.requests.size)
+            }
+        }
+    }
+
     private companion object {
         const val CASES = 10
     }
