Receive a part that arrives as its wait is cancelled

Cause, found by reading: a receive from a channel that is cancelled after its element was handed over, and before its coroutine runs, loses the element. All waits for a part of a message have a time limit, and the event loop may run the timer before the coroutine if it is busy. A piece of an answer, its end, or a request that arrives at that moment was lost; the answer then ends as cut or at the deadline.

Change: a wait takes only a signal that something has arrived, and parts are taken without suspension.

No run has shown that callers met it.

--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/http/HttpLink.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/http/HttpLink.kt
@@ -105,6 +105,9 @@
     HttpLink {
     // Unbounded, but filled by one read of the socket at a time, which is requested when the inbox is empty.
     private val inbox = Inbox<HttpPart>(Inbox.UNLIMITED)
+
+    // A cancelled receive from a channel may lose its element, so a wait only takes a signal and never a part.
+    private val arrivals = Inbox<Unit>(Inbox.CONFLATED)
     private val ended = CompletableDeferred<Unit>()
     private var isReset = false
     private var pending = 0
@@ -117,10 +120,17 @@
     override val isIdle: Boolean get() = channel.isActive && pending == 0 && !hasSurplus
 
     override suspend fun receive(): HttpPart? {
-        val ready = inbox.tryReceive().getOrNull()
-        if (ready == null) channel.read()
-        val part = ready ?: inbox.receiveCatching().getOrNull()
-        if (part != null) pending -= 1
+        while (true) {
+            val ready = inbox.tryReceive()
+            ready.getOrNull()?.let { return received(it) }
+            if (ready.isClosed) return null
+            channel.read()
+            arrivals.receiveCatching()
+        }
+    }
+
+    private fun received(part: HttpPart): HttpPart {
+        pending -= 1
         if (part is HttpPart.Request) encoder?.isHeadRequest = part.head.method == "HEAD"
         return part
     }
@@ -159,11 +169,14 @@
     }
 
     private fun deliver(part: HttpPart) {
-        if (inbox.trySend(part).isSuccess) pending += 1
+        if (!inbox.trySend(part).isSuccess) return
+        pending += 1
+        arrivals.trySend(Unit)
     }
 
     override fun channelInactive(context: ChannelHandlerContext) {
         inbox.close()
+        arrivals.close()
         ended.complete(Unit)
     }
 
