Log the end of a request that was cut as a warning

The limit of the log drops lines at info level. Warnings are not subject to the limit; there are as many of these lines as cut requests.

RequestEndTest checks the levels (it fails without the change). LogSetupTest now also checks that warnings pass the limit, which they did before.

--- a/daemons/src/test/kotlin/org/cicadaturn/daemons/LogSetupTest.kt
+++ b/daemons/src/test/kotlin/org/cicadaturn/daemons/LogSetupTest.kt
@@ -90,6 +90,18 @@
         assertTrue(lines.size in 1..2_000, "${lines.size} lines")
     }
 
+    /** Guards against a warning, such as that of a request that was cut, that is dropped because of many other lines. */
+    @Test
+    fun `warnings are written beyond the rate limit`() {
+        val lines =
+            linesOf("info", "json") {
+                val logger = LogManager.getLogger("org.cicadaturn.tasks")
+                repeat(1_500) { logger.info("line {}", it) }
+                repeat(20) { logger.warn("warning {}", it) }
+            }
+        assertEquals(20, lines.count { "warning" in it })
+    }
+
     /** Guards against the loss of the lines that tell why a process ended, as they are still queued when it exits. */
     @Test
     fun `queued lines are written before the process exits`() {
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/RequestJournal.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/RequestJournal.kt
@@ -3,6 +3,7 @@
 import kotlinx.serialization.json.Json
 import kotlinx.serialization.json.JsonPrimitive
 import kotlinx.serialization.json.jsonObject
+import org.apache.logging.log4j.Level
 import org.apache.logging.log4j.LogManager
 import org.apache.logging.log4j.message.StringMapMessage
 import org.cicadaturn.decisions.gateway.AnswerSummary
@@ -16,7 +17,13 @@
 public typealias RequestJournal = (RequestLine) -> Unit
 
 /** Returns a journal that writes the fields of each line to the log. */
-internal fun requestJournal(): RequestJournal = { line -> logger.info(messageOf(line)) }
+internal fun requestJournal(): RequestJournal = { line -> logger.log(levelOf(line), messageOf(line)) }
+
+/**
+ * Returns the level of [line]. A request that this process has cut is a warning: the limit of the log drops lines below,
+ * and a cut is the end that somebody asks about.
+ */
+internal fun levelOf(line: RequestLine): Level = if (line.end == RequestOutcome.CUT.name) Level.WARN else Level.INFO
 
 /** Returns the [segments] of a prompt as they appear in a line, or null if there are none. */
 internal fun promptText(segments: List<PromptSegmentId>): String? =
--- a/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/RequestEndTest.kt
+++ b/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/RequestEndTest.kt
@@ -4,6 +4,7 @@
 import kotlinx.coroutines.async
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.runBlocking
+import org.apache.logging.log4j.Level
 import org.cicadaturn.schema.generated.RequestLine
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertFalse
@@ -144,6 +145,20 @@
         }
     }
 
+    /** Guards against the line of a request that was cut and is dropped by the limit of the log. */
+    @Test
+    fun `the end of a request that was cut is a warning`() {
+        val levels = RequestOutcome.entries.associateWith { levelOf(RequestLine(event = "end", end = it.name)) }
+        assertEquals(
+            mapOf(
+                RequestOutcome.ANSWERED to Level.INFO,
+                RequestOutcome.CUT to Level.WARN,
+                RequestOutcome.LEFT to Level.INFO,
+            ),
+            levels,
+        )
+    }
+
     private companion object {
         const val CASES = 20
     }
