--- /dev/null
+++ b/daemons/src/test/kotlin/org/cicadaturn/daemons/site/GatewayProcesses.kt
@@ -0,0 +1,150 @@
+package org.cicadaturn.daemons.site
+
+import java.io.IOException
+import java.net.HttpURLConnection
+import java.net.InetAddress
+import java.net.ServerSocket
+import java.net.URI
+import java.nio.file.Path
+import java.util.concurrent.TimeUnit
+import kotlin.io.path.listDirectoryEntries
+import kotlin.io.path.name
+import kotlin.io.path.readText
+import kotlin.io.path.useLines
+import kotlin.io.path.writeText
+import kotlin.random.Random
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+
+/** Zones of the site, in the order of their distance. */
+internal val ZONES = listOf("recife-a", "fortaleza-b", "salvador-c")
+
+/** Addresses of one gateway, which it has after each start. */
+internal data class GatewayAddresses(
+    val node: String,
+    val zone: String,
+    val front: Int,
+    val ready: Int,
+    val control: Int,
+    val admin: Int,
+)
+
+/** Returns addresses of [count] gateways, whose ports no outgoing connection gets while a gateway is down. */
+internal fun gatewayAddresses(
+    count: Int,
+    random: Random,
+): List<GatewayAddresses> {
+    val ports = generateSequence { random.nextInt(PORTS.first, PORTS.last) }.distinct().filter(::isFree).iterator()
+    return List(count) {
+        val zone = ZONES[it % ZONES.size]
+        val node = "front-$zone-${it / ZONES.size + 1}"
+        GatewayAddresses(node, zone, ports.next(), ports.next(), ports.next(), ports.next())
+    }
+}
+
+/** Ports below those that the system gives to outgoing connections. */
+private val PORTS = 12_000..32_000
+
+private fun isFree(port: Int): Boolean =
+    try {
+        ServerSocket(port, 1, InetAddress.getLoopbackAddress()).close()
+        true
+    } catch (e: IOException) {
+        false
+    }
+
+/** Gateway that runs as the process that the deploy file starts, with its log in [directory]. */
+internal class GatewayProcess(
+    val addresses: GatewayAddresses,
+    private val directory: Path,
+    storeAddress: String,
+    seeds: String,
+    bounds: Map<String, String>,
+) {
+    private var process: Process? = null
+    private var starts = 0
+
+    private val settings =
+        directory.resolve("${addresses.node}.ini").also { file ->
+            val fields =
+                bounds.mapKeys { "bounds.${it.key}" } +
+                    mapOf(
+                        "node" to addresses.node,
+                        "zone" to addresses.zone,
+                        "ip" to "127.0.0.1",
+                        "internal_ports.0" to "${addresses.admin}",
+                        "provider.address" to storeAddress,
+                        "listen.front" to "127.0.0.1:${addresses.front}",
+                        "listen.ready" to "127.0.0.1:${addresses.ready}",
+                        "listen.control" to "127.0.0.1:${addresses.control}",
+                        "seeds" to seeds,
+                    )
+            val template = Path.of("../deploy/gateway.ini").readText()
+            file.writeText(template.replace(Regex("""\{\{([^}]*)}}""")) { fields.getValue(it.groupValues[1]) })
+        }
+
+    fun start() {
+        val java =
+            ProcessHandle
+                .current()
+                .info()
+                .command()
+                .get()
+        val program = listOf("-cp", System.getProperty("java.class.path"), MAIN_CLASS, "gateway", "$settings")
+        val log = directory.resolve("${addresses.node}.${starts++}.log").toFile()
+        process = ProcessBuilder(listOf(java) + flags() + program).redirectErrorStream(true).redirectOutput(log).start()
+    }
+
+    /** Returns the flags of the deploy file, without those for a class archive, which only the packaged program has. */
+    private fun flags(): List<String> {
+        val run =
+            Path
+                .of("../deploy/system.toml")
+                .readText()
+                .substringAfter("run = \"java ")
+                .substringBefore(" -cp ")
+        // A machine of the site has one core.
+        return run.split(' ').filterNot { "Archive" in it || it.startsWith("-Xlog") } + "-XX:ActiveProcessorCount=1"
+    }
+
+    /** Sends SIGTERM, waits for the end and sends SIGKILL after [grace]; returns true if that was necessary. */
+    fun stop(grace: Duration): Boolean {
+        val stopped = checkNotNull(process) { "${addresses.node} has not been started" }
+        stopped.destroy()
+        if (stopped.waitFor(grace.inWholeMilliseconds, TimeUnit.MILLISECONDS)) return false
+        kill()
+        return true
+    }
+
+    fun kill() {
+        process?.destroyForcibly()?.waitFor()
+    }
+
+    val isAlive: Boolean get() = process?.isAlive == true
+
+    /** Returns true if the process says that it is ready. */
+    fun isReady(): Boolean =
+        try {
+            val call = URI("http://127.0.0.1:${addresses.ready}/ready").toURL().openConnection() as HttpURLConnection
+            call.connectTimeout = READY_TIMEOUT_MILLIS
+            call.readTimeout = READY_TIMEOUT_MILLIS
+            call.setRequestProperty("Connection", "close")
+            (call.responseCode == OK).also { call.disconnect() }
+        } catch (e: IOException) {
+            false
+        }
+
+    private companion object {
+        const val MAIN_CLASS = "org.cicadaturn.daemons.MainKt"
+        val READY_TIMEOUT_MILLIS = 1.seconds.inWholeMilliseconds.toInt()
+    }
+}
+
+/** Returns the lines of all logs in [directory] that contain [text], each with the name of its log. */
+internal fun logLinesWith(
+    text: String,
+    directory: Path,
+): List<String> =
+    directory.listDirectoryEntries("*.log").sorted().flatMap { log ->
+        log.useLines { lines -> lines.filter { text in it }.map { "${log.name}: $it" }.toList() }
+    }
