--- /dev/null
+++ b/daemons/src/test/kotlin/org/cicadaturn/daemons/site/Engine.kt
@@ -0,0 +1,98 @@
+package org.cicadaturn.daemons.site
+
+/** Returns the behaviour of the engine [rank] of [group], which sends the events that a request asks for as `events=N`. */
+internal fun engineBehaviour(
+    groupName: String,
+    group: EngineGroup,
+    rank: Int,
+): EndpointBehaviour {
+    val engine = Engine(groupName, group, rank)
+    return EndpointBehaviour(ENGINE_SERVICE, maxConnections = 418, engine::load, engine::documentAt, engine::handle)
+}
+
+private class Engine(
+    private val groupName: String,
+    private val group: EngineGroup,
+    private val rank: Int,
+) {
+    fun load(): EndpointLoad = group.loads.value[rank].let { EndpointLoad(it.running, it.waiting, EngineGroup.SLOTS) }
+
+    fun documentAt(request: TextRequest): String? {
+        if (request.method != "GET") return null
+        val load = group.loads.value[rank]
+        val position = """"step":${load.step},"epoch":1"""
+        return when {
+            request.path == "/report" -> report(load)
+            request.path != "/picked" -> null
+            "lists" in request.query ->
+                """{$position,"map":{"version":0,"experts":${List(SETS) { expertsOfRank() }}}}"""
+            else -> """{$position,"counts":${List(SETS * EXPERTS) { load.step }}}"""
+        }
+    }
+
+    private fun report(load: EngineLoad): String =
+        """{"stage":"hybrid","models":[{"name":"m","version":1,"adapters":[]}],"busy":false,"sequence":0,""" +
+            """"waiting":${load.waiting},"running":${load.running},"kv_used":0,"kv_total":186666,""" +
+            """"handles":0,"pace":1.0,"size":${group.size},"step":${load.step},"map":0,"prepared":null,""" +
+            """"armed":null,"held":null,"group":{"name":"$groupName","epoch":1,"rank":$rank,"state":"open"}}"""
+
+    private fun expertsOfRank(): List<Int> = (0 until EXPERTS).filter { it % group.size == rank }
+
+    suspend fun handle(handling: Handling): Boolean {
+        val body = handling.request.body
+        val first = 1 + (handling.request.head["Last-Event-Id"]?.toInt() ?: 0)
+        val last = body.substringAfter("events=").substringBefore(';').toInt()
+        val run = EngineRun(rank, first, last)
+        val text = body.substringAfter("text=").substringBefore(';')
+        handling.lastEvent = first - 1
+        group.submit(run)
+        try {
+            return stream(run, handling, text)
+        } finally {
+            group.leave(run)
+        }
+    }
+
+    private suspend fun stream(
+        run: EngineRun,
+        handling: Handling,
+        text: String,
+    ): Boolean {
+        val out = handling.out
+        var isBegun = false
+        while (handling.lastEvent < run.last) {
+            when (val signal = run.signals.receive()) {
+                RunSignal.Refused -> {
+                    handling.end = RunEnd.REFUSED
+                    return refuse(out, UNAVAILABLE, handling.headers)
+                }
+                RunSignal.BrokenOff -> {
+                    handling.end = RunEnd.BROKEN_OFF
+                    return false
+                }
+                is RunSignal.Event -> {
+                    if (!isBegun) out.write(streamHead(handling.headers))
+                    isBegun = true
+                    out.write(chunk("id: ${signal.number}\ndata: $text/${signal.number}\n\n"))
+                    handling.lastEvent = signal.number
+                }
+            }
+        }
+        if (!isBegun) out.write(streamHead(handling.headers))
+        out.write("0\r\n\r\n".encodeToByteArray())
+        handling.end = RunEnd.FINISHED
+        return true
+    }
+
+    private fun streamHead(headers: Map<String, String>): ByteArray {
+        val all = headers + mapOf("Content-Type" to "text/event-stream", "Transfer-Encoding" to "chunked")
+        return ("HTTP/1.1 200 OK\r\n" + all.entries.joinToString("") { "${it.key}: ${it.value}\r\n" } + "\r\n")
+            .encodeToByteArray()
+    }
+
+    private fun chunk(text: String): ByteArray = "${text.length.toString(16)}\r\n$text\r\n".encodeToByteArray()
+}
+
+/** Sets of layers with experts of their own, and experts in a set. */
+internal const val SETS = 4
+internal const val EXPERTS = 72
--- /dev/null
+++ b/daemons/src/test/kotlin/org/cicadaturn/daemons/site/LostRuleTest.kt
@@ -0,0 +1,49 @@
+package org.cicadaturn.daemons.site
+
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Test
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+class LostRuleTest {
+    private val stop = StopSeen("g", signalAt = 100.seconds, endedAt = 107.5.seconds, isKilled = false)
+
+    private fun attempt(
+        sentAt: Duration,
+        endedAt: Duration,
+        end: AttemptEnd = AttemptEnd.CLOSED,
+    ) = AttemptSeen("r", "route", "g", false, 100.seconds + sentAt, 100.seconds + endedAt, 8.seconds, 200, 1, 3, end)
+
+    private fun run(
+        until: Duration,
+        end: RunEnd = RunEnd.ABANDONED,
+    ) = RunSeen("r", "i-1", 99.seconds, 100.seconds + until, 3, end)
+
+    private fun verdict(
+        attempt: AttemptSeen,
+        run: RunSeen? = null,
+        isInLog: Boolean = true,
+    ): Verdict? = unansweredIn(listOfNotNull(stop, attempt, run)) { isInLog }.singleOrNull()?.verdict
+
+    /** Guards against a judge that excuses what the rule counts. */
+    @Test
+    fun `a cut is lost unless the endpoint, the deadline or late work is its cause`() {
+        assertEquals(Verdict.LOST, verdict(attempt(-2.seconds, 1.seconds), run(1.2.seconds)))
+        assertEquals(Verdict.LOST, verdict(attempt(3.1.seconds, 7.3.seconds), run(7.4.seconds)))
+        assertEquals(Verdict.LOST, verdict(attempt(2.seconds, 6.seconds), run(6.1.seconds)))
+        assertEquals(Verdict.AT_WORK, verdict(attempt(2.9.seconds, 7.3.seconds), run(7.4.seconds)))
+        assertEquals(Verdict.BROKEN_OFF, verdict(attempt(0.seconds, 1.seconds), run(1.seconds, RunEnd.BROKEN_OFF)))
+        assertEquals(Verdict.DEADLINE, verdict(attempt(-6.seconds, 2.seconds), run(2.seconds)))
+        assertEquals(null, verdict(attempt(0.seconds, 1.seconds, AttemptEnd.LEFT), run(1.seconds)))
+    }
+
+    /** Guards against a judge that counts requests which no gateway has read, or not those that one has read. */
+    @Test
+    fun `a request that was not passed on is lost if it was read`() {
+        assertEquals(Verdict.CROSSED, verdict(attempt(4.seconds, 4.1.seconds)))
+        assertEquals(Verdict.UNREAD, verdict(attempt(4.seconds, 4.5.seconds), isInLog = false))
+        assertEquals(Verdict.LOST, verdict(attempt(4.seconds, 4.5.seconds)))
+        assertEquals(Verdict.LOST, verdict(attempt(4.seconds, 4.seconds + 50.milliseconds), run(4.1.seconds)))
+    }
+}
