--- a/daemons/src/test/kotlin/org/cicadaturn/daemons/site/LostRuleTest.kt
+++ b/daemons/src/test/kotlin/org/cicadaturn/daemons/site/LostRuleTest.kt
@@ -43,7 +43,9 @@
     fun `a request that was not passed on is lost if it was read`() {
         assertEquals(Verdict.CROSSED, verdict(attempt(4.seconds, 4.1.seconds)))
         assertEquals(Verdict.UNREAD, verdict(attempt(4.seconds, 4.5.seconds), mayBeRead = false))
+        assertEquals(Verdict.UNREAD, verdict(attempt(4.seconds, 4.5.seconds, AttemptEnd.RESET)))
         assertEquals(Verdict.LOST, verdict(attempt(4.seconds, 4.5.seconds)))
+        assertEquals(Verdict.LOST, verdict(attempt(4.seconds, 4.5.seconds, AttemptEnd.RESET), run(4.6.seconds)))
         assertEquals(Verdict.LOST, verdict(attempt(4.seconds, 4.seconds + 50.milliseconds), run(4.1.seconds)))
     }
 }
