--- a/decisions/src/main/kotlin/org/cicadaturn/decisions/experts/PlacementLease.kt
+++ b/decisions/src/main/kotlin/org/cicadaturn/decisions/experts/PlacementLease.kt
@@ -2,6 +2,7 @@
 
 import org.cicadaturn.schema.generated.LeaseRecord
 import org.cicadaturn.schema.generated.ProcessId
+import org.cicadaturn.schema.generated.StorePosition
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -12,10 +13,10 @@
     /** Read the record; a stale one is sufficient. */
     public data object Read : LeaseStep
 
-    /** Write [record] if the stored one still has revision [expected]; null creates it. */
+    /** Write [record] if the stored one is still at [expected]; null creates it. */
     public data class Write(
         val record: LeaseRecord,
-        val expected: Long?,
+        val expected: StorePosition?,
     ) : LeaseStep
 }
 
@@ -39,21 +40,21 @@
     /** Returns when this process may take the lease over unless it is renewed, or null if it holds or never read it. */
     public fun takeoverTime(): Instant?
 
-    /** Records that [record], or null if there is none, was read with its store [revision]. */
+    /** Records that [record], or null if there is none, was read at [position] in the store. */
     public fun seen(
         record: LeaseRecord?,
-        revision: Long,
+        position: StorePosition,
         now: Instant,
     )
 
     /**
-     * Records that [record] was written with [revision].
+     * Records that [record] was written at [position] in the store.
      *
      * The write began at [since] of the monotonic clock and at [actingSince] of the suspend-aware clock.
      */
     public fun written(
         record: LeaseRecord,
-        revision: Long,
+        position: StorePosition,
         since: Instant,
         actingSince: Instant,
     )
@@ -114,7 +115,7 @@
     private val times: LeaseTimes,
 ) : PlacementLease {
     private var record: LeaseRecord? = null
-    private var revision: Long? = null
+    private var position: StorePosition? = null
     private var seenAt: Instant? = null
     private var validUntil = Instant.DISTANT_PAST
     private var own: LeaseRecord? = null
@@ -126,10 +127,10 @@
     override fun next(now: Instant): LeaseStep {
         val mine = own
         if (mine != null) {
-            return LeaseStep.Write(mine.copy(renewals = mine.renewals + 1, isReleased = isReleased), revision)
+            return LeaseStep.Write(mine.copy(renewals = mine.renewals + 1, isReleased = isReleased), position)
         }
         if (!mayTakeOver(now)) return LeaseStep.Read
-        return LeaseStep.Write(LeaseRecord(self, (record?.token ?: 0L) + 1, 0), revision)
+        return LeaseStep.Write(LeaseRecord(self, (record?.token ?: 0L) + 1, 0), position)
     }
 
     override fun takeoverTime(): Instant? {
@@ -148,25 +149,25 @@
 
     override fun seen(
         record: LeaseRecord?,
-        revision: Long,
+        position: StorePosition,
         now: Instant,
     ) {
-        val isNewer = seenAt == null || revision > (this.revision ?: 0L)
+        val isNewer = seenAt == null || position > (this.position ?: StorePosition())
         if (!isNewer) return
         this.record = record
-        this.revision = if (record == null) null else revision
+        this.position = if (record == null) null else position
         seenAt = now
         if (record != own) own = null
     }
 
     override fun written(
         record: LeaseRecord,
-        revision: Long,
+        position: StorePosition,
         since: Instant,
         actingSince: Instant,
     ) {
         this.record = record
-        this.revision = revision
+        this.position = position
         own = record.takeIf { !it.isReleased }
         seenAt = since
         validUntil = actingSince + times.validity
--- a/decisions/src/main/kotlin/org/cicadaturn/decisions/gateway/FleetChange.kt
+++ b/decisions/src/main/kotlin/org/cicadaturn/decisions/gateway/FleetChange.kt
@@ -8,6 +8,7 @@
 import org.cicadaturn.schema.generated.ProcessId
 import org.cicadaturn.schema.generated.QuarantinedSegment
 import org.cicadaturn.schema.generated.RoutingConfiguration
+import org.cicadaturn.schema.generated.StorePosition
 
 /** Part of the fleet that the platform lists and watches separately from the others. */
 public enum class FleetPart {
@@ -67,11 +68,11 @@
 }
 
 /**
- * Content or changes of a part, as of store revision [revision].
+ * Content or changes of a part, as of [position] in the store.
  *
- * @property changes for a list, all that exists; for a watch, the changes since the watched revision
+ * @property changes for a list, all that exists; for a watch, the changes since the watched position
  */
 public data class FleetChanges(
-    val revision: Long,
+    val position: StorePosition,
     val changes: List<FleetChange>,
 )
--- a/decisions/src/main/kotlin/org/cicadaturn/decisions/gateway/FleetTracker.kt
+++ b/decisions/src/main/kotlin/org/cicadaturn/decisions/gateway/FleetTracker.kt
@@ -6,6 +6,7 @@
 import org.cicadaturn.schema.generated.FleetView
 import org.cicadaturn.schema.generated.LiveEndpoint
 import org.cicadaturn.schema.generated.QuarantinedSegment
+import org.cicadaturn.schema.generated.StorePosition
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -53,9 +54,9 @@
     )
 
     /**
-     * Merges the [view] of a peer; parts that the peer does not have from the store itself have revision 0.
+     * Merges the [view] of a peer; parts that the peer does not have from the store itself have the lowest position.
      *
-     * A part is used only if its revision is higher than the known one. A configuration of the known revision confirms
+     * A part is used only if its position is higher than the known one. A configuration of the known position confirms
      * that the known configuration is current.
      */
     public fun relayed(
@@ -66,7 +67,7 @@
     /** Returns the state at [now]. */
     public fun state(now: Instant): FleetState
 
-    /** Returns the parts of the view that this process has from the store itself; the others have revision 0. */
+    /** Returns the parts of the view that this process has from the store itself; the others have the lowest position. */
     public fun ownView(): FleetView
 
     /**
@@ -100,7 +101,7 @@
         now: Instant,
     ) {
         // An older state says nothing about what has lapsed since, so the outage goes on.
-        if (content.revision < revisionOf(part)) return
+        if (content.position < positionOf(part)) return
         val keepUntil = recordAnswer(part, now)
         val gone = if (part == FleetPart.ENDPOINTS) missingFrom(content) else emptyList()
         when (part) {
@@ -123,7 +124,7 @@
         changes: FleetChanges,
         now: Instant,
     ) {
-        if (changes.revision < revisionOf(part)) return
+        if (changes.position < positionOf(part)) return
         val keepUntil = recordAnswer(part, now)
         apply(part, changes, keepUntil)
     }
@@ -160,15 +161,15 @@
         keepUntil: Instant?,
     ) {
         changes.changes.forEach { apply(it, keepUntil) }
-        val revision = changes.revision
+        val position = changes.position
         view =
             when (part) {
-                FleetPart.CONFIGURATION -> view.copy(configurationRevision = revision)
+                FleetPart.CONFIGURATION -> view.copy(configurationPosition = position)
                 FleetPart.ENDPOINTS ->
-                    view.copy(endpoints = endpoints.values.toList(), endpointsRevision = revision)
-                FleetPart.DRAINED_DOMAINS -> view.copy(domainsRevision = revision)
-                FleetPart.PEERS -> view.copy(peersRevision = revision)
-                FleetPart.QUARANTINE -> view.copy(quarantineRevision = revision)
+                    view.copy(endpoints = endpoints.values.toList(), endpointsPosition = position)
+                FleetPart.DRAINED_DOMAINS -> view.copy(domainsPosition = position)
+                FleetPart.PEERS -> view.copy(peersPosition = position)
+                FleetPart.QUARANTINE -> view.copy(quarantinePosition = position)
             }
         if (part == FleetPart.ENDPOINTS) hasEndpoints = true
     }
@@ -229,24 +230,24 @@
     ) {
         val mine = this.view
         val configuration = view.configuration
-        if (configuration != null && view.configurationRevision >= mine.configurationRevision) {
+        if (configuration != null && view.configurationPosition >= mine.configurationPosition) {
             sources.getValue(FleetPart.CONFIGURATION).relayedAt = now
             val change = FleetChange.Configured(configuration)
-            apply(FleetPart.CONFIGURATION, FleetChanges(view.configurationRevision, listOf(change)), null)
+            apply(FleetPart.CONFIGURATION, FleetChanges(view.configurationPosition, listOf(change)), null)
         }
-        if (view.endpointsRevision > mine.endpointsRevision) {
-            val content = FleetChanges(view.endpointsRevision, view.endpoints.map { FleetChange.EndpointListed(it) })
+        if (view.endpointsPosition > mine.endpointsPosition) {
+            val content = FleetChanges(view.endpointsPosition, view.endpoints.map { FleetChange.EndpointListed(it) })
             missingFrom(content).forEach { remove(it, null) }
             apply(FleetPart.ENDPOINTS, content, null)
         }
-        if (view.domainsRevision > mine.domainsRevision) {
-            this.view = this.view.copy(drainedDomains = view.drainedDomains, domainsRevision = view.domainsRevision)
+        if (view.domainsPosition > mine.domainsPosition) {
+            this.view = this.view.copy(drainedDomains = view.drainedDomains, domainsPosition = view.domainsPosition)
         }
-        if (view.peersRevision > mine.peersRevision) {
-            this.view = this.view.copy(peers = view.peers, peersRevision = view.peersRevision)
+        if (view.peersPosition > mine.peersPosition) {
+            this.view = this.view.copy(peers = view.peers, peersPosition = view.peersPosition)
         }
-        if (view.quarantineRevision > mine.quarantineRevision) {
-            this.view = this.view.copy(quarantine = view.quarantine, quarantineRevision = view.quarantineRevision)
+        if (view.quarantinePosition > mine.quarantinePosition) {
+            this.view = this.view.copy(quarantine = view.quarantine, quarantinePosition = view.quarantinePosition)
         }
     }
 
@@ -272,24 +273,24 @@
             drainedDomains = if (isCurrent(FleetPart.DRAINED_DOMAINS)) view.drainedDomains else emptyList(),
             peers = if (isCurrent(FleetPart.PEERS)) view.peers else emptyList(),
             quarantine = if (isCurrent(FleetPart.QUARANTINE)) view.quarantine else emptyList(),
-            configurationRevision = ownRevision(FleetPart.CONFIGURATION),
-            endpointsRevision = ownRevision(FleetPart.ENDPOINTS),
-            domainsRevision = ownRevision(FleetPart.DRAINED_DOMAINS),
-            peersRevision = ownRevision(FleetPart.PEERS),
-            quarantineRevision = ownRevision(FleetPart.QUARANTINE),
+            configurationPosition = ownPosition(FleetPart.CONFIGURATION),
+            endpointsPosition = ownPosition(FleetPart.ENDPOINTS),
+            domainsPosition = ownPosition(FleetPart.DRAINED_DOMAINS),
+            peersPosition = ownPosition(FleetPart.PEERS),
+            quarantinePosition = ownPosition(FleetPart.QUARANTINE),
         )
 
     private fun isCurrent(part: FleetPart): Boolean = sources.getValue(part).isCurrent
 
-    private fun ownRevision(part: FleetPart): Long = if (isCurrent(part)) revisionOf(part) else 0L
+    private fun ownPosition(part: FleetPart): StorePosition = if (isCurrent(part)) positionOf(part) else StorePosition()
 
-    private fun revisionOf(part: FleetPart): Long =
+    private fun positionOf(part: FleetPart): StorePosition =
         when (part) {
-            FleetPart.CONFIGURATION -> view.configurationRevision
-            FleetPart.ENDPOINTS -> view.endpointsRevision
-            FleetPart.DRAINED_DOMAINS -> view.domainsRevision
-            FleetPart.PEERS -> view.peersRevision
-            FleetPart.QUARANTINE -> view.quarantineRevision
+            FleetPart.CONFIGURATION -> view.configurationPosition
+            FleetPart.ENDPOINTS -> view.endpointsPosition
+            FleetPart.DRAINED_DOMAINS -> view.domainsPosition
+            FleetPart.PEERS -> view.peersPosition
+            FleetPart.QUARANTINE -> view.quarantinePosition
         }
 
     override fun nextExpiry(now: Instant): Instant? {
--- a/decisions/src/main/kotlin/org/cicadaturn/decisions/gateway/StoreReports.kt
+++ b/decisions/src/main/kotlin/org/cicadaturn/decisions/gateway/StoreReports.kt
@@ -2,6 +2,7 @@
 
 import org.cicadaturn.schema.generated.FleetView
 import org.cicadaturn.schema.generated.PartReport
+import org.cicadaturn.schema.generated.StorePosition
 import org.cicadaturn.schema.generated.StoreReport
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -12,7 +13,7 @@
  * owner and is not safe for concurrent use.
  *
  * A peer that has read the store at a moment confirms what this process knows if the part has not changed since the
- * revision that this process knows. Only answers of the store itself are reported, never the reports of others.
+ * position that this process knows. Only answers of the store itself are reported, never the reports of others.
  */
 public interface StoreReports {
     /** Number of answers of the store about shared parts. */
@@ -25,7 +26,7 @@
      */
     public fun answered(
         part: FleetPart,
-        revision: Long,
+        position: StorePosition,
         isChanged: Boolean,
         at: Instant,
     )
@@ -61,8 +62,8 @@
     private val validity: (FleetPart) -> Duration?,
 ) : StoreReports {
     private class Known {
-        var revision = 0L
-        var changeRevision = 0L
+        var position = StorePosition()
+        var changePosition = StorePosition()
         var answeredAt: Instant? = null
         var confirmedUntil = Instant.DISTANT_PAST
     }
@@ -73,33 +74,33 @@
 
     override fun answered(
         part: FleetPart,
-        revision: Long,
+        position: StorePosition,
         isChanged: Boolean,
         at: Instant,
     ) {
         val known = parts.getValue(part)
         // An answer that the store sent before an earlier one says nothing about the present.
-        if (revision < known.revision) return
-        known.revision = revision
+        if (position < known.position) return
+        known.position = position
         known.answeredAt = at
-        if (isChanged) known.changeRevision = revision
+        if (isChanged) known.changePosition = position
         if (validity(part) != null) count += 1
     }
 
     override fun relayed(view: FleetView) {
-        recordRelay(FleetPart.CONFIGURATION, view.configurationRevision)
-        recordRelay(FleetPart.ENDPOINTS, view.endpointsRevision)
-        recordRelay(FleetPart.DRAINED_DOMAINS, view.domainsRevision)
+        recordRelay(FleetPart.CONFIGURATION, view.configurationPosition)
+        recordRelay(FleetPart.ENDPOINTS, view.endpointsPosition)
+        recordRelay(FleetPart.DRAINED_DOMAINS, view.domainsPosition)
     }
 
     private fun recordRelay(
         part: FleetPart,
-        revision: Long,
+        position: StorePosition,
     ) {
         val known = parts.getValue(part)
-        if (revision <= known.revision) return
-        known.revision = revision
-        known.changeRevision = revision
+        if (position <= known.position) return
+        known.position = position
+        known.changePosition = position
     }
 
     override fun reported(
@@ -123,7 +124,7 @@
         val known = parts.getValue(part)
         val valid = validity(part) ?: return
         known.confirmedUntil =
-            if (report.changeRevision <= known.revision) {
+            if (report.changePosition <= known.position) {
                 maxOf(known.confirmedUntil, minOf(answeredAt - report.age, now) + valid)
             } else {
                 minOf(known.confirmedUntil, now + CHANGE_TIME)
@@ -147,7 +148,7 @@
         at: Instant,
     ): PartReport? {
         val known = parts.getValue(part)
-        return known.answeredAt?.let { PartReport(known.changeRevision, at - it) }
+        return known.answeredAt?.let { PartReport(known.changePosition, at - it) }
     }
 
     override fun confirmedUntil(part: FleetPart): Instant = parts.getValue(part).confirmedUntil
--- a/decisions/src/test/kotlin/org/cicadaturn/decisions/gateway/FleetTrackerTest.kt
+++ b/decisions/src/test/kotlin/org/cicadaturn/decisions/gateway/FleetTrackerTest.kt
@@ -13,6 +13,7 @@
 import org.cicadaturn.schema.generated.QuarantinedSegment
 import org.cicadaturn.schema.generated.RoutingConfiguration
 import org.cicadaturn.schema.generated.ServiceId
+import org.cicadaturn.schema.generated.StorePosition
 import org.junit.jupiter.api.Assertions.assertAll
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertFalse
@@ -42,7 +43,13 @@
     private fun configuration(version: Long) =
         FleetChange.Configured(RoutingConfiguration(version, emptyList(), emptyList(), null, CallerLimits()))
 
-    private fun listed(vararg ids: String) = FleetChanges(10, ids.map { FleetChange.EndpointListed(endpoint(it)) })
+    private fun listed(vararg ids: String) =
+        FleetChanges(
+            StorePosition(0, 10),
+            ids.map {
+                FleetChange.EndpointListed(endpoint(it))
+            },
+        )
 
     private fun ids(at: Duration) =
         tracker
@@ -54,10 +61,13 @@
     /** Guards against an older configuration that a lagging list or peer restores. */
     @Test
     fun `the configuration never returns to a lower version`() {
-        tracker.listed(FleetPart.CONFIGURATION, FleetChanges(5, listOf(configuration(7))), start)
-        tracker.changed(FleetPart.CONFIGURATION, FleetChanges(6, listOf(configuration(4))), start)
+        tracker.listed(FleetPart.CONFIGURATION, FleetChanges(StorePosition(0, 5), listOf(configuration(7))), start)
+        tracker.changed(FleetPart.CONFIGURATION, FleetChanges(StorePosition(0, 6), listOf(configuration(4))), start)
         tracker.relayed(
-            tracker.ownView().copy(configuration = configuration(3).configuration, configurationRevision = 9),
+            tracker.ownView().copy(
+                configuration = configuration(3).configuration,
+                configurationPosition = StorePosition(0, 9),
+            ),
             start,
         )
         assertEquals(
@@ -73,7 +83,11 @@
     @Test
     fun `a removed endpoint is gone at once`() {
         tracker.listed(FleetPart.ENDPOINTS, listed("a", "b"), start)
-        tracker.changed(FleetPart.ENDPOINTS, FleetChanges(11, listOf(FleetChange.EndpointGone(EndpointId("a")))), start)
+        tracker.changed(
+            FleetPart.ENDPOINTS,
+            FleetChanges(StorePosition(0, 11), listOf(FleetChange.EndpointGone(EndpointId("a")))),
+            start,
+        )
         assertEquals(setOf("b"), ids(Duration.ZERO))
     }
 
@@ -82,11 +96,11 @@
     fun `entries that expired in an outage are kept until they can be renewed`() {
         tracker.listed(FleetPart.ENDPOINTS, listed("a", "b"), start)
         tracker.failed(FleetPart.ENDPOINTS, start + 1.seconds)
-        tracker.listed(FleetPart.ENDPOINTS, FleetChanges(12, emptyList()), start + 5.seconds)
+        tracker.listed(FleetPart.ENDPOINTS, FleetChanges(StorePosition(0, 12), emptyList()), start + 5.seconds)
         assertEquals(setOf("a", "b"), ids(5.seconds))
         tracker.changed(
             FleetPart.ENDPOINTS,
-            FleetChanges(13, listOf(FleetChange.EndpointListed(endpoint("b")))),
+            FleetChanges(StorePosition(0, 13), listOf(FleetChange.EndpointListed(endpoint("b")))),
             start + 6.seconds,
         )
         assertEquals(setOf("b"), ids(8.seconds), "an entry that is not renewed in time is gone")
@@ -96,9 +110,9 @@
     @Test
     fun `a draining entry that expires is not kept`() {
         val draining = FleetChange.EndpointListed(endpoint("a", AdmissionState.DRAINED))
-        tracker.listed(FleetPart.ENDPOINTS, FleetChanges(10, listOf(draining)), start)
+        tracker.listed(FleetPart.ENDPOINTS, FleetChanges(StorePosition(0, 10), listOf(draining)), start)
         tracker.failed(FleetPart.ENDPOINTS, start + 1.seconds)
-        tracker.listed(FleetPart.ENDPOINTS, FleetChanges(12, emptyList()), start + 5.seconds)
+        tracker.listed(FleetPart.ENDPOINTS, FleetChanges(StorePosition(0, 12), emptyList()), start + 5.seconds)
         assertEquals(emptySet<String>(), ids(5.seconds))
     }
 
@@ -112,7 +126,7 @@
         tracker.listed(FleetPart.ENDPOINTS, listed("a", "b"), start)
         tracker.failed(FleetPart.ENDPOINTS, start + 1.seconds)
         tracker.listed(FleetPart.ENDPOINTS, listed("a", "b"), start + 5.seconds)
-        val gone = FleetChanges(13, listOf(FleetChange.EndpointGone(EndpointId("a"))))
+        val gone = FleetChanges(StorePosition(0, 13), listOf(FleetChange.EndpointGone(EndpointId("a"))))
         tracker.changed(FleetPart.ENDPOINTS, gone, start + 6.seconds)
         assertEquals(setOf("b"), ids(6.seconds))
     }
@@ -122,7 +136,7 @@
     fun `no removed entry is kept after a short failure`() {
         tracker.listed(FleetPart.ENDPOINTS, listed("a"), start)
         tracker.failed(FleetPart.ENDPOINTS, start + 1.seconds)
-        tracker.listed(FleetPart.ENDPOINTS, FleetChanges(12, emptyList()), start + 1.2.seconds)
+        tracker.listed(FleetPart.ENDPOINTS, FleetChanges(StorePosition(0, 12), emptyList()), start + 1.2.seconds)
         assertEquals(emptySet<String>(), ids(1.2.seconds))
     }
 
@@ -130,11 +144,15 @@
     @Test
     fun `the configuration is current only while the store or a peer that can reach it answers`() {
         assertFalse(tracker.state(start).isConfigurationCurrent)
-        tracker.listed(FleetPart.CONFIGURATION, FleetChanges(5, listOf(configuration(7))), start)
+        tracker.listed(FleetPart.CONFIGURATION, FleetChanges(StorePosition(0, 5), listOf(configuration(7))), start)
         assertTrue(tracker.state(start + 60.seconds).isConfigurationCurrent)
         tracker.failed(FleetPart.CONFIGURATION, start + 61.seconds)
         assertFalse(tracker.state(start + 61.seconds).isConfigurationCurrent)
-        val peer = tracker.ownView().copy(configuration = configuration(8).configuration, configurationRevision = 9)
+        val peer =
+            tracker.ownView().copy(
+                configuration = configuration(8).configuration,
+                configurationPosition = StorePosition(0, 9),
+            )
         tracker.relayed(peer, start + 62.seconds)
         assertTrue(tracker.state(start + 62.seconds).isConfigurationCurrent)
         assertEquals(
@@ -152,7 +170,7 @@
     fun `only parts read from an available store are relayed`() {
         tracker.listed(FleetPart.ENDPOINTS, listed("a"), start)
         tracker.failed(FleetPart.ENDPOINTS, start)
-        assertEquals(0L, tracker.ownView().endpointsRevision)
+        assertEquals(StorePosition(0, 0), tracker.ownView().endpointsPosition)
         assertEquals(emptyList<LiveEndpoint>(), tracker.ownView().endpoints)
     }
 
@@ -161,8 +179,8 @@
     fun `an answer with an older revision does not end an outage`() {
         tracker.listed(FleetPart.ENDPOINTS, listed("a", "b"), start)
         tracker.failed(FleetPart.ENDPOINTS, start)
-        tracker.changed(FleetPart.ENDPOINTS, FleetChanges(9, emptyList()), start + 3.seconds)
-        val lapsed = FleetChanges(12, listOf(FleetChange.EndpointListed(endpoint("a"))))
+        tracker.changed(FleetPart.ENDPOINTS, FleetChanges(StorePosition(0, 9), emptyList()), start + 3.seconds)
+        val lapsed = FleetChanges(StorePosition(0, 12), listOf(FleetChange.EndpointListed(endpoint("a"))))
         tracker.listed(FleetPart.ENDPOINTS, lapsed, start + 4.seconds)
         assertEquals(setOf("a", "b"), ids(5.seconds))
         assertEquals(setOf("a"), ids(7.seconds))
@@ -171,7 +189,8 @@
     /** Guards against a process that keeps answering 404 and 401 after the confirmation by a peer has expired. */
     @Test
     fun `the expiry of a peer's confirmation is announced`() {
-        val view = FleetView(configuration = configuration(3).configuration, configurationRevision = 5)
+        val view =
+            FleetView(configuration = configuration(3).configuration, configurationPosition = StorePosition(0, 5))
         tracker.relayed(view, start)
         assertTrue(tracker.state(start).isConfigurationCurrent)
         val expiry = tracker.nextExpiry(start)!!
@@ -194,26 +213,37 @@
     /** Guards against prompt segments that are held back or released at some processes only. */
     @Test
     fun `quarantined segments follow the store and, during an outage, the peers`() {
-        tracker.listed(FleetPart.QUARANTINE, FleetChanges(5, listOf(quarantined("a"), quarantined("b"))), start)
+        tracker.listed(
+            FleetPart.QUARANTINE,
+            FleetChanges(StorePosition(0, 5), listOf(quarantined("a"), quarantined("b"))),
+            start,
+        )
         assertEquals(listOf("a", "b"), quarantine(start))
         val released = FleetChange.SegmentReleased(ServiceSegment(ServiceId("s"), PromptSegmentId("a")))
-        tracker.changed(FleetPart.QUARANTINE, FleetChanges(6, listOf(released, quarantined("b"))), start)
+        tracker.changed(
+            FleetPart.QUARANTINE,
+            FleetChanges(StorePosition(0, 6), listOf(released, quarantined("b"))),
+            start,
+        )
         assertEquals(listOf("b"), quarantine(start))
         tracker.failed(FleetPart.QUARANTINE, start)
-        assertEquals(0L, tracker.ownView().quarantineRevision)
-        val older = FleetView(quarantine = emptyList(), quarantineRevision = 4)
+        assertEquals(StorePosition(0, 0), tracker.ownView().quarantinePosition)
+        val older = FleetView(quarantine = emptyList(), quarantinePosition = StorePosition(0, 4))
         tracker.relayed(older, start)
         assertEquals(listOf("b"), quarantine(start))
-        tracker.relayed(FleetView(quarantine = listOf(quarantined("c").entry), quarantineRevision = 7), start)
+        tracker.relayed(
+            FleetView(quarantine = listOf(quarantined("c").entry), quarantinePosition = StorePosition(0, 7)),
+            start,
+        )
         assertEquals(listOf("c"), quarantine(start))
-        tracker.listed(FleetPart.QUARANTINE, FleetChanges(8, emptyList()), start)
+        tracker.listed(FleetPart.QUARANTINE, FleetChanges(StorePosition(0, 8), emptyList()), start)
         assertEquals(emptyList<String>(), quarantine(start))
     }
 
     private fun numbered(
         revision: Long,
         numbers: Iterable<Int>,
-    ) = FleetChanges(revision, numbers.map { FleetChange.EndpointListed(endpoint("e$it")) })
+    ) = FleetChanges(StorePosition(0, revision), numbers.map { FleetChange.EndpointListed(endpoint("e$it")) })
 
     private fun merge(
         first: FleetChanges,
@@ -261,9 +291,13 @@
         tracker.listed(FleetPart.ENDPOINTS, listed("c", "a", "b"), start)
         assertEquals(listOf("c", "a", "b"), orderedIds())
         val changed = FleetChange.EndpointListed(endpoint("c", AdmissionState.DRAINED))
-        tracker.changed(FleetPart.ENDPOINTS, FleetChanges(11, listOf(changed)), start)
+        tracker.changed(FleetPart.ENDPOINTS, FleetChanges(StorePosition(0, 11), listOf(changed)), start)
         assertEquals(listOf("a", "b", "c"), orderedIds())
-        tracker.listed(FleetPart.ENDPOINTS, FleetChanges(12, listed("b", "d", "a", "d").changes), start)
+        tracker.listed(
+            FleetPart.ENDPOINTS,
+            FleetChanges(StorePosition(0, 12), listed("b", "d", "a", "d").changes),
+            start,
+        )
         assertEquals(listOf("b", "a", "d"), orderedIds())
     }
 
--- a/decisions/src/test/kotlin/org/cicadaturn/decisions/gateway/StoreReportsTest.kt
+++ b/decisions/src/test/kotlin/org/cicadaturn/decisions/gateway/StoreReportsTest.kt
@@ -6,6 +6,7 @@
 import org.cicadaturn.schema.generated.NetworkAddress
 import org.cicadaturn.schema.generated.PartReport
 import org.cicadaturn.schema.generated.ProcessId
+import org.cicadaturn.schema.generated.StorePosition
 import org.cicadaturn.schema.generated.StoreReport
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertNull
@@ -22,14 +23,14 @@
     private val reports = storeReports { validity.takeIf { _ -> it != FleetPart.PEERS } }
 
     init {
-        reports.answered(part, 10, isChanged = true, start)
+        reports.answered(part, StorePosition(0, 10), isChanged = true, start)
     }
 
     private fun report(
         revision: Long,
         age: Duration = Duration.ZERO,
         held: Duration = Duration.ZERO,
-    ) = StoreReport(1, held, configuration = PartReport(revision, age))
+    ) = StoreReport(1, held, configuration = PartReport(StorePosition(0, revision), age))
 
     /** Guards against a confirmation that outlives the answer of the store it reports. */
     @Test
@@ -63,7 +64,7 @@
     /** Guards against a confirmation by a peer that lies behind and so does not know of a change. */
     @Test
     fun `a peer that lies behind confirms no more than its last answer`() {
-        reports.answered(part, 20, isChanged = true, start)
+        reports.answered(part, StorePosition(0, 20), isChanged = true, start)
         reports.reported(report(10, age = 3.seconds), start, start)
         assertEquals(start - 1.seconds, reports.confirmedUntil(part))
     }
@@ -74,16 +75,16 @@
         reports.reported(report(10), start + 5.seconds, start + 5.seconds)
         val answer = reports.answer(Duration.ZERO, start + 6.seconds)
         assertEquals(1L, answer.count)
-        assertEquals(PartReport(10, 6.seconds), answer.configuration)
+        assertEquals(PartReport(StorePosition(0, 10), 6.seconds), answer.configuration)
         assertNull(answer.endpoints)
     }
 
     /** Guards against an old answer of the store that counts as new because it came a second time. */
     @Test
     fun `an older answer confirms nothing`() {
-        reports.answered(part, 9, isChanged = false, start + 1.seconds)
+        reports.answered(part, StorePosition(0, 9), isChanged = false, start + 1.seconds)
         assertEquals(
-            PartReport(10, 1.seconds),
+            PartReport(StorePosition(0, 10), 1.seconds),
             reports.answer(Duration.ZERO, start + 1.seconds).configuration,
         )
     }
@@ -91,15 +92,15 @@
     /** Guards against a change that this process has from a peer and that its later report to others leaves out. */
     @Test
     fun `a state that was relayed counts as a change`() {
-        reports.relayed(FleetView(configurationRevision = 15))
-        reports.answered(part, 16, isChanged = false, start + 1.seconds)
-        assertEquals(15L, reports.answer(Duration.ZERO, start).configuration?.changeRevision)
+        reports.relayed(FleetView(configurationPosition = StorePosition(0, 15)))
+        reports.answered(part, StorePosition(0, 16), isChanged = false, start + 1.seconds)
+        assertEquals(StorePosition(0, 15), reports.answer(Duration.ZERO, start).configuration?.changePosition)
     }
 
     /** Guards against reports that an answer about a part which is not shared sets off. */
     @Test
     fun `only answers about shared parts are counted`() {
-        reports.answered(FleetPart.PEERS, 30, isChanged = true, start)
+        reports.answered(FleetPart.PEERS, StorePosition(0, 30), isChanged = true, start)
         assertEquals(1L, reports.count)
     }
 
--- a/schema-gen/src/main/kotlin/org/cicadaturn/schemagen/Schema.kt
+++ b/schema-gen/src/main/kotlin/org/cicadaturn/schemagen/Schema.kt
@@ -24,7 +24,8 @@
 /**
  * Type declaration; [kind] selects a value class, an enum class, a data class or a sealed interface.
  *
- * A value class wraps a value of type [of] and implements `Comparable` if [comparable] is true.
+ * A value class wraps a value of type [of]. A type for which [comparable] is true implements `Comparable`; a data class is
+ * ordered by its fields, the first of which goes first.
  */
 @Serializable
 data class TypeEntry(
--- a/schema-gen/src/main/kotlin/org/cicadaturn/schemagen/Types.kt
+++ b/schema-gen/src/main/kotlin/org/cicadaturn/schemagen/Types.kt
@@ -21,7 +21,11 @@
     when (entry.kind) {
         "value" -> valueClass(entry, packageName)
         "enum" -> enumeration(entry)
-        "data" -> dataClass(entry.name, entry.doc, entry.fields, packageName).build()
+        "data" -> {
+            val spec = dataClass(entry.name, entry.doc, entry.fields, packageName)
+            if (entry.comparable) spec.addOrder(ClassName(packageName, entry.name), entry.fields.map { it.name })
+            spec.build()
+        }
         "sealed" -> sealedInterface(entry, packageName)
         else -> throw IllegalArgumentException(
             "unknown kind ${entry.kind} of type ${entry.name}; use value, enum, data or sealed",
@@ -46,21 +50,30 @@
             .primaryConstructor(FunSpec.constructorBuilder().addParameter(property, type).build())
             .addProperty(PropertySpec.builder(property, type).initializer(property).build())
             .addFunction(toStringOf(property))
-    if (entry.comparable) {
-        spec.addSuperinterface(ClassName("kotlin", "Comparable").parameterizedBy(self))
-        spec.addFunction(
-            FunSpec
-                .builder("compareTo")
-                .addModifiers(KModifier.OVERRIDE, KModifier.OPERATOR)
-                .addParameter("other", self)
-                .returns(INT)
-                .addStatement("return number.compareTo(other.number)")
-                .build(),
-        )
-    }
+    if (entry.comparable) spec.addOrder(self, listOf(property))
     return spec.build()
 }
 
+/** Adds the order of [self] by its [properties], the first of which goes first. */
+private fun TypeSpec.Builder.addOrder(
+    self: ClassName,
+    properties: List<String>,
+) {
+    val comparison =
+        properties.singleOrNull()?.let { "$it.compareTo(other.$it)" }
+            ?: properties.joinToString(prefix = "compareValuesBy(this, other, ", postfix = ")") { "{ it.$it }" }
+    addSuperinterface(ClassName("kotlin", "Comparable").parameterizedBy(self))
+    addFunction(
+        FunSpec
+            .builder("compareTo")
+            .addModifiers(KModifier.OVERRIDE, KModifier.OPERATOR)
+            .addParameter("other", self)
+            .returns(INT)
+            .addStatement("return %L", comparison)
+            .build(),
+    )
+}
+
 private fun toStringOf(property: String): FunSpec {
     val text = if (property == "number") "number.toString()" else property
     return FunSpec
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/experts/Lease.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/experts/Lease.kt
@@ -133,7 +133,7 @@
 
     private suspend fun read(isFresh: Boolean) {
         store.readLease(name, isFresh).onRight { stored ->
-            lease.seen(stored?.record, stored?.revision ?: 0L, clock.now())
+            lease.seen(stored.record, stored.position, clock.now())
         }
     }
 
@@ -150,9 +150,9 @@
                 if (error is StoreError.Conflict) lease.forfeit()
                 if (!isStoreUnavailable || isNew) read(isFresh = true)
             },
-            { revision ->
+            { position ->
                 isStoreUnavailable = false
-                lease.written(step.record, revision, since, actingSince)
+                lease.written(step.record, position, since, actingSince)
                 if (isNew) logger.info("lease: {} held with token {}", name, step.record.token)
             },
         )
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/FleetLog.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/FleetLog.kt
@@ -2,6 +2,7 @@
 
 import org.cicadaturn.decisions.gateway.FleetChange
 import org.cicadaturn.decisions.gateway.FleetChanges
+import org.cicadaturn.schema.generated.StorePosition
 
 /**
  * Returns the texts to log for [changes]: one for each change, or only the number of changes if there are many.
@@ -15,5 +16,8 @@
     return changes.changes.map { if (it is FleetChange.Configured) "version ${it.configuration.version}" else "$it" }
 }
 
+/** Returns the text to log for [position]. */
+internal fun textOf(position: StorePosition): String = "era ${position.era} revision ${position.revision}"
+
 /** A tenth of the burst that the log takes; a list of each part fits into it several times. */
 private const val MAX_LOGGED_CHANGES = 100
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/FleetStore.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/FleetStore.kt
@@ -7,6 +7,7 @@
 import org.cicadaturn.schema.generated.GatewayPeer
 import org.cicadaturn.schema.generated.LeaseRecord
 import org.cicadaturn.schema.generated.QuarantinedSegment
+import org.cicadaturn.schema.generated.StorePosition
 import org.cicadaturn.tasks.store.StoreError
 import kotlin.time.Duration
 
@@ -19,10 +20,10 @@
     /** Returns the whole content of [part]. */
     public suspend fun list(part: FleetPart): Either<StoreError, FleetChanges>
 
-    /** Returns the changes of [part] after [revision], waiting up to [wait] for the first one. */
+    /** Returns the changes of [part] after [position], waiting up to [wait] for the first one. */
     public suspend fun watch(
         part: FleetPart,
-        revision: Long,
+        position: StorePosition,
         wait: Duration,
     ): Either<StoreError, FleetChanges>
 
@@ -36,29 +37,34 @@
     public suspend fun release(segment: ServiceSegment): Either<StoreError, Unit>
 
     /**
-     * Returns the lease [name] with its revision, or null if there is none.
+     * Returns the lease [name] with its position in the store.
      *
      * A read without [isFresh] is cheaper, but its result may be seconds old.
      */
     public suspend fun readLease(
         name: String,
         isFresh: Boolean,
-    ): Either<StoreError, StoredLease?>
+    ): Either<StoreError, StoredLease>
 
     /**
-     * Writes the lease [name] if its revision is still [expected], and returns the new revision.
+     * Writes the lease [name] if it is still at [expected], and returns the new position.
      *
      * A null [expected] means that the lease must not exist.
      */
     public suspend fun writeLease(
         name: String,
         record: LeaseRecord,
-        expected: Long?,
-    ): Either<StoreError, Long>
+        expected: StorePosition?,
+    ): Either<StoreError, StorePosition>
 }
 
-/** A lease with the store revision of its last change. */
+/**
+ * Lease as read from the store.
+ *
+ * @property record content, or null if there is none
+ * @property position position of its last change; without a lease, the start of the era in which it was missing
+ */
 public data class StoredLease(
-    val record: LeaseRecord,
-    val revision: Long,
+    val record: LeaseRecord?,
+    val position: StorePosition,
 )
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/FleetTask.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/FleetTask.kt
@@ -27,6 +27,7 @@
 import org.cicadaturn.decisions.retry.WatchTimes
 import org.cicadaturn.schema.generated.FleetView
 import org.cicadaturn.schema.generated.GatewayPeer
+import org.cicadaturn.schema.generated.StorePosition
 import org.cicadaturn.schema.generated.StoreReport
 import org.cicadaturn.schema.generated.StoreReportRequest
 import org.cicadaturn.tasks.Supervisor
@@ -151,7 +152,7 @@
         now: Instant,
     ) {
         val isChanged = answer.isList || answer.changes.changes.isNotEmpty()
-        recordAnswer(answer.part, answer.changes.revision, isChanged, now)
+        recordAnswer(answer.part, answer.changes.position, isChanged, now)
         if (answer.isList) {
             tracker.listed(answer.part, answer.changes, now)
         } else {
@@ -165,15 +166,15 @@
 
     private fun recordAnswer(
         part: FleetPart,
-        revision: Long,
+        position: StorePosition,
         isChanged: Boolean,
         now: Instant,
     ) {
-        reports.answered(part, revision, isChanged, suspendAwareTime())
+        reports.answered(part, position, isChanged, suspendAwareTime())
         if (part in unavailableParts.value) {
             unavailableParts.value -= part
             refusedParts.value -= part
-            logger.info("fleet: {} available again at revision {}, {}", part, revision, silence(part, now))
+            logger.info("fleet: {} available again at {}, {}", part, textOf(position), silence(part, now))
         }
         answeredAt[part] = now
     }
@@ -199,7 +200,7 @@
         part: FleetPart,
         changes: FleetChanges,
     ) {
-        logTextsOf(changes).forEach { logger.info("fleet: {} at revision {}: {}", part, changes.revision, it) }
+        logTextsOf(changes).forEach { logger.info("fleet: {} at {}: {}", part, textOf(changes.position), it) }
     }
 
     /** Follows [part] from the start again if that ends with a defect, which must not leave the process with old data. */
@@ -212,10 +213,10 @@
     }
 
     private suspend fun follow(part: FleetPart) {
-        var revision: Long? = null
+        var position: StorePosition? = null
         var failures = 0
         while (true) {
-            val from = revision
+            val from = position
             val answer =
                 when {
                     from == null -> dependencies.store.list(part)
@@ -225,7 +226,7 @@
             answer.flatMap { send(part, it, isList = from == null) }.fold(
                 { error ->
                     // A failed watch may have missed changes that the store no longer keeps, so a list follows.
-                    if (error !is StoreError.Unavailable) revision = null
+                    if (error !is StoreError.Unavailable) position = null
                     if (error !is StoreError.Compacted) {
                         failures += 1
                         messages.send(FleetMessage.Failed(part, error))
@@ -235,7 +236,7 @@
                 },
                 { changes ->
                     failures = 0
-                    revision = changes.revision
+                    position = changes.position
                     if (changes.changes.isNotEmpty()) delay(dependencies.watchTimes(part).pause)
                 },
             )
@@ -244,25 +245,25 @@
 
     private suspend fun watch(
         part: FleetPart,
-        revision: Long,
+        position: StorePosition,
     ): Either<StoreError, FleetChanges> {
         val now = dependencies.clock.now()
         val alone = dependencies.watchTimes(part)
-        val shared = sharing?.times?.invoke(part) ?: return watch(part, revision, alone)
-        if (now - askedAt.value < REPORTING_TIME) return watch(part, revision, shared.reporting)
-        if (now >= confirmedUntil(part)) return watch(part, revision, alone)
-        watchWhileConfirmed(part, revision, shared.longestWait)?.let { return it }
-        logger.info("fleet: {} at revision {} is read, as no peer confirms it any longer", part, revision)
-        return catchUp(part, revision)
+        val shared = sharing?.times?.invoke(part) ?: return watch(part, position, alone)
+        if (now - askedAt.value < REPORTING_TIME) return watch(part, position, shared.reporting)
+        if (now >= confirmedUntil(part)) return watch(part, position, alone)
+        watchWhileConfirmed(part, position, shared.longestWait)?.let { return it }
+        logger.info("fleet: {} at {} is read, as no peer confirms it any longer", part, textOf(position))
+        return catchUp(part, position)
     }
 
     /** Returns the changes of [part] up to now. */
     private suspend fun catchUp(
         part: FleetPart,
-        revision: Long,
+        position: StorePosition,
     ): Either<StoreError, FleetChanges> {
         val times = dependencies.watchTimes(part)
-        return watch(part, revision, times.copy(wait = CATCH_UP_WAIT, limit = times.limit - times.wait))
+        return watch(part, position, times.copy(wait = CATCH_UP_WAIT, limit = times.limit - times.wait))
     }
 
     /**
@@ -278,20 +279,20 @@
 
     private suspend fun watch(
         part: FleetPart,
-        revision: Long,
+        position: StorePosition,
         times: WatchTimes,
     ): Either<StoreError, FleetChanges> =
-        withTimeoutOrNull(times.limit) { dependencies.store.watch(part, revision, times.wait) }
+        withTimeoutOrNull(times.limit) { dependencies.store.watch(part, position, times.wait) }
             ?: StoreError.Unanswered("no answer to a watch within ${times.limit}").left()
 
     /** Watches [part] as long as a peer confirms it; returns null if that ends before an answer. */
     private suspend fun watchWhileConfirmed(
         part: FleetPart,
-        revision: Long,
+        position: StorePosition,
         wait: Duration,
     ): Either<StoreError, FleetChanges>? =
         coroutineScope {
-            val answer = async { dependencies.store.watch(part, revision, wait) }
+            val answer = async { dependencies.store.watch(part, position, wait) }
             val end = async { awaitEndOfConfirmation(part) }
             select {
                 answer.onAwait { it }
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/RequestExecution.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/RequestExecution.kt
@@ -234,7 +234,7 @@
                 endpoint = endpoint?.id?.text,
                 address = endpoint?.address?.let { "${it.ip}:${it.port}" },
                 configuration = state.view.configuration?.version,
-                endpointsRevision = state.view.endpointsRevision,
+                endpointsPosition = state.view.endpointsPosition,
                 current = state.isConfigurationCurrent,
                 sends = progress.sends,
                 remainingMs = remaining().inWholeMilliseconds,
--- a/tasks/src/test/kotlin/org/cicadaturn/tasks/experts/LeaseTest.kt
+++ b/tasks/src/test/kotlin/org/cicadaturn/tasks/experts/LeaseTest.kt
@@ -19,6 +19,7 @@
 import org.cicadaturn.schema.generated.LeaseRecord
 import org.cicadaturn.schema.generated.ProcessId
 import org.cicadaturn.schema.generated.QuarantinedSegment
+import org.cicadaturn.schema.generated.StorePosition
 import org.cicadaturn.tasks.gateway.FleetStore
 import org.cicadaturn.tasks.gateway.StoredLease
 import org.cicadaturn.tasks.store.StoreError
@@ -44,7 +45,7 @@
 
         override suspend fun watch(
             part: FleetPart,
-            revision: Long,
+            position: StorePosition,
             wait: Duration,
         ) = error("not used")
 
@@ -57,26 +58,26 @@
         override suspend fun readLease(
             name: String,
             isFresh: Boolean,
-        ): Either<StoreError, StoredLease?> {
+        ): Either<StoreError, StoredLease> {
             delay(shared.latency())
             if (process in shared.cutOff) return unanswered()
-            return shared.lease.right()
+            return (shared.lease ?: StoredLease(null, StorePosition())).right()
         }
 
         override suspend fun writeLease(
             name: String,
             record: LeaseRecord,
-            expected: Long?,
-        ): Either<StoreError, Long> {
+            expected: StorePosition?,
+        ): Either<StoreError, StorePosition> {
             if (process in shared.cutOff) {
                 if (shared.random.nextInt(4) == 0) shared.writeLate(record, expected)
                 return unanswered()
             }
             delay(shared.latency())
-            val revision = shared.write(record, expected)
+            val position = shared.write(record, expected)
             delay(shared.latency())
             if (process in shared.cutOff) return unanswered()
-            return revision?.right() ?: StoreError.Conflict(null).left()
+            return position?.right() ?: StoreError.Conflict(null).left()
         }
 
         private suspend fun unanswered(): Either<StoreError, Nothing> {
@@ -96,24 +97,24 @@
     ) {
         var cutOff = emptySet<Int>()
         var isUnresponsive = false
-        private var revision = lease?.revision ?: 0L
+        private var position = lease?.position ?: StorePosition()
 
         fun latency(): Duration = random.nextInt(2, 60).milliseconds
 
         fun write(
             record: LeaseRecord,
-            expected: Long?,
-        ): Long? {
-            if (lease?.revision != expected) return null
-            revision += 1
-            lease = StoredLease(record, revision)
-            return revision
+            expected: StorePosition?,
+        ): StorePosition? {
+            if (lease?.position != expected) return null
+            position = position.copy(revision = position.revision + 1)
+            lease = StoredLease(record, position)
+            return position
         }
 
         /** Executes a write seconds after its call has failed without an answer. */
         fun writeLate(
             record: LeaseRecord,
-            expected: Long?,
+            expected: StorePosition?,
         ) {
             scope.launch {
                 delay(random.nextInt(100, 4_000).milliseconds)
@@ -145,7 +146,12 @@
     @Test
     fun `a restarted holder reacquires its lease immediately`() =
         runTest {
-            val shared = SharedLease(backgroundScope, Random(1), StoredLease(LeaseRecord(ProcessId("a"), 3, 40), 7))
+            val shared =
+                SharedLease(
+                    backgroundScope,
+                    Random(1),
+                    StoredLease(LeaseRecord(ProcessId("a"), 3, 40), StorePosition(0, 7)),
+                )
             val lease = leaseOf("a", LeaseStore(shared, 0))
             delay(300.milliseconds)
             assertEquals(4L, lease.token())
--- a/tasks/src/test/kotlin/org/cicadaturn/tasks/experts/PlacementFailureTest.kt
+++ b/tasks/src/test/kotlin/org/cicadaturn/tasks/experts/PlacementFailureTest.kt
@@ -27,6 +27,7 @@
 import org.cicadaturn.schema.generated.RoutedService
 import org.cicadaturn.schema.generated.RoutingConfiguration
 import org.cicadaturn.schema.generated.ServiceId
+import org.cicadaturn.schema.generated.StorePosition
 import org.cicadaturn.schema.generated.StoreReport
 import org.cicadaturn.schema.generated.StoreReportRequest
 import org.cicadaturn.tasks.PlantedFailure
@@ -75,17 +76,17 @@
         override suspend fun readLease(
             name: String,
             isFresh: Boolean,
-        ): Either<StoreError, StoredLease?> = stored.right()
+        ): Either<StoreError, StoredLease> = (stored ?: StoredLease(null, StorePosition())).right()
 
         override suspend fun writeLease(
             name: String,
             record: LeaseRecord,
-            expected: Long?,
-        ): Either<StoreError, Long> {
-            if (stored?.revision != expected) return StoreError.Conflict(null).left()
-            val revision = (expected ?: 0L) + 1
-            stored = StoredLease(record, revision)
-            return revision.right()
+            expected: StorePosition?,
+        ): Either<StoreError, StorePosition> {
+            if (stored?.position != expected) return StoreError.Conflict(null).left()
+            val position = StorePosition(0, (expected?.revision ?: 0L) + 1)
+            stored = StoredLease(record, position)
+            return position.right()
         }
     }
 
@@ -236,7 +237,7 @@
                     override suspend fun readLease(
                         name: String,
                         isFresh: Boolean,
-                    ): Either<StoreError, StoredLease?> {
+                    ): Either<StoreError, StoredLease> {
                         failure()
                         return super.readLease(name, isFresh)
                     }
--- a/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/FixedFleetStore.kt
+++ b/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/FixedFleetStore.kt
@@ -11,6 +11,7 @@
 import org.cicadaturn.schema.generated.GatewayPeer
 import org.cicadaturn.schema.generated.LeaseRecord
 import org.cicadaturn.schema.generated.QuarantinedSegment
+import org.cicadaturn.schema.generated.StorePosition
 import org.cicadaturn.tasks.store.StoreError
 import kotlin.time.Duration
 
@@ -22,16 +23,16 @@
 
     override suspend fun list(part: FleetPart): Either<StoreError, FleetChanges> {
         val changes = content ?: return unavailable.left()
-        return FleetChanges(1, changes.filter { partOf(it) == part }).right()
+        return FleetChanges(StorePosition(0, 1), changes.filter { partOf(it) == part }).right()
     }
 
     override suspend fun watch(
         part: FleetPart,
-        revision: Long,
+        position: StorePosition,
         wait: Duration,
     ): Either<StoreError, FleetChanges> {
         delay(wait)
-        return FleetChanges(revision, emptyList()).right()
+        return FleetChanges(position, emptyList()).right()
     }
 
     override suspend fun register(peer: GatewayPeer): Either<StoreError, Unit> =
@@ -44,13 +45,13 @@
     override suspend fun readLease(
         name: String,
         isFresh: Boolean,
-    ): Either<StoreError, StoredLease?> = unavailable.left()
+    ): Either<StoreError, StoredLease> = unavailable.left()
 
     override suspend fun writeLease(
         name: String,
         record: LeaseRecord,
-        expected: Long?,
-    ): Either<StoreError, Long> = unavailable.left()
+        expected: StorePosition?,
+    ): Either<StoreError, StorePosition> = unavailable.left()
 }
 
 private fun partOf(change: FleetChange): FleetPart =
--- a/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/FleetFollowTest.kt
+++ b/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/FleetFollowTest.kt
@@ -27,6 +27,7 @@
 import org.cicadaturn.schema.generated.ProcessId
 import org.cicadaturn.schema.generated.RoutingConfiguration
 import org.cicadaturn.schema.generated.ServiceId
+import org.cicadaturn.schema.generated.StorePosition
 import org.cicadaturn.tasks.store.StoreError
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertTrue
@@ -61,17 +62,17 @@
         private var lists = 0
 
         override suspend fun list(part: FleetPart): Either<StoreError, FleetChanges> {
-            if (part != FleetPart.CONFIGURATION) return FleetChanges(1, emptyList()).right()
+            if (part != FleetPart.CONFIGURATION) return FleetChanges(StorePosition(0, 1), emptyList()).right()
             lists += 1
-            return FleetChanges(lists.toLong(), listOf(configured(lists.toLong()))).right()
+            return FleetChanges(StorePosition(0, lists.toLong()), listOf(configured(lists.toLong()))).right()
         }
 
         override suspend fun watch(
             part: FleetPart,
-            revision: Long,
+            position: StorePosition,
             wait: Duration,
         ): Either<StoreError, FleetChanges> {
-            if (part == FleetPart.CONFIGURATION && revision == 1L && !watchFailed.isCompleted) {
+            if (part == FleetPart.CONFIGURATION && position.revision == 1L && !watchFailed.isCompleted) {
                 watchFailed.complete(Unit)
                 return StoreError.Unanswered("the watch was cut").left()
             }
@@ -97,10 +98,10 @@
         private var lists = 0
 
         override suspend fun list(part: FleetPart): Either<StoreError, FleetChanges> {
-            if (part != FleetPart.CONFIGURATION) return FleetChanges(1, emptyList()).right()
+            if (part != FleetPart.CONFIGURATION) return FleetChanges(StorePosition(0, 1), emptyList()).right()
             lists += 1
             if (lists == 1) throw StackOverflowError()
-            return FleetChanges(1, listOf(configured(1))).right()
+            return FleetChanges(StorePosition(0, 1), listOf(configured(1))).right()
         }
     }
 
@@ -128,7 +129,7 @@
                     FleetPart.DRAINED_DOMAINS -> drainedDomain.takeIf { isChanged }
                     else -> null
                 }
-            return FleetChanges(if (isChanged) 2 else 1, listOfNotNull(change))
+            return FleetChanges(StorePosition(0, if (isChanged) 2 else 1), listOfNotNull(change))
         }
 
         private suspend fun answer(
@@ -149,15 +150,15 @@
 
         override suspend fun watch(
             part: FleetPart,
-            revision: Long,
+            position: StorePosition,
             wait: Duration,
         ): Either<StoreError, FleetChanges> {
             val start = clock.now()
-            val untilChange = (changedAt - start).takeIf { revision < 2 } ?: Duration.INFINITE
+            val untilChange = (changedAt - start).takeIf { position.revision < 2 } ?: Duration.INFINITE
             delay(minOf(wait, untilChange))
             val limit = wait + CLIENT_TIMEOUT
             if (untilChange <= wait) return answer(contentOf(part), start, limit)
-            return answer(FleetChanges(revision, emptyList()), start, limit)
+            return answer(FleetChanges(position, emptyList()), start, limit)
         }
     }
 
@@ -232,19 +233,19 @@
         private fun revision(): Long = 1L + changedAt.count { it <= clock.now() }
 
         override suspend fun list(part: FleetPart): Either<StoreError, FleetChanges> =
-            FleetChanges(revision(), emptyList()).right()
+            FleetChanges(StorePosition(0, revision()), emptyList()).right()
 
         override suspend fun watch(
             part: FleetPart,
-            revision: Long,
+            position: StorePosition,
             wait: Duration,
         ): Either<StoreError, FleetChanges> {
             if (part != FleetPart.ENDPOINTS) awaitCancellation()
             watches += 1
-            val next = changedAt.getOrNull(revision.toInt() - 1)
+            val next = changedAt.getOrNull(position.revision.toInt() - 1)
             delay(next?.let { minOf(wait, it - clock.now()) } ?: wait)
-            val changes = if (revision() > revision) listOf(listed(AdmissionState.IN_SERVICE)) else emptyList()
-            return FleetChanges(revision(), changes).right()
+            val changes = if (revision() > position.revision) listOf(listed(AdmissionState.IN_SERVICE)) else emptyList()
+            return FleetChanges(StorePosition(0, revision()), changes).right()
         }
     }
 
@@ -258,7 +259,7 @@
             val store = ChangingStore(clock, List(100) { start + 1.seconds + 20.milliseconds * it })
             val fleet = startFleet(backgroundScope, dependencies(store, clock))
             delay(4.seconds)
-            assertEquals(101L, fleet.state.value.view.endpointsRevision)
+            assertEquals(StorePosition(0, 101), fleet.state.value.view.endpointsPosition)
             assertTrue(store.watches <= 12, "${store.watches} watches")
         }
 
--- a/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/FleetLogTest.kt
+++ b/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/FleetLogTest.kt
@@ -5,12 +5,14 @@
 import org.cicadaturn.schema.generated.CallerLimits
 import org.cicadaturn.schema.generated.EndpointId
 import org.cicadaturn.schema.generated.RoutingConfiguration
+import org.cicadaturn.schema.generated.StorePosition
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertTrue
 import org.junit.jupiter.api.Test
 
 class FleetLogTest {
-    private fun changes(count: Int) = FleetChanges(7, (1..count).map { FleetChange.EndpointGone(EndpointId("e$it")) })
+    private fun changes(count: Int) =
+        FleetChanges(StorePosition(0, 7), (1..count).map { FleetChange.EndpointGone(EndpointId("e$it")) })
 
     /**
      * Guards against a first list that uses up the rate limit of the log. In review/3, nothing that followed the list of
@@ -35,6 +37,9 @@
     @Test
     fun `a configuration is logged by its version`() {
         val configuration = RoutingConfiguration(5, emptyList(), emptyList(), null, CallerLimits())
-        assertEquals(listOf("version 5"), logTextsOf(FleetChanges(7, listOf(FleetChange.Configured(configuration)))))
+        assertEquals(
+            listOf("version 5"),
+            logTextsOf(FleetChanges(StorePosition(0, 7), listOf(FleetChange.Configured(configuration)))),
+        )
     }
 }
--- a/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/ForeignPeerAnswerTest.kt
+++ b/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/ForeignPeerAnswerTest.kt
@@ -18,6 +18,7 @@
 import org.cicadaturn.schema.generated.PledgeRequest
 import org.cicadaturn.schema.generated.ProcessId
 import org.cicadaturn.schema.generated.QuarantineNews
+import org.cicadaturn.schema.generated.StorePosition
 import org.cicadaturn.schema.generated.StoreReport
 import org.cicadaturn.schema.generated.StoreReportRequest
 import org.cicadaturn.tasks.http.HttpRuntime
@@ -57,7 +58,12 @@
     ) = Cbor.encodeToByteArray(strategy, value)
 
     private val self = GatewayPeer(ProcessId("me"), NetworkAddress("127.0.0.1", 1), FailureDomainId("a"))
-    private val view = FleetView(endpointsRevision = 7, configurationRevision = 7, domainsRevision = 7)
+    private val view =
+        FleetView(
+            endpointsPosition = StorePosition(0, 7),
+            configurationPosition = StorePosition(0, 7),
+            domainsPosition = StorePosition(0, 7),
+        )
 
     private val calls =
         listOf(
--- a/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/SharedFleet.kt
+++ b/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/SharedFleet.kt
@@ -19,6 +19,7 @@
 import org.cicadaturn.schema.generated.NetworkAddress
 import org.cicadaturn.schema.generated.ProcessId
 import org.cicadaturn.schema.generated.RoutingConfiguration
+import org.cicadaturn.schema.generated.StorePosition
 import org.cicadaturn.schema.generated.StoreReport
 import org.cicadaturn.schema.generated.StoreReportRequest
 import org.cicadaturn.tasks.store.StoreError
@@ -139,7 +140,7 @@
                     FleetPart.PEERS -> names.map { FleetChange.PeerListed(peer(it)) }
                     else -> emptyList()
                 }
-            return FleetChanges(if (isChanged) 2 else 1, changes)
+            return FleetChanges(StorePosition(0, if (isChanged) 2 else 1), changes)
         }
 
         override suspend fun list(part: FleetPart): Either<StoreError, FleetChanges> =
@@ -147,15 +148,15 @@
 
         override suspend fun watch(
             part: FleetPart,
-            revision: Long,
+            position: StorePosition,
             wait: Duration,
         ): Either<StoreError, FleetChanges> {
             val start = clock.now()
-            val isPending = revision < 2 && part in setOf(FleetPart.CONFIGURATION, FleetPart.DRAINED_DOMAINS)
+            val isPending = position.revision < 2 && part in setOf(FleetPart.CONFIGURATION, FleetPart.DRAINED_DOMAINS)
             val untilChange = if (isPending) (changedAt - start).coerceAtLeast(Duration.ZERO) else Duration.INFINITE
             return answer(start, wait + CLIENT_TIMEOUT) {
                 delay(minOf(wait, untilChange))
-                if (untilChange <= wait) contentOf(part) else FleetChanges(revision, emptyList())
+                if (untilChange <= wait) contentOf(part) else FleetChanges(position, emptyList())
             }
         }
 
--- a/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/StoreRefusalTest.kt
+++ b/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/StoreRefusalTest.kt
@@ -18,6 +18,7 @@
 import org.cicadaturn.schema.generated.NetworkAddress
 import org.cicadaturn.schema.generated.ProcessId
 import org.cicadaturn.schema.generated.RoutingConfiguration
+import org.cicadaturn.schema.generated.StorePosition
 import org.cicadaturn.tasks.store.StoreError
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertTrue
@@ -53,9 +54,9 @@
 
         override suspend fun watch(
             part: FleetPart,
-            revision: Long,
+            position: StorePosition,
             wait: Duration,
-        ): Either<StoreError, FleetChanges> = refusalOf(part)?.left() ?: content.watch(part, revision, wait)
+        ): Either<StoreError, FleetChanges> = refusalOf(part)?.left() ?: content.watch(part, position, wait)
     }
 
     private fun TestScope.start(store: FleetStore): Fleet {
@@ -92,7 +93,7 @@
             val fleet = start(store)
             delay(9.seconds + RETRY + 10.milliseconds)
             assertTrue(fleet.state.value.isConfigurationCurrent)
-            assertEquals(1L, fleet.ownView().domainsRevision)
+            assertEquals(StorePosition(0, 1), fleet.ownView().domainsPosition)
         }
 
     /** Guards against a part that waits for another one whose calls fail for a reason of their own. */
--- a/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/TaskFailureTest.kt
+++ b/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/TaskFailureTest.kt
@@ -45,6 +45,7 @@
 import org.cicadaturn.schema.generated.RoutingConfiguration
 import org.cicadaturn.schema.generated.SegmentState
 import org.cicadaturn.schema.generated.ServiceId
+import org.cicadaturn.schema.generated.StorePosition
 import org.cicadaturn.schema.generated.StoreReport
 import org.cicadaturn.schema.generated.StoreReportRequest
 import org.cicadaturn.tasks.PlantedFailure
@@ -187,17 +188,17 @@
         private var isDrained = false
 
         override suspend fun list(part: FleetPart): Either<StoreError, FleetChanges> {
-            if (part != FleetPart.ENDPOINTS) return FleetChanges(1, emptyList()).right()
-            if (isDrained) return FleetChanges(2, drained).right()
-            return FleetChanges(1, listOf(FleetChange.EndpointListed(endpoint()))).right()
+            if (part != FleetPart.ENDPOINTS) return FleetChanges(StorePosition(0, 1), emptyList()).right()
+            if (isDrained) return FleetChanges(StorePosition(0, 2), drained).right()
+            return FleetChanges(StorePosition(0, 1), listOf(FleetChange.EndpointListed(endpoint()))).right()
         }
 
         override suspend fun watch(
             part: FleetPart,
-            revision: Long,
+            position: StorePosition,
             wait: Duration,
         ): Either<StoreError, FleetChanges> {
-            if (part != FleetPart.ENDPOINTS || revision > 1) awaitCancellation()
+            if (part != FleetPart.ENDPOINTS || position.revision > 1) awaitCancellation()
             isDrained = true
             val poisoned =
                 object : List<FleetChange> by drained {
@@ -206,7 +207,7 @@
                         return drained.iterator()
                     }
                 }
-            return FleetChanges(2, poisoned).right()
+            return FleetChanges(StorePosition(0, 2), poisoned).right()
         }
     }
 
@@ -250,7 +251,7 @@
             val fleet =
                 fleetWith(FixedFleetStore(content = null)) {
                     failure()
-                    FleetView(configuration = configuration, configurationRevision = 1)
+                    FleetView(configuration = configuration, configurationPosition = StorePosition(0, 1))
                 }
             val known = withTimeoutOrNull(5.seconds) { fleet.state.first { it.view.configuration != null } }
             assertNotNull(known)
