Count a write of the lease only in the era of its condition

Cause: the store compares revisions only. After a restore from a copy a revision exists again, so a write that was sent before may replace a record that its process has never read. A takeover or a renewal that was executed so counted as any other: two processes could hold the lease, with one token.

Change: a lease record has the era in which the record that it replaces was read. If the answer names another era, the write does not count: the process does not act on it and reads the record again. What such a write leaves behind can be told by its era.

--- a/decisions/src/main/kotlin/org/cicadaturn/decisions/experts/PlacementLease.kt
+++ b/decisions/src/main/kotlin/org/cicadaturn/decisions/experts/PlacementLease.kt
@@ -29,6 +29,9 @@
  * its last write. It measures this time with a suspend-aware clock, which advances by the larger advance of the
  * monotonic clock and the wall clock, because the monotonic clock stops while a machine is suspended. Times are of the
  * monotonic clock unless stated otherwise.
+ *
+ * The store may be restored from an older copy, which begins a new era and may lack records that were acknowledged.
+ * A write counts only in the era in which the record that it replaces was read, as the store compares revisions alone.
  */
 public interface PlacementLease {
     /** Returns the fencing token if this process may act at [now] of the suspend-aware clock, else null. */
@@ -40,7 +43,9 @@
     /** Returns when this process may take the lease over unless it is renewed, or null if it holds or never read it. */
     public fun takeoverTime(): Instant?
 
-    /** Records that [record], or null if there is none, was read at [position] in the store. */
+    /**
+     * Records that [record], or null if there is none, was read at [position] in the store.
+     */
     public fun seen(
         record: LeaseRecord?,
         position: StorePosition,
@@ -48,7 +53,8 @@
     )
 
     /**
-     * Records that [record] was written at [position] in the store.
+     * Records that [record] was written at [position] in the store; returns false if the write does not count, as it was
+     * executed in another era than the one of its condition.
      *
      * The write began at [since] of the monotonic clock and at [actingSince] of the suspend-aware clock.
      */
@@ -57,7 +63,7 @@
         position: StorePosition,
         since: Instant,
         actingSince: Instant,
-    )
+    ): Boolean
 
     /**
      * Promises the holder of [token] not to take over the lease for [LeaseTimes.expiry].
@@ -115,6 +121,8 @@
     private val times: LeaseTimes,
 ) : PlacementLease {
     private var record: LeaseRecord? = null
+
+    /** Position of [record], or revision 0 of the era in which there was none; null if it was never read. */
     private var position: StorePosition? = null
     private var seenAt: Instant? = null
     private var validUntil = Instant.DISTANT_PAST
@@ -126,11 +134,12 @@
 
     override fun next(now: Instant): LeaseStep {
         val mine = own
-        if (mine != null) {
-            return LeaseStep.Write(mine.copy(renewals = mine.renewals + 1, isReleased = isReleased), position)
-        }
-        if (!mayTakeOver(now)) return LeaseStep.Read
-        return LeaseStep.Write(LeaseRecord(self, (record?.token ?: 0L) + 1, 0), position)
+        if (mine == null && !mayTakeOver(now)) return LeaseStep.Read
+        val at = position ?: return LeaseStep.Read
+        val next =
+            mine?.copy(renewals = mine.renewals + 1, isReleased = isReleased, era = at.era)
+                ?: LeaseRecord(self, (record?.token ?: 0L) + 1, renewals = 0, era = at.era)
+        return LeaseStep.Write(next, at.takeIf { record != null })
     }
 
     override fun takeoverTime(): Instant? {
@@ -152,10 +161,10 @@
         position: StorePosition,
         now: Instant,
     ) {
-        val isNewer = seenAt == null || position > (this.position ?: StorePosition())
-        if (!isNewer) return
+        val known = this.position
+        if (known != null && position <= known) return
         this.record = record
-        this.position = if (record == null) null else position
+        this.position = position
         seenAt = now
         if (record != own) own = null
     }
@@ -165,12 +174,14 @@
         position: StorePosition,
         since: Instant,
         actingSince: Instant,
-    ) {
+    ): Boolean {
+        if (position.era != record.era) return false
         this.record = record
         this.position = position
         own = record.takeIf { !it.isReleased }
         seenAt = since
         validUntil = actingSince + times.validity
+        return true
     }
 
     override fun pledge(
--- /dev/null
+++ b/decisions/src/test/kotlin/org/cicadaturn/decisions/experts/PlacementLeaseEraTest.kt
@@ -0,0 +1,75 @@
+package org.cicadaturn.decisions.experts
+
+import org.cicadaturn.schema.generated.LeaseRecord
+import org.cicadaturn.schema.generated.ProcessId
+import org.cicadaturn.schema.generated.StorePosition
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertFalse
+import org.junit.jupiter.api.Assertions.assertNull
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.Instant
+
+/** Lease in a store that is restored from an older copy, in which revisions are given out again. */
+class PlacementLeaseEraTest {
+    private val start = Instant.fromEpochSeconds(1_000)
+    private val me = ProcessId("me")
+    private val other = LeaseRecord(ProcessId("other"), token = 4, renewals = 7, era = 1)
+
+    private fun newLease(): PlacementLease = placementLease(me, delay = 100.milliseconds)
+
+    private fun PlacementLease.read(
+        record: LeaseRecord?,
+        position: StorePosition,
+        now: Instant,
+    ) = seen(record, position, now)
+
+    /** Returns a lease that is held since [start] with token 5 at revision 20 of era 1. */
+    private fun heldLease(): PlacementLease {
+        val lease = newLease()
+        lease.read(other.copy(isReleased = true), StorePosition(1, 10), start)
+        val write = lease.next(start) as LeaseStep.Write
+        assertEquals(LeaseRecord(me, 5, 0, era = 1), write.record)
+        assertTrue(lease.written(write.record, StorePosition(1, 20), start, start))
+        return lease
+    }
+
+    /** Guards against a lease that is not read for as long as the new revisions are below the old ones. */
+    @Test
+    fun `a record of a new era is read although its revision is lower`() {
+        val lease = newLease()
+        lease.read(other, StorePosition(1, 100), start)
+        lease.read(other.copy(renewals = 3), StorePosition(2, 60), start + 1.seconds)
+        lease.read(other.copy(renewals = 9, era = 2), StorePosition(2, 61), start + 3.seconds)
+        assertEquals(LeaseStep.Read, lease.next(start + 5.seconds))
+        val write = lease.next(start + 5.4.seconds) as LeaseStep.Write
+        assertEquals(StorePosition(2, 61), write.expected)
+    }
+
+    /** Guards against a late answer of before the restore. */
+    @Test
+    fun `an answer of an earlier era changes nothing`() {
+        val lease = newLease()
+        lease.read(other.copy(era = 2), StorePosition(2, 60), start)
+        lease.read(other.copy(renewals = 90), StorePosition(1, 100), start + 2.seconds)
+        val write = lease.next(start + 2.4.seconds) as LeaseStep.Write
+        assertEquals(StorePosition(2, 60), write.expected)
+    }
+
+    /** Guards against two holders: the record that was replaced need not be the one that was read. */
+    @Test
+    fun `a write that is done in a later era than it was read in does not count`() {
+        val lease = newLease()
+        lease.read(other.copy(isReleased = true), StorePosition(1, 10), start)
+        val takeover = lease.next(start) as LeaseStep.Write
+        assertFalse(lease.written(takeover.record, StorePosition(2, 11), start, start))
+        assertNull(lease.token(start))
+
+        val held = heldLease()
+        val renewal = held.next(start + 1.seconds) as LeaseStep.Write
+        assertFalse(held.written(renewal.record, StorePosition(2, 21), start + 1.seconds, start + 1.seconds))
+        assertNull(held.token(start + 1.5.seconds))
+    }
+}
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/experts/Lease.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/experts/Lease.kt
@@ -152,8 +152,9 @@
             },
             { position ->
                 isStoreUnavailable = false
-                lease.written(step.record, position, since, actingSince)
-                if (isNew) logger.info("lease: {} held with token {}", name, step.record.token)
+                val isHeld = lease.written(step.record, position, since, actingSince)
+                if (!isHeld) read(isFresh = true)
+                if (isHeld && isNew) logger.info("lease: {} held with token {}", name, step.record.token)
             },
         )
     }
