Read the lease fresh before it is taken over

Cause: candidates read the lease with stale reads, as a conditional write protects a takeover. After a restore it does not: a stale answer may have content of before the restore, whose revision exists again for another record. The write then replaces the record of a holder that the process never saw. A stale answer with a high revision also hid the record from later reads.

Change: a record that was read stale is read fresh before it is replaced; a fresh read counts whatever revision was known in its era. This takes one call per takeover; a candidate that is too late reads instead of writing.

Without the rule "a record that was read stale is read again before it is replaced" fails with a write under the condition of the stale read.

--- a/decisions/src/main/kotlin/org/cicadaturn/decisions/experts/PlacementLease.kt
+++ b/decisions/src/main/kotlin/org/cicadaturn/decisions/experts/PlacementLease.kt
@@ -10,8 +10,10 @@
 
 /** Next call to the store that a lease needs. */
 public sealed interface LeaseStep {
-    /** Read the record; a stale one is sufficient. */
-    public data object Read : LeaseStep
+    /** Read the record; a stale one is sufficient unless [isFresh]. */
+    public data class Read(
+        val isFresh: Boolean,
+    ) : LeaseStep
 
     /** Write [record] if the stored one is still at [expected]; null creates it. */
     public data class Write(
@@ -49,6 +51,7 @@
     public fun seen(
         record: LeaseRecord?,
         position: StorePosition,
+        isFresh: Boolean,
         now: Instant,
     )
 
@@ -124,6 +127,9 @@
 
     /** Position of [record], or revision 0 of the era in which there was none; null if it was never read. */
     private var position: StorePosition? = null
+
+    /** False if [record] was read with a call that may be answered from an earlier state. */
+    private var isFresh = false
     private var seenAt: Instant? = null
     private var validUntil = Instant.DISTANT_PAST
     private var own: LeaseRecord? = null
@@ -134,8 +140,9 @@
 
     override fun next(now: Instant): LeaseStep {
         val mine = own
-        if (mine == null && !mayTakeOver(now)) return LeaseStep.Read
-        val at = position ?: return LeaseStep.Read
+        if (mine == null && !mayTakeOver(now)) return LeaseStep.Read(isFresh = false)
+        // The condition of a write may be met by another record if a stale read was answered from an earlier era.
+        val at = position?.takeIf { isFresh } ?: return LeaseStep.Read(isFresh = true)
         val next =
             mine?.copy(renewals = mine.renewals + 1, isReleased = isReleased, era = at.era)
                 ?: LeaseRecord(self, (record?.token ?: 0L) + 1, renewals = 0, era = at.era)
@@ -159,16 +166,26 @@
     override fun seen(
         record: LeaseRecord?,
         position: StorePosition,
+        isFresh: Boolean,
         now: Instant,
     ) {
         val known = this.position
-        if (known != null && position <= known) return
+        if (known != null && isOutdated(position, isFresh, known)) return
+        this.isFresh = isFresh
+        if (position == known && record == this.record) return
         this.record = record
         this.position = position
         seenAt = now
         if (record != own) own = null
     }
 
+    /** A fresh read began after all earlier answers; within its era it is never older than they are. */
+    private fun isOutdated(
+        position: StorePosition,
+        isFresh: Boolean,
+        known: StorePosition,
+    ): Boolean = if (isFresh) position.era < known.era else position <= known
+
     override fun written(
         record: LeaseRecord,
         position: StorePosition,
@@ -178,6 +195,7 @@
         if (position.era != record.era) return false
         this.record = record
         this.position = position
+        isFresh = true
         own = record.takeIf { !it.isReleased }
         seenAt = since
         validUntil = actingSince + times.validity
--- a/decisions/src/test/kotlin/org/cicadaturn/decisions/experts/PlacementLeaseEraTest.kt
+++ b/decisions/src/test/kotlin/org/cicadaturn/decisions/experts/PlacementLeaseEraTest.kt
@@ -24,7 +24,8 @@
         record: LeaseRecord?,
         position: StorePosition,
         now: Instant,
-    ) = seen(record, position, now)
+        isFresh: Boolean = true,
+    ) = seen(record, position, isFresh, now)
 
     /** Returns a lease that is held since [start] with token 5 at revision 20 of era 1. */
     private fun heldLease(): PlacementLease {
@@ -43,7 +44,7 @@
         lease.read(other, StorePosition(1, 100), start)
         lease.read(other.copy(renewals = 3), StorePosition(2, 60), start + 1.seconds)
         lease.read(other.copy(renewals = 9, era = 2), StorePosition(2, 61), start + 3.seconds)
-        assertEquals(LeaseStep.Read, lease.next(start + 5.seconds))
+        assertEquals(LeaseStep.Read(isFresh = false), lease.next(start + 5.seconds))
         val write = lease.next(start + 5.4.seconds) as LeaseStep.Write
         assertEquals(StorePosition(2, 61), write.expected)
     }
@@ -72,4 +73,16 @@
         assertFalse(held.written(renewal.record, StorePosition(2, 21), start + 1.seconds, start + 1.seconds))
         assertNull(held.token(start + 1.5.seconds))
     }
+
+    /** Guards against a condition that a stale answer of before the restore has brought into the new era. */
+    @Test
+    fun `a record that was read stale is read again before it is replaced`() {
+        val lease = newLease()
+        lease.read(other, StorePosition(2, 80), start, isFresh = false)
+        assertEquals(LeaseStep.Read(isFresh = true), lease.next(start + 3.seconds))
+        lease.read(other.copy(token = 9, era = 2), StorePosition(2, 70), start + 3.seconds)
+        assertEquals(LeaseStep.Read(isFresh = false), lease.next(start + 5.seconds))
+        val write = lease.next(start + 5.4.seconds) as LeaseStep.Write
+        assertEquals(StorePosition(2, 70), write.expected)
+    }
 }
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/experts/Lease.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/experts/Lease.kt
@@ -88,21 +88,25 @@
             if (isStopping && !isStoreUnavailable) lease.release()
             val step = lease.next(clock.now())
             when (step) {
-                // A stale record can only delay a takeover, as the write is conditional.
-                LeaseStep.Read -> read(isFresh = false)
+                is LeaseStep.Read -> read(step.isFresh)
                 is LeaseStep.Write -> renew(step)
             }
-            // The record read may allow an immediate takeover, for example after a restart of the holder.
-            val isDue = step == LeaseStep.Read && lease.next(clock.now()) is LeaseStep.Write
-            if (!isDue) delay(interval(step))
+            if (!isDue(step)) delay(interval(step))
         }
     }
 
+    /** Returns true if the record that was read in [last] needs a further call at once, such as that of a takeover. */
+    private fun isDue(last: LeaseStep): Boolean {
+        if (last !is LeaseStep.Read) return false
+        val next = lease.next(clock.now())
+        return next is LeaseStep.Write || (next == LeaseStep.Read(isFresh = true) && !last.isFresh)
+    }
+
     private fun interval(step: LeaseStep): Duration =
         when {
             isStoreUnavailable && token() != null -> RETRY_INTERVAL
-            step is LeaseStep.Write -> dependencies.times.renewal
-            else -> readInterval()
+            step == LeaseStep.Read(isFresh = false) -> readInterval()
+            else -> dependencies.times.renewal
         }
 
     /** A takeover that falls between two reads does not wait for the second one, as its write is conditional. */
@@ -133,7 +137,7 @@
 
     private suspend fun read(isFresh: Boolean) {
         store.readLease(name, isFresh).onRight { stored ->
-            lease.seen(stored.record, stored.position, clock.now())
+            lease.seen(stored.record, stored.position, isFresh, clock.now())
         }
     }
 
