Believe a vacant lease only if it was written in the present era

Cause: a process takes the lease over at once if there is no record, if it is released, or if it is of an earlier run of the process. After a restore the copy may show one of these while a holder acts whose record is lost: for 1.5 s since its last write, or longer while all others pledge.

Change: a record of an earlier era, or none in a store that was restored, is left for the expiry (2.3 s and the delay) like any other that is not renewed. All that a process did before the restore ends before that, and pledges bind as before. A record of the present era is believed as before, so planned stops cost no time once the lease was written in the new era. The first takeover ever waits as well if the store names an era above 0.

--- a/decisions/src/main/kotlin/org/cicadaturn/decisions/experts/PlacementLease.kt
+++ b/decisions/src/main/kotlin/org/cicadaturn/decisions/experts/PlacementLease.kt
@@ -33,7 +33,10 @@
  * monotonic clock unless stated otherwise.
  *
  * The store may be restored from an older copy, which begins a new era and may lack records that were acknowledged.
- * A write counts only in the era in which the record that it replaces was read, as the store compares revisions alone.
+ * Two rules exclude a second holder:
+ * - A record that was written in an earlier era does not show that the lease is vacant, so each process waits for
+ *   [LeaseTimes.expiry].
+ * - A write counts only in the era in which the record that it replaces was read, as the store compares revisions alone.
  */
 public interface PlacementLease {
     /** Returns the fencing token if this process may act at [now] of the suspend-aware clock, else null. */
@@ -158,9 +161,15 @@
     private fun mayTakeOver(now: Instant): Boolean {
         val at = seenAt ?: return false
         if (isReleased || now < pledgedUntil) return false
+        return isVacant() || now - at >= times.expiry + delay
+    }
+
+    /** Returns true if the record shows that no process acts on the lease. */
+    private fun isVacant(): Boolean {
+        if (eraOf(record) != position?.era) return false
         val known = record ?: return true
         // An earlier run of this process no longer acts on its lease.
-        return known.holder == self || known.isReleased || now - at >= times.expiry + delay
+        return known.holder == self || known.isReleased
     }
 
     override fun seen(
@@ -223,4 +232,7 @@
         own = null
         validUntil = Instant.DISTANT_PAST
     }
+
+    /** Returns the era in which [record] was written; the absence of a record belongs to a store without restores. */
+    private fun eraOf(record: LeaseRecord?): Long = record?.era ?: 0L
 }
--- a/decisions/src/test/kotlin/org/cicadaturn/decisions/experts/PlacementLeaseEraTest.kt
+++ b/decisions/src/test/kotlin/org/cicadaturn/decisions/experts/PlacementLeaseEraTest.kt
@@ -18,6 +18,14 @@
     private val me = ProcessId("me")
     private val other = LeaseRecord(ProcessId("other"), token = 4, renewals = 7, era = 1)
 
+    /** Records of an older copy that say that nobody acts on the lease. */
+    private val vacant =
+        mapOf(
+            "none" to null,
+            "a released one" to other.copy(isReleased = true),
+            "one of this process" to other.copy(holder = me),
+        )
+
     private fun newLease(): PlacementLease = placementLease(me, delay = 100.milliseconds)
 
     private fun PlacementLease.read(
@@ -85,4 +93,27 @@
         val write = lease.next(start + 5.4.seconds) as LeaseStep.Write
         assertEquals(StorePosition(2, 70), write.expected)
     }
+
+    /** Guards against a process that takes over beside a holder whose lease is not in the copy. */
+    @Test
+    fun `what an older copy says of a vacant lease is not believed`() {
+        for ((name, record) in vacant) {
+            val known = newLease().also { it.read(other, StorePosition(1, 100), start) }
+            for (lease in listOf(newLease(), known)) {
+                lease.read(record, StorePosition(2, if (record == null) 0 else 60), start + 1.seconds)
+                assertEquals(LeaseStep.Read(isFresh = false), lease.next(start + 3.3.seconds), name)
+                assertTrue(lease.next(start + 3.4.seconds) is LeaseStep.Write, name)
+            }
+        }
+    }
+
+    /** Guards against groups that no process balances for seconds after each planned stop since the last restore. */
+    @Test
+    fun `what was written in the present era is believed`() {
+        for ((name, record) in vacant.filterValues { it != null }) {
+            val lease = newLease()
+            lease.read(record!!.copy(era = 2), StorePosition(2, 60), start)
+            assertTrue(lease.next(start) is LeaseStep.Write, name)
+        }
+    }
 }
