Leave out the fencing tokens that a restore may have lost

Cause: a takeover takes the next token after that of the record. After a restore from a copy the tokens of the lost seconds follow as well, so they were given out again: to ranks the orders of two processes are then the same, and the versions of expert maps, which are derived from the token, are used twice.

Change: a takeover of a record of an earlier era leaves out 1,000 tokens for each era between. One restore loses some seconds, in which a takeover takes a read and a write, so that fewer are lost. This needs no communication, and as the distance is relative, the tokens stay small: the versions of maps, 10,000 to a token, are above 2^31 after 214 eras and above 2^53 after 900 million. Weighed against tokens with the era in their high bits, which end with the number of takeovers in one era, and against asking peers and ranks, which may be cut off.

RestoredStoreLeaseTest plays 300 seeded histories of four processes with restores, stale reads, lost answers, late writes, cuts from the store and from peers, pauses, restarts and releases.

Run: PlacementLeaseTest 6, PlacementLeaseEraTest 7, LeaseTest 4, PlacementFailureTest 4, RestoredStoreLeaseTest (seeds 1 to 300), all passed.

--- a/decisions/src/main/kotlin/org/cicadaturn/decisions/experts/PlacementLease.kt
+++ b/decisions/src/main/kotlin/org/cicadaturn/decisions/experts/PlacementLease.kt
@@ -33,10 +33,11 @@
  * monotonic clock unless stated otherwise.
  *
  * The store may be restored from an older copy, which begins a new era and may lack records that were acknowledged.
- * Two rules exclude a second holder:
+ * Three rules exclude a second holder and a token that is given out twice:
  * - A record that was written in an earlier era does not show that the lease is vacant, so each process waits for
  *   [LeaseTimes.expiry].
  * - A write counts only in the era in which the record that it replaces was read, as the store compares revisions alone.
+ * - The first takeover in a new era leaves out the tokens that may have been lost.
  */
 public interface PlacementLease {
     /** Returns the fencing token if this process may act at [now] of the suspend-aware clock, else null. */
@@ -148,10 +149,15 @@
         val at = position?.takeIf { isFresh } ?: return LeaseStep.Read(isFresh = true)
         val next =
             mine?.copy(renewals = mine.renewals + 1, isReleased = isReleased, era = at.era)
-                ?: LeaseRecord(self, (record?.token ?: 0L) + 1, renewals = 0, era = at.era)
+                ?: LeaseRecord(self, nextToken(at.era), renewals = 0, era = at.era)
         return LeaseStep.Write(next, at.takeIf { record != null })
     }
 
+    private fun nextToken(era: Long): Long {
+        val lostEras = maxOf(0L, era - eraOf(record))
+        return (record?.token ?: 0L) + 1 + lostEras * MAX_LOST_TOKENS
+    }
+
     override fun takeoverTime(): Instant? {
         val at = seenAt ?: return null
         if (own != null || isReleased) return null
@@ -235,4 +241,12 @@
 
     /** Returns the era in which [record] was written; the absence of a record belongs to a store without restores. */
     private fun eraOf(record: LeaseRecord?): Long = record?.era ?: 0L
+
+    private companion object {
+        /**
+         * Takeovers that one restore can lose. Each takes a read and a write, so that seconds have room for a few
+         * hundred at most.
+         */
+        const val MAX_LOST_TOKENS = 1_000L
+    }
 }
--- a/decisions/src/test/kotlin/org/cicadaturn/decisions/experts/PlacementLeaseEraTest.kt
+++ b/decisions/src/test/kotlin/org/cicadaturn/decisions/experts/PlacementLeaseEraTest.kt
@@ -116,4 +116,27 @@
             assertTrue(lease.next(start) is LeaseStep.Write, name)
         }
     }
+
+    /** Guards against a token that was given out in the time that the copy does not have. */
+    @Test
+    fun `a takeover passes over the tokens that may have been lost`() {
+        val tokens = mutableListOf<Long>()
+        // The copy is the same in each era, as if nothing had been written since.
+        for (era in 1L..4L) {
+            val lease = newLease()
+            lease.read(other, StorePosition(era, 60), start)
+            val first = (lease.next(start + 3.seconds) as LeaseStep.Write).record
+            lease.read(
+                first.copy(holder = ProcessId("x"), isReleased = true),
+                StorePosition(era, 61),
+                start + 3.seconds,
+            )
+            tokens += first.token
+            tokens += (lease.next(start + 3.seconds) as LeaseStep.Write).record.token
+        }
+        assertEquals(tokens.sorted().distinct(), tokens)
+        val none = (1L..4L).map { era -> newLease().also { it.read(null, StorePosition(era, 0), start) } }
+        val first = none.map { (it.next(start + 3.seconds) as LeaseStep.Write).record.token }
+        assertEquals(first.sorted().distinct(), first)
+    }
 }
