Keep the lease and its token after a restore of the store

Cause: after a restore the holder's renewal is refused, as the copy has another revision or no record. The holder gave the lease up and read the copy. A switch in progress was broken off, in the worst case with its group held, and no group was balanced for the expiry of 2.3 s or more. With a copy of its own last record a holder that had been suspended also wrote its lease again at once beside the one that had replaced it.

Change: a refused renewal does not end the lease; the record that is then read fresh does. If it was written in an earlier era, it says nothing about the present: a process that may still act when it learns of the new era was the only holder at the restore, so it writes the lease again with its own token. One whose lease has ended waits like the others. The holder tries again after 150 ms instead of 500 ms, so that two restores in a row leave time before its validity of 1.5 s ends. A line tells the era, what was read and whether the lease is kept, once for each process and era.

--- a/decisions/src/main/kotlin/org/cicadaturn/decisions/experts/PlacementLease.kt
+++ b/decisions/src/main/kotlin/org/cicadaturn/decisions/experts/PlacementLease.kt
@@ -35,7 +35,7 @@
  * The store may be restored from an older copy, which begins a new era and may lack records that were acknowledged.
  * Three rules exclude a second holder and a token that is given out twice:
  * - A record that was written in an earlier era does not show that the lease is vacant, so each process waits for
- *   [LeaseTimes.expiry].
+ *   [LeaseTimes.expiry]. Only a holder that learns of the new era while it may still act writes its lease again at once.
  * - A write counts only in the era in which the record that it replaces was read, as the store compares revisions alone.
  * - The first takeover in a new era leaves out the tokens that may have been lost.
  */
@@ -50,14 +50,18 @@
     public fun takeoverTime(): Instant?
 
     /**
-     * Records that [record], or null if there is none, was read at [position] in the store.
+     * Records that [record], or null if there is none, was read at [position] in the store; returns true if this is the
+     * first read of a new era.
+     *
+     * The read ended at [now] of the monotonic clock and at [actingNow] of the suspend-aware clock.
      */
     public fun seen(
         record: LeaseRecord?,
         position: StorePosition,
         isFresh: Boolean,
         now: Instant,
-    )
+        actingNow: Instant,
+    ): Boolean
 
     /**
      * Records that [record] was written at [position] in the store; returns false if the write does not count, as it was
@@ -183,15 +187,19 @@
         position: StorePosition,
         isFresh: Boolean,
         now: Instant,
-    ) {
+        actingNow: Instant,
+    ): Boolean {
         val known = this.position
-        if (known != null && isOutdated(position, isFresh, known)) return
+        if (known != null && isOutdated(position, isFresh, known)) return false
         this.isFresh = isFresh
-        if (position == known && record == this.record) return
+        if (position == known && record == this.record) return false
         this.record = record
         this.position = position
         seenAt = now
-        if (record != own) own = null
+        // As long as the holder may act, no other process can have taken over before the restore.
+        val isHeld = if (eraOf(record) == position.era) record == own else token(actingNow) != null
+        if (!isHeld) own = null
+        return known != null && position.era > known.era
     }
 
     /** A fresh read began after all earlier answers; within its era it is never older than they are. */
--- a/decisions/src/test/kotlin/org/cicadaturn/decisions/experts/PlacementLeaseEraTest.kt
+++ b/decisions/src/test/kotlin/org/cicadaturn/decisions/experts/PlacementLeaseEraTest.kt
@@ -33,7 +33,7 @@
         position: StorePosition,
         now: Instant,
         isFresh: Boolean = true,
-    ) = seen(record, position, isFresh, now)
+    ): Boolean = seen(record, position, isFresh, now, now)
 
     /** Returns a lease that is held since [start] with token 5 at revision 20 of era 1. */
     private fun heldLease(): PlacementLease {
@@ -50,7 +50,7 @@
     fun `a record of a new era is read although its revision is lower`() {
         val lease = newLease()
         lease.read(other, StorePosition(1, 100), start)
-        lease.read(other.copy(renewals = 3), StorePosition(2, 60), start + 1.seconds)
+        assertTrue(lease.read(other.copy(renewals = 3), StorePosition(2, 60), start + 1.seconds))
         lease.read(other.copy(renewals = 9, era = 2), StorePosition(2, 61), start + 3.seconds)
         assertEquals(LeaseStep.Read(isFresh = false), lease.next(start + 5.seconds))
         val write = lease.next(start + 5.4.seconds) as LeaseStep.Write
@@ -62,7 +62,7 @@
     fun `an answer of an earlier era changes nothing`() {
         val lease = newLease()
         lease.read(other.copy(era = 2), StorePosition(2, 60), start)
-        lease.read(other.copy(renewals = 90), StorePosition(1, 100), start + 2.seconds)
+        assertFalse(lease.read(other.copy(renewals = 90), StorePosition(1, 100), start + 2.seconds))
         val write = lease.next(start + 2.4.seconds) as LeaseStep.Write
         assertEquals(StorePosition(2, 60), write.expected)
     }
@@ -139,4 +139,37 @@
         val first = none.map { (it.next(start + 3.seconds) as LeaseStep.Write).record.token }
         assertEquals(first.sorted().distinct(), first)
     }
+
+    /** Guards against a switch that is broken off, and a lease that nobody holds, because of a restore. */
+    @Test
+    fun `the holder keeps its lease and its token in a new era`() {
+        for (copy in vacant.values + other + other.copy(holder = me, token = 5)) {
+            val lease = heldLease()
+            val position = StorePosition(2, if (copy == null) 0 else 20)
+            lease.read(copy, position, start + 1.seconds)
+            val write = lease.next(start + 1.seconds) as LeaseStep.Write
+            assertEquals(LeaseRecord(me, 5, 1, era = 2), write.record, "copy $copy")
+            assertEquals(position.takeIf { copy != null }, write.expected, "copy $copy")
+            lease.written(write.record, StorePosition(2, 21), start + 1.seconds, start + 1.seconds)
+            assertEquals(5L, lease.token(start + 2.4.seconds), "copy $copy")
+        }
+    }
+
+    /** Guards against a process that was suspended and acts beside the holder that the copy does not have. */
+    @Test
+    fun `a holder whose lease has ended waits like the others in a new era`() {
+        val lease = heldLease()
+        lease.read(LeaseRecord(me, 5, 0, era = 1), StorePosition(2, 20), start + 1.5.seconds)
+        assertNull(lease.token(start + 1.5.seconds))
+        assertEquals(LeaseStep.Read(isFresh = false), lease.next(start + 3.8.seconds))
+        assertTrue((lease.next(start + 3.9.seconds) as LeaseStep.Write).record.token > 5)
+    }
+
+    /** Guards against two holders: a process in the new era has the lease, and the copy is older than both. */
+    @Test
+    fun `a record that another process has written in the new era ends the lease`() {
+        val lease = heldLease()
+        lease.read(LeaseRecord(other.holder, 1_005, 0, era = 2), StorePosition(2, 15), start + 1.seconds)
+        assertNull(lease.token(start + 1.seconds))
+    }
 }
--- a/decisions/src/test/kotlin/org/cicadaturn/decisions/experts/PlacementLeaseTest.kt
+++ b/decisions/src/test/kotlin/org/cicadaturn/decisions/experts/PlacementLeaseTest.kt
@@ -19,16 +19,16 @@
     /** Guards against two holders: a record that still changes is not taken over. */
     @Test
     fun `a renewed record is left to its holder`() {
-        lease.seen(other, StorePosition(0, 10), isFresh = true, start)
-        lease.seen(other.copy(renewals = 8), StorePosition(0, 12), isFresh = true, start + 5.seconds)
+        lease.seen(other, StorePosition(0, 10), isFresh = true, start, start)
+        lease.seen(other.copy(renewals = 8), StorePosition(0, 12), isFresh = true, start + 5.seconds, start + 5.seconds)
         assertEquals(LeaseStep.Read(isFresh = false), lease.next(start + 7.seconds))
     }
 
     /** Guards against a lease that stays with a holder that has died, and against a token that is used twice. */
     @Test
     fun `a record that is not renewed is taken over with a higher token`() {
-        lease.seen(other, StorePosition(0, 10), isFresh = true, start)
-        lease.seen(other, StorePosition(0, 10), isFresh = true, start + 5.seconds)
+        lease.seen(other, StorePosition(0, 10), isFresh = true, start, start)
+        lease.seen(other, StorePosition(0, 10), isFresh = true, start + 5.seconds, start + 5.seconds)
         val write = lease.next(start + 6.5.seconds) as LeaseStep.Write
         assertEquals(5L, write.record.token)
         assertEquals(StorePosition(0, 10), write.expected)
@@ -37,7 +37,7 @@
     /** Guards against a holder that still acts after its lease has expired, for example after it was suspended. */
     @Test
     fun `the lease ends without a renewal, by the suspend-aware clock`() {
-        lease.seen(null, StorePosition(0, 0), isFresh = true, start)
+        lease.seen(null, StorePosition(0, 0), isFresh = true, start, start)
         val write = lease.next(start) as LeaseStep.Write
         assertNull(write.expected)
         lease.written(write.record, StorePosition(0, 11), start, actingSince = start)
@@ -48,20 +48,20 @@
     /** Guards against a holder that still acts after another process has taken the lease over. */
     @Test
     fun `a record of another holder ends the lease`() {
-        lease.seen(null, StorePosition(0, 0), isFresh = true, start)
+        lease.seen(null, StorePosition(0, 0), isFresh = true, start, start)
         val write = lease.next(start) as LeaseStep.Write
         lease.written(write.record, StorePosition(0, 11), start, start)
-        lease.seen(other, StorePosition(0, 15), isFresh = true, start + 1.seconds)
+        lease.seen(other, StorePosition(0, 15), isFresh = true, start + 1.seconds, start + 1.seconds)
         assertNull(lease.token(start + 1.seconds))
     }
 
     /** Guards against a stale read that hides a newer record. */
     @Test
     fun `an older read changes nothing`() {
-        lease.seen(null, StorePosition(0, 0), isFresh = true, start)
+        lease.seen(null, StorePosition(0, 0), isFresh = true, start, start)
         val write = lease.next(start) as LeaseStep.Write
         lease.written(write.record, StorePosition(0, 11), start, start)
-        lease.seen(other, StorePosition(0, 9), isFresh = false, start + 1.seconds)
+        lease.seen(other, StorePosition(0, 9), isFresh = false, start + 1.seconds, start + 1.seconds)
         assertEquals(1L, lease.token(start + 1.seconds))
     }
 
@@ -69,7 +69,7 @@
     @Test
     fun `the takeover is announced for the time from which it is allowed`() {
         assertNull(lease.takeoverTime())
-        lease.seen(other, StorePosition(0, 10), isFresh = true, start)
+        lease.seen(other, StorePosition(0, 10), isFresh = true, start, start)
         val at = lease.takeoverTime()!!
         assertEquals(LeaseStep.Read(isFresh = false), lease.next(at - 1.milliseconds))
         assertEquals(5L, (lease.next(at) as LeaseStep.Write).record.token)
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/experts/Lease.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/experts/Lease.kt
@@ -8,6 +8,7 @@
 import org.cicadaturn.decisions.experts.LeaseTimes
 import org.cicadaturn.decisions.experts.PlacementLease
 import org.cicadaturn.tasks.gateway.FleetStore
+import org.cicadaturn.tasks.gateway.StoredLease
 import org.cicadaturn.tasks.store.StoreError
 import kotlin.time.Clock
 import kotlin.time.Duration
@@ -67,6 +68,9 @@
 
     /** True after a write without an answer; pledges of the other processes are then requested as well. */
     private var isStoreUnavailable = false
+
+    /** False after a write that failed or does not count. */
+    private var isRenewed = true
     private var isStopping = false
 
     override fun token(): Long? = lease.token(suspendAwareClock.now())
@@ -104,7 +108,7 @@
 
     private fun interval(step: LeaseStep): Duration =
         when {
-            isStoreUnavailable && token() != null -> RETRY_INTERVAL
+            !isRenewed && token() != null -> RETRY_INTERVAL
             step == LeaseStep.Read(isFresh = false) -> readInterval()
             else -> dependencies.times.renewal
         }
@@ -137,10 +141,23 @@
 
     private suspend fun read(isFresh: Boolean) {
         store.readLease(name, isFresh).onRight { stored ->
-            lease.seen(stored.record, stored.position, isFresh, clock.now())
+            val isNewEra =
+                lease.seen(stored.record, stored.position, isFresh, clock.now(), suspendAwareClock.now())
+            if (isNewEra) logNewEra(stored)
         }
     }
 
+    private fun logNewEra(stored: StoredLease) {
+        val held = token()?.let { "kept with token $it" } ?: "not held"
+        logger.info(
+            "lease: {} {}, read again in era {} of the store: {}",
+            name,
+            held,
+            stored.position.era,
+            stored.record,
+        )
+    }
+
     private suspend fun write(step: LeaseStep.Write) {
         val since = clock.now()
         val actingSince = suspendAwareClock.now()
@@ -148,17 +165,17 @@
         val answer = withTimeoutOrNull(WRITE_TIMEOUT) { store.writeLease(name, step.record, step.expected) }
         (answer ?: StoreError.Unanswered("no answer within $WRITE_TIMEOUT").left()).fold(
             { error ->
+                isRenewed = false
                 val isOutage = error is StoreError.Unavailable || error is StoreError.Unanswered
                 if (!isStoreUnavailable || !isOutage) logger.info("lease: {} not written: {}", name, error.message)
                 isStoreUnavailable = isOutage
-                if (error is StoreError.Conflict) lease.forfeit()
                 if (!isStoreUnavailable || isNew) read(isFresh = true)
             },
             { position ->
                 isStoreUnavailable = false
-                val isHeld = lease.written(step.record, position, since, actingSince)
-                if (!isHeld) read(isFresh = true)
-                if (isHeld && isNew) logger.info("lease: {} held with token {}", name, step.record.token)
+                isRenewed = lease.written(step.record, position, since, actingSince)
+                if (!isRenewed) read(isFresh = true)
+                if (isRenewed && isNew) logger.info("lease: {} held with token {}", name, step.record.token)
             },
         )
     }
@@ -173,8 +190,8 @@
         val WRITE_TIMEOUT = 700.milliseconds
 
         /**
-         * Time between attempts while the store is unavailable. Together with the longest call it is shorter than the
-         * time for which a holder may act without a renewal or pledges.
+         * Time after which a holder tries again to renew its lease. Together with the longest call it is shorter than
+         * the time for which a holder may act without a renewal or pledges.
          */
         val RETRY_INTERVAL = 150.milliseconds
     }
--- a/tasks/src/test/kotlin/org/cicadaturn/tasks/experts/RestoredStoreLeaseTest.kt
+++ b/tasks/src/test/kotlin/org/cicadaturn/tasks/experts/RestoredStoreLeaseTest.kt
@@ -6,6 +6,7 @@
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertTrue
 import org.junit.jupiter.api.Test
+import kotlin.random.Random
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
@@ -55,6 +56,25 @@
             assertTrue(held > SEEDS.count() * EVENTS_PER_RUN, "the lease was held in only $held samples")
         }
 
+    /** Guards against a switch that is broken off, and groups that no process balances, after each restore. */
+    @Test
+    fun `a holder keeps its token through restores`() =
+        runTest {
+            val shared = SharedLease(this, Random(1))
+            val holder = leaseOf("a", LeaseStore(shared, 0))
+            leaseOf("b", LeaseStore(shared, 1))
+            delay(1.seconds)
+            // The copy has the last renewal, an earlier one or no lease; the last two restores follow each other.
+            for (age in listOf(0.seconds, 700.milliseconds, 60.seconds, 100.milliseconds, 1.seconds)) {
+                shared.restore(age)
+                val interval = if (age == 100.milliseconds) 150.milliseconds else 4.seconds
+                repeat((interval / 10.milliseconds).toInt()) {
+                    delay(10.milliseconds)
+                    assertEquals(1L, holder.token(), "after a restore from a copy that is $age old")
+                }
+            }
+        }
+
     private suspend fun TestScope.sample(
         group: ProcessGroup,
         tokens: HeldTokens,
