Pledge to the holder of a token that the copy does not have

Cause: a gateway pledged only to the holder of the token that it had read. After a restore it has read an earlier token or none, so a holder that is cut off from the store, but not from its peers, got no pledge and stopped, though the others would wait for the expiry anyway.

Change: a process pledges to every token that is not below the one that it knows. A pledge only binds the one that gives it, and a process that holds the lease gives none, so this cannot let two processes act; a holder that was replaced in the new era has a lower token than the one that the others read.

Before the change "a pledge is given to the holder of a token that the copy does not have" fails, and "a holder that is cut off from the store keeps its lease through a restore" has no holder. "A pledge binds in the next era" passed before.

--- a/decisions/src/main/kotlin/org/cicadaturn/decisions/experts/PlacementLease.kt
+++ b/decisions/src/main/kotlin/org/cicadaturn/decisions/experts/PlacementLease.kt
@@ -79,7 +79,7 @@
     /**
      * Promises the holder of [token] not to take over the lease for [LeaseTimes.expiry].
      *
-     * Returns false if this process holds the lease itself or knows of another token.
+     * Returns false if this process holds the lease itself, knows of a higher token or never read the record.
      */
     public fun pledge(
         token: Long,
@@ -229,7 +229,9 @@
         token: Long,
         now: Instant,
     ): Boolean {
-        if (own != null || record?.token != token) return false
+        if (own != null || position == null) return false
+        // After a restore the record may be of a holder before the one that asks.
+        if (token < (record?.token ?: 0L)) return false
         pledgedUntil = now + times.expiry
         return true
     }
--- a/decisions/src/test/kotlin/org/cicadaturn/decisions/experts/PlacementLeaseEraTest.kt
+++ b/decisions/src/test/kotlin/org/cicadaturn/decisions/experts/PlacementLeaseEraTest.kt
@@ -172,4 +172,25 @@
         lease.read(LeaseRecord(other.holder, 1_005, 0, era = 2), StorePosition(2, 15), start + 1.seconds)
         assertNull(lease.token(start + 1.seconds))
     }
+
+    /** Guards against a holder without the store that stops because the copy has an earlier token. */
+    @Test
+    fun `a pledge is given to the holder of a token that the copy does not have`() {
+        val lease = newLease()
+        lease.read(other, StorePosition(2, 60), start)
+        assertTrue(lease.pledge(5, start + 2.seconds))
+        assertEquals(LeaseStep.Read(isFresh = false), lease.next(start + 4.2.seconds))
+        assertTrue(lease.next(start + 4.3.seconds) is LeaseStep.Write)
+        assertFalse(lease.pledge(3, start + 4.3.seconds))
+    }
+
+    /** Guards against a takeover before the end of a pledge because the lease looks vacant in a new era. */
+    @Test
+    fun `a pledge binds in the next era`() {
+        val lease = newLease()
+        lease.read(other, StorePosition(1, 60), start)
+        assertTrue(lease.pledge(4, start + 3.seconds))
+        lease.read(other.copy(isReleased = true, era = 2), StorePosition(2, 50), start + 3.seconds)
+        assertEquals(LeaseStep.Read(isFresh = false), lease.next(start + 5.2.seconds))
+    }
 }
--- a/tasks/src/test/kotlin/org/cicadaturn/tasks/experts/RestoredStoreLeaseTest.kt
+++ b/tasks/src/test/kotlin/org/cicadaturn/tasks/experts/RestoredStoreLeaseTest.kt
@@ -75,6 +75,24 @@
             }
         }
 
+    /** Guards against a holder that stops although its peers would wait, as they read a copy without its lease. */
+    @Test
+    fun `a holder that is cut off from the store keeps its lease through a restore`() =
+        runTest {
+            val group = ProcessGroup(this, seed = 1, count = 3)
+            delay(3.seconds)
+            val (holder, token) = group.holders().entries.single()
+            for (cutOff in listOf(setOf(holder.first), emptySet())) {
+                group.shared.cutOff = cutOff
+                group.shared.restore(60.seconds)
+                repeat(100) {
+                    delay(50.milliseconds)
+                    assertEquals(mapOf(holder to token), group.holders(), "cut off: $cutOff")
+                }
+            }
+            group.close()
+        }
+
     private suspend fun TestScope.sample(
         group: ProcessGroup,
         tokens: HeldTokens,
