Order the tokens of a new era above all earlier ones

Cause: a holder that keeps its token writes it again with the new era. If the store then comes back twice, once from a copy without a lease and once from the one with the kept token, the distance was counted from the kept token and ended below the tokens of the era between: ranks would refuse the new holder's orders until it had failed as often as there are tokens between.

Change: the number of the era, times the 1,000 tokens that a restore may lose, is a lower bound of each token that is given out in it. A kept token stays as it is: it is the highest one at that moment.

--- a/decisions/src/main/kotlin/org/cicadaturn/decisions/experts/PlacementLease.kt
+++ b/decisions/src/main/kotlin/org/cicadaturn/decisions/experts/PlacementLease.kt
@@ -157,9 +157,11 @@
         return LeaseStep.Write(next, at.takeIf { record != null })
     }
 
+    /** A holder may have kept a token of an earlier era, so the era itself is a lower bound as well. */
     private fun nextToken(era: Long): Long {
         val lostEras = maxOf(0L, era - eraOf(record))
-        return (record?.token ?: 0L) + 1 + lostEras * MAX_LOST_TOKENS
+        val next = (record?.token ?: 0L) + 1 + lostEras * MAX_LOST_TOKENS
+        return maxOf(next, era * MAX_LOST_TOKENS + 1)
     }
 
     override fun takeoverTime(): Instant? {
