Keep what is known when the store comes back from an older copy

Callers were sent to endpoints that had said that they leave, and changes that the operator had made before a restore were undone. The first content of a new era was merged like any later list: what the copy lacks was removed at once, and what it has was believed although a later state was known.

FleetTracker now tells the first content of an era from later ones: - changes of another era than that of the last list are ignored, as they lack what changed below the revision that they began at; - the configuration keeps its version; while the store lists a lower one it is not current (no 404 or 401), until the operator has written again or 30 s; - an endpoint, by id and start, that left stays drained until it starts anew, one without a start time until it writes its entry; one that was removed without a word counts as drained until it writes, or for 5 s; - endpoints that the copy lacks are kept for 2.2 s, as after an outage; drained domains, gateways and quarantined segments for 30 s, in which their writers write them again; a second list does not end that time; - a peer's view of the same era adds a higher version and endpoints that left. What was kept, withheld and dropped is reported as RestorationStep.

--- a/decisions/src/main/kotlin/org/cicadaturn/decisions/gateway/FleetTracker.kt
+++ b/decisions/src/main/kotlin/org/cicadaturn/decisions/gateway/FleetTracker.kt
@@ -1,11 +1,12 @@
 package org.cicadaturn.decisions.gateway
 
 import org.cicadaturn.decisions.quarantine.ServiceSegment
-import org.cicadaturn.schema.generated.AdmissionState
-import org.cicadaturn.schema.generated.EndpointId
+import org.cicadaturn.schema.generated.FailureDomainId
 import org.cicadaturn.schema.generated.FleetView
+import org.cicadaturn.schema.generated.GatewayPeer
 import org.cicadaturn.schema.generated.LiveEndpoint
 import org.cicadaturn.schema.generated.QuarantinedSegment
+import org.cicadaturn.schema.generated.RoutingConfiguration
 import org.cicadaturn.schema.generated.StorePosition
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -16,14 +17,16 @@
  * Fleet as a process knows it at one moment.
  *
  * @property view newest known view
- * @property isConfigurationCurrent false while neither the store nor a peer that can reach it answers, so that a newer
- * configuration may be in force elsewhere
+ * @property isConfigurationCurrent false while neither the store nor a peer that can reach it answers, or while a restored
+ * store lists an older configuration than the one in force, so that a newer configuration may be in force elsewhere
  * @property isKnown true once the configuration and the endpoints have been read
+ * @property missingQuarantine quarantined segments that a restored store does not list
  */
 public data class FleetState(
     val view: FleetView,
     val isConfigurationCurrent: Boolean,
     val isKnown: Boolean,
+    val missingQuarantine: List<QuarantinedSegment> = emptyList(),
 )
 
 /**
@@ -31,6 +34,9 @@
  *
  * The configuration never goes back to a lower version. Endpoint entries that expired during an outage of the store are
  * kept until the endpoints have had time to renew them.
+ *
+ * What is of an older era than the known content of its part is ignored. The first content of a new era is that of a
+ * copy: what it lacks is kept for the time in which its writers write it again, and endpoints that left stay drained.
  */
 public interface FleetTracker {
     /** Replaces [part] with [content], which lists everything in it. */
@@ -40,7 +46,7 @@
         now: Instant,
     )
 
-    /** Applies the [changes] of [part] since the last call for it. */
+    /** Applies the [changes] of [part] since the last call for it; changes of another era than that are ignored. */
     public fun changed(
         part: FleetPart,
         changes: FleetChanges,
@@ -57,7 +63,8 @@
      * Merges the [view] of a peer; parts that the peer does not have from the store itself have the lowest position.
      *
      * A part is used only if its position is higher than the known one. A configuration of the known position confirms
-     * that the known configuration is current.
+     * that the known configuration is current. Of a part of the same era, a higher version of the configuration and
+     * endpoints that left are used in any case, as a restored store may list an older state than the peer knows.
      */
     public fun relayed(
         view: FleetView,
@@ -70,8 +77,11 @@
     /** Returns the parts of the view that this process has from the store itself; the others have the lowest position. */
     public fun ownView(): FleetView
 
+    /** Returns what was done with the entries of a restored store since the last call. */
+    public fun takeRestorations(): List<RestorationStep>
+
     /**
-     * Returns when the state changes without a call, as an entry that is kept after an outage or the confirmation of the
+     * Returns when the state changes without a call, as an entry that is kept or the confirmation of the
      * configuration by a peer expires, or null if nothing expires after [now].
      */
     public fun nextExpiry(now: Instant): Instant?
@@ -88,35 +98,28 @@
     }
 
     private val sources = FleetPart.entries.associateWith { Source() }
-    private var view = FleetView()
 
-    /** Endpoints in the order of their last change; the view has a copy, which is made once for each call. */
-    private val endpoints = LinkedHashMap<EndpointId, LiveEndpoint>()
-    private val keptUntil = HashMap<EndpointId, Instant>()
+    /** Copies of the entries below are made once for each call. */
+    private var view = FleetView()
+    private val endpoints = EndpointEntries()
+    private val domains = KeptEntries<FailureDomainId, FailureDomainId> { it }
+    private val peers = KeptEntries(GatewayPeer::id)
+    private val quarantine = KeptEntries(::segmentOf)
     private var hasEndpoints = false
 
+    /** Time until which the operator may not yet have written its configuration to a restored store again. */
+    private var supersededUntil = Instant.DISTANT_PAST
+    private val restorations = mutableListOf<RestorationStep>()
+
     override fun listed(
         part: FleetPart,
         content: FleetChanges,
         now: Instant,
     ) {
         // An older state says nothing about what has lapsed since, so the outage goes on.
-        if (content.position < positionOf(part)) return
-        val keepUntil = recordAnswer(part, now)
-        val gone = if (part == FleetPart.ENDPOINTS) missingFrom(content) else emptyList()
-        when (part) {
-            FleetPart.CONFIGURATION -> Unit
-            FleetPart.ENDPOINTS -> gone.forEach { remove(it, keepUntil) }
-            FleetPart.DRAINED_DOMAINS -> view = view.copy(drainedDomains = emptyList())
-            FleetPart.PEERS -> view = view.copy(peers = emptyList())
-            FleetPart.QUARANTINE -> view = view.copy(quarantine = emptyList())
-        }
-        apply(part, content, keepUntil)
-    }
-
-    private fun missingFrom(content: FleetChanges): List<EndpointId> {
-        val listed = content.changes.mapNotNull { (it as? FleetChange.EndpointListed)?.endpoint?.id }.toSet()
-        return endpoints.keys.filter { it !in listed }
+        if (content.position < view.positionOf(part)) return
+        replace(part, content, recordAnswer(part, now), now)
+        endSupersession(content)
     }
 
     override fun changed(
@@ -124,9 +127,12 @@
         changes: FleetChanges,
         now: Instant,
     ) {
-        if (changes.position < positionOf(part)) return
+        val known = view.positionOf(part)
+        if (changes.position < known || changes.position.era != known.era) return
         val keepUntil = recordAnswer(part, now)
-        apply(part, changes, keepUntil)
+        changes.changes.forEach { apply(it, keepUntil) }
+        update(part, changes.position)
+        endSupersession(changes)
     }
 
     /**
@@ -143,7 +149,7 @@
         val since = source.failedSince
         source.failedSince = null
         source.isCurrent = true
-        return if (since != null && now - since >= MIN_OUTAGE) now + RENEWAL_TIME else null
+        return if (since != null && now - since >= MIN_OUTAGE) now + EndpointEntries.RENEWAL_TIME else null
     }
 
     override fun failed(
@@ -155,23 +161,62 @@
         source.isCurrent = false
     }
 
-    private fun apply(
+    /** Replaces [part] with [content]; endpoints that an outage may have removed are kept until [renewedUntil]. */
+    private fun replace(
         part: FleetPart,
-        changes: FleetChanges,
-        keepUntil: Instant?,
+        content: FleetChanges,
+        renewedUntil: Instant?,
+        now: Instant,
     ) {
-        changes.changes.forEach { apply(it, keepUntil) }
-        val position = changes.position
-        view =
+        val known = view.positionOf(part)
+        val isRestored = known > StorePosition() && content.position.era > known.era
+        val keepUntil = if (isRestored) now + REWRITING_TIME else null
+        val changes = content.changes
+        when (part) {
+            FleetPart.CONFIGURATION -> changes.forEach { apply(it, keepUntil) }
+            FleetPart.ENDPOINTS -> {
+                val renewal = if (isRestored) now + EndpointEntries.RENEWAL_TIME else renewedUntil
+                if (isRestored) endpoints.beginEra()
+                endpoints.replace(changes.mapNotNull(::endpointIn), renewal, isRestored, now)
+            }
+            FleetPart.DRAINED_DOMAINS ->
+                domains.replace(changes.mapNotNull { (it as? FleetChange.DomainDrained)?.domain }, keepUntil)
+            FleetPart.PEERS -> peers.replace(changes.mapNotNull { (it as? FleetChange.PeerListed)?.peer }, keepUntil)
+            FleetPart.QUARANTINE ->
+                quarantine.replace(changes.mapNotNull { (it as? FleetChange.SegmentQuarantined)?.entry }, keepUntil)
+        }
+        update(part, content.position)
+        if (isRestored) recordRestoration(part, known, content, now)
+    }
+
+    private fun endpointIn(change: FleetChange): LiveEndpoint? = (change as? FleetChange.EndpointListed)?.endpoint
+
+    private fun recordRestoration(
+        part: FleetPart,
+        known: StorePosition,
+        content: FleetChanges,
+        now: Instant,
+    ) {
+        val inForce = view.configuration?.version ?: 0L
+        val listed = content.changes.filterIsInstance<FleetChange.Configured>().maxOfOrNull { it.configuration.version }
+        val isSuperseded = part == FleetPart.CONFIGURATION && (listed ?: 0L) < inForce
+        if (isSuperseded) supersededUntil = now + REWRITING_TIME
+        val kept =
             when (part) {
-                FleetPart.CONFIGURATION -> view.copy(configurationPosition = position)
-                FleetPart.ENDPOINTS ->
-                    view.copy(endpoints = endpoints.values.toList(), endpointsPosition = position)
-                FleetPart.DRAINED_DOMAINS -> view.copy(domainsPosition = position)
-                FleetPart.PEERS -> view.copy(peersPosition = position)
-                FleetPart.QUARANTINE -> view.copy(quarantinePosition = position)
+                FleetPart.CONFIGURATION ->
+                    if (isSuperseded) listOf("version $inForce, as the store has $listed") else emptyList()
+                FleetPart.ENDPOINTS -> endpoints.kept.map { it.text }
+                FleetPart.DRAINED_DOMAINS -> domains.kept.map { it.text }
+                FleetPart.PEERS -> peers.kept.map { it.text }
+                FleetPart.QUARANTINE -> quarantine.kept.map { "${it.service}.${it.segment}" }
             }
-        if (part == FleetPart.ENDPOINTS) hasEndpoints = true
+        val states = view.endpoints.associate { it.id to it.state }
+        val withheld =
+            content.changes
+                .mapNotNull(::endpointIn)
+                .filter { states[it.id] != it.state }
+                .map { it.id.text }
+        restorations += RestorationStep.Restored(part, known, content.position, kept, withheld)
     }
 
     private fun apply(
@@ -179,131 +224,131 @@
         keepUntil: Instant?,
     ) {
         when (change) {
-            is FleetChange.Configured -> {
-                val known = view.configuration
-                if (known == null || change.configuration.version > known.version) {
-                    view = view.copy(configuration = change.configuration)
-                }
-            }
-            is FleetChange.EndpointListed -> put(change.endpoint)
-            is FleetChange.EndpointGone -> remove(change.endpoint, keepUntil)
-            is FleetChange.DomainDrained ->
-                view = view.copy(drainedDomains = (view.drainedDomains + change.domain).distinct())
-            is FleetChange.DomainReturned -> view = view.copy(drainedDomains = view.drainedDomains - change.domain)
-            is FleetChange.PeerListed ->
-                view = view.copy(peers = view.peers.filter { it.id != change.peer.id } + change.peer)
-            is FleetChange.PeerGone -> view = view.copy(peers = view.peers.filter { it.id != change.peer })
-            is FleetChange.SegmentQuarantined -> {
-                val segment = ServiceSegment(change.entry.service, change.entry.segment)
-                view = view.copy(quarantine = quarantineWithout(segment) + change.entry)
-            }
-            is FleetChange.SegmentReleased -> view = view.copy(quarantine = quarantineWithout(change.segment))
+            is FleetChange.Configured -> configure(change.configuration)
+            is FleetChange.EndpointListed -> endpoints.change(change.endpoint)
+            is FleetChange.EndpointGone -> endpoints.remove(change.endpoint, keepUntil)
+            is FleetChange.DomainDrained -> domains.put(change.domain)
+            is FleetChange.DomainReturned -> domains.remove(change.domain)
+            is FleetChange.PeerListed -> peers.put(change.peer)
+            is FleetChange.PeerGone -> peers.remove(change.peer)
+            is FleetChange.SegmentQuarantined -> quarantine.put(change.entry)
+            is FleetChange.SegmentReleased -> quarantine.remove(change.segment)
         }
     }
 
-    private fun quarantineWithout(segment: ServiceSegment): List<QuarantinedSegment> =
-        view.quarantine.filter { it.service != segment.service || it.segment != segment.segment }
+    private fun configure(configuration: RoutingConfiguration) {
+        val known = view.configuration
+        if (known != null && configuration.version < known.version) return
+        if (configuration.version != known?.version) view = view.copy(configuration = configuration)
+    }
 
-    private fun put(endpoint: LiveEndpoint) {
-        keptUntil.remove(endpoint.id)
-        // An entry that is replaced in place would keep its position.
-        endpoints.remove(endpoint.id)
-        endpoints[endpoint.id] = endpoint
+    /** The store is known to have the newest configuration again once it has the one in force. */
+    private fun endSupersession(answer: FleetChanges) {
+        val inForce = view.configuration?.version ?: return
+        val isStored = answer.changes.any { it is FleetChange.Configured && it.configuration.version == inForce }
+        if (isStored) supersededUntil = Instant.DISTANT_PAST
     }
 
-    private fun remove(
-        id: EndpointId,
-        keepUntil: Instant?,
+    /** Copies the entries of [part], which are as of [position], to the view. */
+    private fun update(
+        part: FleetPart,
+        position: StorePosition = view.positionOf(part),
     ) {
-        val entry = endpoints[id] ?: return
-        if (keepUntil != null && entry.state == AdmissionState.IN_SERVICE) {
-            keptUntil[id] = keepUntil
-            return
+        when (part) {
+            FleetPart.CONFIGURATION -> Unit
+            FleetPart.ENDPOINTS -> {
+                view = view.copy(endpoints = endpoints.values, leftEndpoints = endpoints.departures)
+                hasEndpoints = true
+            }
+            FleetPart.DRAINED_DOMAINS -> view = view.copy(drainedDomains = domains.values)
+            FleetPart.PEERS -> view = view.copy(peers = peers.values)
+            FleetPart.QUARANTINE -> view = view.copy(quarantine = quarantine.values)
         }
-        keptUntil.remove(id)
-        endpoints.remove(id)
+        view = view.withPosition(part, position)
     }
 
     override fun relayed(
         view: FleetView,
         now: Instant,
     ) {
-        val mine = this.view
-        val configuration = view.configuration
-        if (configuration != null && view.configurationPosition >= mine.configurationPosition) {
-            sources.getValue(FleetPart.CONFIGURATION).relayedAt = now
-            val change = FleetChange.Configured(configuration)
-            apply(FleetPart.CONFIGURATION, FleetChanges(view.configurationPosition, listOf(change)), null)
-        }
-        if (view.endpointsPosition > mine.endpointsPosition) {
-            val content = FleetChanges(view.endpointsPosition, view.endpoints.map { FleetChange.EndpointListed(it) })
-            missingFrom(content).forEach { remove(it, null) }
-            apply(FleetPart.ENDPOINTS, content, null)
+        relayConfiguration(view, now)
+        FleetPart.entries
+            .filter { it != FleetPart.CONFIGURATION && view.positionOf(it) > this.view.positionOf(it) }
+            .forEach { replace(it, view.contentOf(it), renewedUntil = null, now) }
+        val isOfEra = view.endpointsPosition.era >= this.view.endpointsPosition.era
+        if (isOfEra && view.leftEndpoints.isNotEmpty()) {
+            endpoints.addDepartures(view.leftEndpoints)
+            update(FleetPart.ENDPOINTS)
         }
-        if (view.domainsPosition > mine.domainsPosition) {
-            this.view = this.view.copy(drainedDomains = view.drainedDomains, domainsPosition = view.domainsPosition)
-        }
-        if (view.peersPosition > mine.peersPosition) {
-            this.view = this.view.copy(peers = view.peers, peersPosition = view.peersPosition)
-        }
-        if (view.quarantinePosition > mine.quarantinePosition) {
-            this.view = this.view.copy(quarantine = view.quarantine, quarantinePosition = view.quarantinePosition)
+    }
+
+    private fun relayConfiguration(
+        relayed: FleetView,
+        now: Instant,
+    ) {
+        val configuration = relayed.configuration ?: return
+        val known = view.configurationPosition
+        if (relayed.configurationPosition >= known) {
+            sources.getValue(FleetPart.CONFIGURATION).relayedAt = now
+            replace(FleetPart.CONFIGURATION, relayed.contentOf(FleetPart.CONFIGURATION), renewedUntil = null, now)
+        } else if (relayed.configurationPosition.era == known.era) {
+            configure(configuration)
         }
     }
 
     override fun state(now: Instant): FleetState {
-        val expired = keptUntil.filterValues { it <= now }.keys.toSet()
-        if (expired.isNotEmpty()) {
-            keptUntil.keys.removeAll(expired)
-            endpoints.keys.removeAll(expired)
-            view = view.copy(endpoints = endpoints.values.toList())
-        }
+        removeExpired(now)
         val source = sources.getValue(FleetPart.CONFIGURATION)
+        val isConfirmed = source.isCurrent || now - source.relayedAt < MAX_RELAY_AGE
         return FleetState(
             view = view,
-            isConfigurationCurrent = source.isCurrent || now - source.relayedAt < MAX_RELAY_AGE,
+            isConfigurationCurrent = isConfirmed && now >= supersededUntil,
             isKnown = view.configuration != null && hasEndpoints,
+            missingQuarantine = quarantine.kept.mapNotNull { quarantine[it] },
         )
     }
 
-    override fun ownView(): FleetView =
-        FleetView(
-            configuration = view.configuration.takeIf { isCurrent(FleetPart.CONFIGURATION) },
-            endpoints = if (isCurrent(FleetPart.ENDPOINTS)) view.endpoints else emptyList(),
-            drainedDomains = if (isCurrent(FleetPart.DRAINED_DOMAINS)) view.drainedDomains else emptyList(),
-            peers = if (isCurrent(FleetPart.PEERS)) view.peers else emptyList(),
-            quarantine = if (isCurrent(FleetPart.QUARANTINE)) view.quarantine else emptyList(),
-            configurationPosition = ownPosition(FleetPart.CONFIGURATION),
-            endpointsPosition = ownPosition(FleetPart.ENDPOINTS),
-            domainsPosition = ownPosition(FleetPart.DRAINED_DOMAINS),
-            peersPosition = ownPosition(FleetPart.PEERS),
-            quarantinePosition = ownPosition(FleetPart.QUARANTINE),
-        )
+    private fun removeExpired(now: Instant) {
+        val next = nextKeptExpiry() ?: return
+        if (next > now) return
+        recordDropped(FleetPart.ENDPOINTS, endpoints.expire(now).map { it.id.text })
+        recordDropped(FleetPart.DRAINED_DOMAINS, domains.expire(now).map { it.text })
+        recordDropped(FleetPart.PEERS, peers.expire(now).map { it.id.text })
+        recordDropped(FleetPart.QUARANTINE, quarantine.expire(now).map { "${it.service}.${it.segment}" })
+        FleetPart.entries.filter { it != FleetPart.ENDPOINTS || hasEndpoints }.forEach { update(it) }
+    }
+
+    private fun recordDropped(
+        part: FleetPart,
+        entries: List<String>,
+    ) {
+        if (entries.isNotEmpty()) restorations += RestorationStep.Dropped(part, entries)
+    }
 
-    private fun isCurrent(part: FleetPart): Boolean = sources.getValue(part).isCurrent
+    override fun takeRestorations(): List<RestorationStep> = restorations.toList().also { restorations.clear() }
 
-    private fun ownPosition(part: FleetPart): StorePosition = if (isCurrent(part)) positionOf(part) else StorePosition()
+    override fun ownView(): FleetView =
+        FleetPart.entries.filterNot { sources.getValue(it).isCurrent }.fold(view) { own, part -> own.without(part) }
 
-    private fun positionOf(part: FleetPart): StorePosition =
-        when (part) {
-            FleetPart.CONFIGURATION -> view.configurationPosition
-            FleetPart.ENDPOINTS -> view.endpointsPosition
-            FleetPart.DRAINED_DOMAINS -> view.domainsPosition
-            FleetPart.PEERS -> view.peersPosition
-            FleetPart.QUARANTINE -> view.quarantinePosition
-        }
+    private fun nextKeptExpiry(): Instant? =
+        listOfNotNull(endpoints.nextExpiry(), domains.nextExpiry(), peers.nextExpiry(), quarantine.nextExpiry())
+            .minOrNull()
 
     override fun nextExpiry(now: Instant): Instant? {
         val confirmedUntil = sources.getValue(FleetPart.CONFIGURATION).relayedAt + MAX_RELAY_AGE
-        return (keptUntil.values + listOf(confirmedUntil).filter { it > now }).minOrNull()
+        val ends = listOf(confirmedUntil, supersededUntil).filter { it > now }
+        return (listOfNotNull(nextKeptExpiry()) + ends).minOrNull()
     }
 
     private companion object {
         /** Endpoints renew their entries about once a second, so no entry expires during a shorter outage. */
         val MIN_OUTAGE: Duration = 1.seconds
 
-        /** Live endpoints renew their entries within about two seconds after the store is available again. */
-        val RENEWAL_TIME: Duration = 2_200.milliseconds
+        /**
+         * Time after a restore in which the operator and the gateways write again what the copy lacks. It bounds how long
+         * the state before the restore can prevail over what the store lists.
+         */
+        val REWRITING_TIME: Duration = 30.seconds
 
         /**
          * Time for which a peer's answer confirms the configuration. Peers are asked about once a second while the
@@ -312,3 +357,5 @@
         val MAX_RELAY_AGE: Duration = 2_500.milliseconds
     }
 }
+
+private fun segmentOf(entry: QuarantinedSegment) = ServiceSegment(entry.service, entry.segment)
