List a part again when a watch is answered by a restored store

A change made after a restore was missed without an error. The revision that a watch began at is given out again, so the store answers the watch with what came after it in the new era, and what changed below it is in no answer.

A watch whose answer is of another era than its position is followed by a list at once, and its answer is not applied.

--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/Fleet.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/Fleet.kt
@@ -61,3 +61,6 @@
     public val reportTimes: ReportTimes,
     public val suspendAwareClock: Clock,
 )
+
+/** Name of the task that tracks the state of the fleet. */
+internal const val FLEET_TASK = "fleet"
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/FleetTask.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/FleetTask.kt
@@ -1,22 +1,14 @@
 package org.cicadaturn.tasks.gateway
 
-import arrow.core.Either
-import arrow.core.flatMap
-import arrow.core.left
-import arrow.core.right
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.ExperimentalCoroutinesApi
-import kotlinx.coroutines.async
 import kotlinx.coroutines.channels.Channel
-import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.flow.MutableStateFlow
 import kotlinx.coroutines.flow.StateFlow
-import kotlinx.coroutines.flow.first
 import kotlinx.coroutines.selects.onTimeout
 import kotlinx.coroutines.selects.select
-import kotlinx.coroutines.withTimeoutOrNull
 import org.apache.logging.log4j.LogManager
 import org.cicadaturn.decisions.gateway.FleetChanges
 import org.cicadaturn.decisions.gateway.FleetPart
@@ -24,7 +16,6 @@
 import org.cicadaturn.decisions.gateway.fleetTracker
 import org.cicadaturn.decisions.gateway.reportingPeer
 import org.cicadaturn.decisions.gateway.storeReports
-import org.cicadaturn.decisions.retry.WatchTimes
 import org.cicadaturn.schema.generated.FleetView
 import org.cicadaturn.schema.generated.GatewayPeer
 import org.cicadaturn.schema.generated.StorePosition
@@ -32,7 +23,6 @@
 import org.cicadaturn.schema.generated.StoreReportRequest
 import org.cicadaturn.tasks.Supervisor
 import org.cicadaturn.tasks.store.StoreError
-import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.Instant
@@ -67,12 +57,16 @@
     private val heldRequests = heldReportRequests()
     private val confirmedUntil = MutableStateFlow(emptyMap<FleetPart, Instant>())
     private val askedAt = MutableStateFlow(Instant.DISTANT_PAST)
+    private val follower =
+        FleetFollower(dependencies, supervisor, FollowState(refusedParts, confirmedUntil, askedAt), messages::send)
 
     override val state: StateFlow<FleetState> = published
 
     fun start(scope: CoroutineScope) {
-        supervisor.start(scope, TASK, isVital = true) { processMessages() }
-        FleetPart.entries.forEach { part -> supervisor.start(scope, "following $part") { keepFollowing(part) } }
+        supervisor.start(scope, FLEET_TASK, isVital = true) { processMessages() }
+        FleetPart.entries.forEach { part ->
+            supervisor.start(scope, "following $part") { follower.keepFollowing(part) }
+        }
         supervisor.start(scope, "registration") { register() }
         supervisor.start(scope, "peer relay") { fetchFromPeers() }
         if (sharing != null) supervisor.start(scope, "peer reports") { followPeer(sharing) }
@@ -107,13 +101,13 @@
             published.value = tracker.state(dependencies.clock.now())
             confirmedUntil.value = FleetPart.entries.associateWith(reports::confirmedUntil)
             heldRequests.complete(reports.count, dependencies.clock.now()) { held ->
-                supervisor.attempt(TASK, "a report") { reports.answer(held, suspendAwareTime()) }
+                supervisor.attempt(FLEET_TASK, "a report") { reports.answer(held, suspendAwareTime()) }
             }
         }
     }
 
     private fun receive(message: FleetMessage) {
-        supervisor.attempt(TASK, message) { handle(message) } ?: reject(message)
+        supervisor.attempt(FLEET_TASK, message) { handle(message) } ?: reject(message)
     }
 
     /** Answers a message that could not be handled; a part whose changes may be missing is not current any more. */
@@ -203,117 +197,6 @@
         logTextsOf(changes).forEach { logger.info("fleet: {} at {}: {}", part, textOf(changes.position), it) }
     }
 
-    /** Follows [part] from the start again if that ends with a defect, which must not leave the process with old data. */
-    private suspend fun keepFollowing(part: FleetPart) {
-        while (true) {
-            supervisor.attempt(TASK, "an answer about $part") { follow(part) }
-            messages.send(FleetMessage.Failed(part, StoreError.Unanswered("its answer met a defect")))
-            delay(RESTART_DELAY)
-        }
-    }
-
-    private suspend fun follow(part: FleetPart) {
-        var position: StorePosition? = null
-        var failures = 0
-        while (true) {
-            val from = position
-            val answer =
-                when {
-                    from == null -> dependencies.store.list(part)
-                    failures > 0 -> catchUp(part, from)
-                    else -> watch(part, from)
-                }
-            answer.flatMap { send(part, it, isList = from == null) }.fold(
-                { error ->
-                    // A failed watch may have missed changes that the store no longer keeps, so a list follows.
-                    if (error !is StoreError.Unavailable) position = null
-                    if (error !is StoreError.Compacted) {
-                        failures += 1
-                        messages.send(FleetMessage.Failed(part, error))
-                        delay(dependencies.backoff.delayBefore(failures))
-                        if (error is StoreError.Unavailable) awaitTurn(part)
-                    }
-                },
-                { changes ->
-                    failures = 0
-                    position = changes.position
-                    if (changes.changes.isNotEmpty()) delay(dependencies.watchTimes(part).pause)
-                },
-            )
-        }
-    }
-
-    private suspend fun watch(
-        part: FleetPart,
-        position: StorePosition,
-    ): Either<StoreError, FleetChanges> {
-        val now = dependencies.clock.now()
-        val alone = dependencies.watchTimes(part)
-        val shared = sharing?.times?.invoke(part) ?: return watch(part, position, alone)
-        if (now - askedAt.value < REPORTING_TIME) return watch(part, position, shared.reporting)
-        if (now >= confirmedUntil(part)) return watch(part, position, alone)
-        watchWhileConfirmed(part, position, shared.longestWait)?.let { return it }
-        logger.info("fleet: {} at {} is read, as no peer confirms it any longer", part, textOf(position))
-        return catchUp(part, position)
-    }
-
-    /** Returns the changes of [part] up to now. */
-    private suspend fun catchUp(
-        part: FleetPart,
-        position: StorePosition,
-    ): Either<StoreError, FleetChanges> {
-        val times = dependencies.watchTimes(part)
-        return watch(part, position, times.copy(wait = CATCH_UP_WAIT, limit = times.limit - times.wait))
-    }
-
-    /**
-     * Waits until [part] is the first of the parts whose calls are refused, or one of these has been answered.
-     *
-     * A store that refuses the calls of a process refuses them for all parts, so the calls for one of them show when it
-     * serves the process again.
-     */
-    private suspend fun awaitTurn(part: FleetPart) {
-        val refused = refusedParts.value
-        refusedParts.first { now -> now.none { it < part } || !now.containsAll(refused) }
-    }
-
-    private suspend fun watch(
-        part: FleetPart,
-        position: StorePosition,
-        times: WatchTimes,
-    ): Either<StoreError, FleetChanges> =
-        withTimeoutOrNull(times.limit) { dependencies.store.watch(part, position, times.wait) }
-            ?: StoreError.Unanswered("no answer to a watch within ${times.limit}").left()
-
-    /** Watches [part] as long as a peer confirms it; returns null if that ends before an answer. */
-    private suspend fun watchWhileConfirmed(
-        part: FleetPart,
-        position: StorePosition,
-        wait: Duration,
-    ): Either<StoreError, FleetChanges>? =
-        coroutineScope {
-            val answer = async { dependencies.store.watch(part, position, wait) }
-            val end = async { awaitEndOfConfirmation(part) }
-            select {
-                answer.onAwait { it }
-                end.onAwait { null }
-            }.also {
-                answer.cancel()
-                end.cancel()
-            }
-        }
-
-    private suspend fun awaitEndOfConfirmation(part: FleetPart) {
-        while (true) {
-            val until = confirmedUntil(part)
-            val remaining = until - dependencies.clock.now()
-            if (!remaining.isPositive()) return
-            withTimeoutOrNull(remaining) { confirmedUntil.first { it[part] != until } }
-        }
-    }
-
-    private fun confirmedUntil(part: FleetPart): Instant = confirmedUntil.value[part] ?: Instant.DISTANT_PAST
-
     /** Learns from a peer what the store answers to it, so that this process need not ask the store as often. */
     private suspend fun followPeer(sharing: WatchSharing) {
         val choice = reportingPeer(dependencies.self.id)
@@ -338,17 +221,6 @@
         }
     }
 
-    /** Sends an answer of the store to this task and returns it, or an error if it could not be applied. */
-    private suspend fun send(
-        part: FleetPart,
-        changes: FleetChanges,
-        isList: Boolean,
-    ): Either<StoreError, FleetChanges> {
-        val isApplied = CompletableDeferred<Boolean>()
-        messages.send(FleetMessage.Answered(part, changes, isList, isApplied))
-        return if (isApplied.await()) changes.right() else StoreError.Unanswered("its answer met a defect").left()
-    }
-
     private suspend fun register() {
         var failures = 0
         while (dependencies.store.register(dependencies.self).isLeft()) {
@@ -369,18 +241,8 @@
     private companion object {
         val logger = LogManager.getLogger(FleetTask::class.java)
 
-        const val TASK = "fleet"
         const val QUEUED_MESSAGES = 16
 
-        /** Bounds the calls and log lines that a defect causes if it occurs each time. */
-        val RESTART_DELAY = 1.seconds
-
-        /** Wait of a call that returns the changes up to now. */
-        val CATCH_UP_WAIT = 1.milliseconds
-
-        /** Time after a request of a peer for which this process follows the store closely. */
-        val REPORTING_TIME = 3.seconds
-
         /** Time between looks for a peer to follow while there is none. */
         val PEER_CHOICE_INTERVAL = 1.seconds
 
--- /dev/null
+++ b/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/RestoredStoreFollowTest.kt
@@ -0,0 +1,101 @@
+package org.cicadaturn.tasks.gateway
+
+import arrow.core.Either
+import arrow.core.right
+import kotlinx.coroutines.ExperimentalCoroutinesApi
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.flow.first
+import kotlinx.coroutines.test.TestScope
+import kotlinx.coroutines.test.currentTime
+import kotlinx.coroutines.test.runTest
+import org.cicadaturn.decisions.gateway.FleetChange
+import org.cicadaturn.decisions.gateway.FleetChanges
+import org.cicadaturn.decisions.gateway.FleetPart
+import org.cicadaturn.decisions.gateway.fleetWatchTimes
+import org.cicadaturn.decisions.retry.Backoff
+import org.cicadaturn.schema.generated.CallerLimits
+import org.cicadaturn.schema.generated.FailureDomainId
+import org.cicadaturn.schema.generated.FleetView
+import org.cicadaturn.schema.generated.GatewayPeer
+import org.cicadaturn.schema.generated.NetworkAddress
+import org.cicadaturn.schema.generated.ProcessId
+import org.cicadaturn.schema.generated.RoutingConfiguration
+import org.cicadaturn.schema.generated.StorePosition
+import org.cicadaturn.tasks.store.StoreError
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Test
+import kotlin.time.Clock
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.Instant
+
+/** Tests of how a gateway follows a store that comes back from an older copy. */
+@OptIn(ExperimentalCoroutinesApi::class)
+class RestoredStoreFollowTest {
+    private val self = GatewayPeer(ProcessId("g"), NetworkAddress("127.0.0.1", 1), FailureDomainId("a"))
+
+    private fun configured(version: Long) =
+        FleetChange.Configured(RoutingConfiguration(version, emptyList(), emptyList(), null, CallerLimits()))
+
+    private fun TestScope.clock() =
+        object : Clock {
+            override fun now(): Instant = Instant.fromEpochMilliseconds(currentTime)
+        }
+
+    private fun TestScope.start(store: FleetStore): Fleet {
+        val times = { part: FleetPart -> fleetWatchTimes(part, 10.seconds, 3.seconds, 1.seconds) }
+        val backoff = Backoff { 10.milliseconds }
+        return startFleet(backgroundScope, FleetDependencies(store, self, { null }, times, backoff, clock()))
+    }
+
+    /**
+     * Store at revision 5 that is restored at revision 3 after one second, and changes the configuration then: the change
+     * has revision 5 too. The watch from it goes on without an error.
+     */
+    private inner class RestoringStore(
+        private val scope: TestScope,
+    ) : FleetStore by FixedFleetStore(content = null) {
+        private fun position() = if (scope.currentTime < RESTORED_AT) StorePosition(1, 5) else StorePosition(2, 6)
+
+        override suspend fun list(part: FleetPart): Either<StoreError, FleetChanges> {
+            val version = if (scope.currentTime < RESTORED_AT) 1L else 2L
+            val content = if (part == FleetPart.CONFIGURATION) listOf(configured(version)) else emptyList()
+            return FleetChanges(position(), content).right()
+        }
+
+        override suspend fun watch(
+            part: FleetPart,
+            position: StorePosition,
+            wait: Duration,
+        ): Either<StoreError, FleetChanges> {
+            delay(wait)
+            return FleetChanges(position(), emptyList()).right()
+        }
+    }
+
+    /** Guards against changes that are missed because the watched revision exists again in the restored store. */
+    @Test
+    fun `a watch that is answered by a restored store is followed by a list`() =
+        runTest {
+            val fleet = start(RestoringStore(this))
+            fleet.state.first { it.view.configuration != null }
+            delay(12.seconds)
+            val view = fleet.state.value.view
+            assertEquals(2L, view.configuration?.version)
+            assertEquals(FleetPart.entries.map { 2L }, erasOf(view))
+        }
+
+    private fun erasOf(view: FleetView): List<Long> =
+        listOf(
+            view.configurationPosition,
+            view.endpointsPosition,
+            view.domainsPosition,
+            view.peersPosition,
+            view.quarantinePosition,
+        ).map { it.era }
+
+    private companion object {
+        const val RESTORED_AT = 1_000L
+    }
+}
