Apply the changes between the pages of a restored list

A list of several pages is followed by the changes made between them. The merge of a restored store took only the entries that a list adds, so an endpoint that was removed between two pages stayed in use.

The entries of a list are now its additions and removals in order.

--- a/decisions/src/main/kotlin/org/cicadaturn/decisions/gateway/FleetParts.kt
+++ b/decisions/src/main/kotlin/org/cicadaturn/decisions/gateway/FleetParts.kt
@@ -1,6 +1,11 @@
 package org.cicadaturn.decisions.gateway
 
+import org.cicadaturn.decisions.quarantine.ServiceSegment
+import org.cicadaturn.schema.generated.FailureDomainId
 import org.cicadaturn.schema.generated.FleetView
+import org.cicadaturn.schema.generated.GatewayPeer
+import org.cicadaturn.schema.generated.LiveEndpoint
+import org.cicadaturn.schema.generated.QuarantinedSegment
 import org.cicadaturn.schema.generated.StorePosition
 
 /** Returns the position in the store that [part] of this view reflects. */
@@ -48,3 +53,61 @@
             FleetPart.QUARANTINE -> quarantine.map { FleetChange.SegmentQuarantined(it) }
         },
     )
+
+/** Returns the endpoints in this list; changes that were made between its pages follow them. */
+internal fun FleetChanges.endpoints(): List<LiveEndpoint> =
+    entries { change ->
+        when (change) {
+            is FleetChange.EndpointListed -> ListedEntry(change.endpoint.id, change.endpoint)
+            is FleetChange.EndpointGone -> ListedEntry(change.endpoint, null)
+            else -> null
+        }
+    }
+
+/** Returns the drained domains in this list. */
+internal fun FleetChanges.domains(): List<FailureDomainId> =
+    entries { change ->
+        when (change) {
+            is FleetChange.DomainDrained -> ListedEntry(change.domain, change.domain)
+            is FleetChange.DomainReturned -> ListedEntry(change.domain, null)
+            else -> null
+        }
+    }
+
+/** Returns the gateway processes in this list. */
+internal fun FleetChanges.peers(): List<GatewayPeer> =
+    entries { change ->
+        when (change) {
+            is FleetChange.PeerListed -> ListedEntry(change.peer.id, change.peer)
+            is FleetChange.PeerGone -> ListedEntry(change.peer, null)
+            else -> null
+        }
+    }
+
+/** Returns the quarantined segments in this list. */
+internal fun FleetChanges.segments(): List<QuarantinedSegment> =
+    entries { change ->
+        when (change) {
+            is FleetChange.SegmentQuarantined -> ListedEntry(segmentOf(change.entry), change.entry)
+            is FleetChange.SegmentReleased -> ListedEntry(change.segment, null)
+            else -> null
+        }
+    }
+
+/** Returns the segment of [entry]. */
+internal fun segmentOf(entry: QuarantinedSegment): ServiceSegment = ServiceSegment(entry.service, entry.segment)
+
+/** Entry of a list; a null [value] means that it was removed. */
+private class ListedEntry<K : Any, V : Any>(
+    val key: K,
+    val value: V?,
+)
+
+private fun <K : Any, V : Any> FleetChanges.entries(entryOf: (FleetChange) -> ListedEntry<K, V>?): List<V> {
+    val entries = LinkedHashMap<K, V>()
+    changes.mapNotNull(entryOf).forEach { entry ->
+        entries.remove(entry.key)
+        entry.value?.let { entries[entry.key] = it }
+    }
+    return entries.values.toList()
+}
--- a/decisions/src/main/kotlin/org/cicadaturn/decisions/gateway/FleetTracker.kt
+++ b/decisions/src/main/kotlin/org/cicadaturn/decisions/gateway/FleetTracker.kt
@@ -4,7 +4,6 @@
 import org.cicadaturn.schema.generated.FailureDomainId
 import org.cicadaturn.schema.generated.FleetView
 import org.cicadaturn.schema.generated.GatewayPeer
-import org.cicadaturn.schema.generated.LiveEndpoint
 import org.cicadaturn.schema.generated.QuarantinedSegment
 import org.cicadaturn.schema.generated.RoutingConfiguration
 import org.cicadaturn.schema.generated.StorePosition
@@ -171,26 +170,21 @@
         val known = view.positionOf(part)
         val isRestored = known > StorePosition() && content.position.era > known.era
         val keepUntil = if (isRestored) now + REWRITING_TIME else null
-        val changes = content.changes
         when (part) {
-            FleetPart.CONFIGURATION -> changes.forEach { apply(it, keepUntil) }
+            FleetPart.CONFIGURATION -> content.changes.forEach { apply(it, keepUntil) }
             FleetPart.ENDPOINTS -> {
                 val renewal = if (isRestored) now + EndpointEntries.RENEWAL_TIME else renewedUntil
                 if (isRestored) endpoints.beginEra()
-                endpoints.replace(changes.mapNotNull(::endpointIn), renewal, isRestored, now)
+                endpoints.replace(content.endpoints(), renewal, isRestored, now)
             }
-            FleetPart.DRAINED_DOMAINS ->
-                domains.replace(changes.mapNotNull { (it as? FleetChange.DomainDrained)?.domain }, keepUntil)
-            FleetPart.PEERS -> peers.replace(changes.mapNotNull { (it as? FleetChange.PeerListed)?.peer }, keepUntil)
-            FleetPart.QUARANTINE ->
-                quarantine.replace(changes.mapNotNull { (it as? FleetChange.SegmentQuarantined)?.entry }, keepUntil)
+            FleetPart.DRAINED_DOMAINS -> domains.replace(content.domains(), keepUntil)
+            FleetPart.PEERS -> peers.replace(content.peers(), keepUntil)
+            FleetPart.QUARANTINE -> quarantine.replace(content.segments(), keepUntil)
         }
         update(part, content.position)
         if (isRestored) recordRestoration(part, known, content, now)
     }
 
-    private fun endpointIn(change: FleetChange): LiveEndpoint? = (change as? FleetChange.EndpointListed)?.endpoint
-
     private fun recordRestoration(
         part: FleetPart,
         known: StorePosition,
@@ -212,8 +206,8 @@
             }
         val states = view.endpoints.associate { it.id to it.state }
         val withheld =
-            content.changes
-                .mapNotNull(::endpointIn)
+            content
+                .endpoints()
                 .filter { states[it.id] != it.state }
                 .map { it.id.text }
         restorations += RestorationStep.Restored(part, known, content.position, kept, withheld)
@@ -357,5 +351,3 @@
         val MAX_RELAY_AGE: Duration = 2_500.milliseconds
     }
 }
-
-private fun segmentOf(entry: QuarantinedSegment) = ServiceSegment(entry.service, entry.segment)
