Write the entry of a gateway to a restored store again

A gateway wrote its entry once, at its start. A copy older than that lacks it, so gateways that start after the restore do not find it, and shares of limits and budgets are computed from too few.

The write returns its position. Whenever the store lists the gateways without this one at a later position, the entry is written again after a random delay of up to 2 s: one call for each entry that the copy lacks, so at most 175 a second with 350 gateways, and none for an entry that it has.

--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/Fleet.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/Fleet.kt
@@ -1,5 +1,6 @@
 package org.cicadaturn.tasks.gateway
 
+import io.prometheus.metrics.model.registry.PrometheusRegistry
 import kotlinx.coroutines.flow.StateFlow
 import org.cicadaturn.decisions.gateway.FleetPart
 import org.cicadaturn.decisions.gateway.FleetState
@@ -12,6 +13,7 @@
 import org.cicadaturn.schema.generated.StoreReport
 import org.cicadaturn.schema.generated.StoreReportRequest
 import kotlin.time.Clock
+import kotlin.time.Duration
 
 /** Known state of the fleet, kept up to date from the store and, while the store is unavailable, from peers. */
 public interface Fleet {
@@ -36,6 +38,8 @@
  * @property watchTimes returns the times of the watch of a part that this process follows alone
  * @property sharing how processes share watches, or null if each follows the store alone
  * @property clock monotonic clock
+ * @property registrationDelay returns the time after which this process writes its entry to a restored store again; it
+ * spreads the writes of all processes
  */
 public class FleetDependencies(
     public val store: FleetStore,
@@ -45,6 +49,8 @@
     public val backoff: Backoff,
     public val clock: Clock,
     public val sharing: WatchSharing? = null,
+    public val registrationDelay: () -> Duration = { Duration.ZERO },
+    public val restorationMetrics: RestorationMetrics = RestorationMetrics(PrometheusRegistry()),
 )
 
 /**
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/FleetLog.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/FleetLog.kt
@@ -2,6 +2,7 @@
 
 import org.cicadaturn.decisions.gateway.FleetChange
 import org.cicadaturn.decisions.gateway.FleetChanges
+import org.cicadaturn.decisions.gateway.RestorationStep
 import org.cicadaturn.schema.generated.StorePosition
 
 /**
@@ -16,6 +17,21 @@
     return changes.changes.map { if (it is FleetChange.Configured) "version ${it.configuration.version}" else "$it" }
 }
 
+/** Returns the text to log for [step]. */
+internal fun textOf(step: RestorationStep): String =
+    when (step) {
+        is RestorationStep.Restored ->
+            "${step.part} was at ${textOf(step.from)}, is at ${textOf(step.to)}; " +
+                "kept ${namesOf(step.kept)}; withheld ${namesOf(step.withheld)}"
+        is RestorationStep.Dropped -> "${step.part} dropped ${namesOf(step.entries)}, not written again in time"
+    }
+
+private fun namesOf(entries: List<String>): String {
+    if (entries.isEmpty()) return "nothing"
+    val others = entries.size - MAX_LOGGED_CHANGES
+    return entries.take(MAX_LOGGED_CHANGES).joinToString() + if (others > 0) " and $others others" else ""
+}
+
 /** Returns the text to log for [position]. */
 internal fun textOf(position: StorePosition): String = "era ${position.era} revision ${position.revision}"
 
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/FleetStore.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/FleetStore.kt
@@ -27,8 +27,8 @@
         wait: Duration,
     ): Either<StoreError, FleetChanges>
 
-    /** Writes the entry by which the other gateway processes find [peer]. */
-    public suspend fun register(peer: GatewayPeer): Either<StoreError, Unit>
+    /** Writes the entry by which the other gateway processes find [peer], and returns its position. */
+    public suspend fun register(peer: GatewayPeer): Either<StoreError, StorePosition>
 
     /** Adds [entry] to the quarantined segments, or replaces the entry of its segment. */
     public suspend fun quarantine(entry: QuarantinedSegment): Either<StoreError, Unit>
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/FleetTask.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/FleetTask.kt
@@ -57,6 +57,7 @@
     private val heldRequests = heldReportRequests()
     private val confirmedUntil = MutableStateFlow(emptyMap<FleetPart, Instant>())
     private val askedAt = MutableStateFlow(Instant.DISTANT_PAST)
+    private val ownEntry = MutableStateFlow(OwnEntry())
     private val follower =
         FleetFollower(dependencies, supervisor, FollowState(refusedParts, confirmedUntil, askedAt), messages::send)
 
@@ -67,7 +68,7 @@
         FleetPart.entries.forEach { part ->
             supervisor.start(scope, "following $part") { follower.keepFollowing(part) }
         }
-        supervisor.start(scope, "registration") { register() }
+        supervisor.start(scope, "registration") { keepRegistered(dependencies, ownEntry) }
         supervisor.start(scope, "peer relay") { fetchFromPeers() }
         if (sharing != null) supervisor.start(scope, "peer reports") { followPeer(sharing) }
     }
@@ -99,6 +100,10 @@
                 if (expiry != null) onTimeout(expiry - now) {}
             }
             published.value = tracker.state(dependencies.clock.now())
+            tracker.takeRestorations().forEach {
+                logger.warn("restored store: {}", textOf(it))
+                dependencies.restorationMetrics.applied(it)
+            }
             confirmedUntil.value = FleetPart.entries.associateWith(reports::confirmedUntil)
             heldRequests.complete(reports.count, dependencies.clock.now()) { held ->
                 supervisor.attempt(FLEET_TASK, "a report") { reports.answer(held, suspendAwareTime()) }
@@ -152,6 +157,10 @@
         } else {
             tracker.changed(answer.part, answer.changes, now)
         }
+        if (answer.part == FleetPart.PEERS) {
+            ownEntry.value = ownEntry.value.after(answer.changes, answer.isList, dependencies.self.id)
+        }
+        dependencies.restorationMetrics.answered(answer.changes.position.era)
         logChanges(answer.part, answer.changes)
         answer.isApplied.complete(true)
     }
@@ -221,14 +230,6 @@
         }
     }
 
-    private suspend fun register() {
-        var failures = 0
-        while (dependencies.store.register(dependencies.self).isLeft()) {
-            failures += 1
-            delay(dependencies.backoff.delayBefore(failures))
-        }
-    }
-
     private suspend fun fetchFromPeers() {
         while (true) {
             delay(RELAY_INTERVAL)
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/GatewayNode.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/GatewayNode.kt
@@ -52,6 +52,7 @@
 import kotlin.random.Random
 import kotlin.time.Clock
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 
 /**
  * Dependencies of a gateway process.
@@ -120,6 +121,8 @@
                         reportTimes(file.store.maxSilence),
                         dependencies.suspendAwareClock,
                     ),
+                registrationDelay = { MAX_REGISTRATION_DELAY * dependencies.random.nextDouble() },
+                restorationMetrics = RestorationMetrics(registry),
             ),
             supervisor,
         )
@@ -310,6 +313,9 @@
     private companion object {
         val logger = LogManager.getLogger(GatewayNode::class.java)
 
+        /** Spreads the writes of 350 gateways after a restore to 175 a second; the slowest store known takes 400. */
+        val MAX_REGISTRATION_DELAY = 2.seconds
+
         val MIN_STORE_BACKOFF = 250.milliseconds
         val MAX_STORE_BACKOFF = 1_500.milliseconds
 
--- a/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/FixedFleetStore.kt
+++ b/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/FixedFleetStore.kt
@@ -35,8 +35,8 @@
         return FleetChanges(position, emptyList()).right()
     }
 
-    override suspend fun register(peer: GatewayPeer): Either<StoreError, Unit> =
-        if (content == null) unavailable.left() else Unit.right()
+    override suspend fun register(peer: GatewayPeer): Either<StoreError, StorePosition> =
+        if (content == null) unavailable.left() else StorePosition(0, 1).right()
 
     override suspend fun quarantine(entry: QuarantinedSegment): Either<StoreError, Unit> = unavailable.left()
 
--- a/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/RestoredStoreFollowTest.kt
+++ b/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/RestoredStoreFollowTest.kt
@@ -1,6 +1,7 @@
 package org.cicadaturn.tasks.gateway
 
 import arrow.core.Either
+import arrow.core.left
 import arrow.core.right
 import kotlinx.coroutines.ExperimentalCoroutinesApi
 import kotlinx.coroutines.delay
@@ -23,6 +24,7 @@
 import org.cicadaturn.schema.generated.StorePosition
 import org.cicadaturn.tasks.store.StoreError
 import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertTrue
 import org.junit.jupiter.api.Test
 import kotlin.time.Clock
 import kotlin.time.Duration
@@ -86,6 +88,87 @@
             assertEquals(FleetPart.entries.map { 2L }, erasOf(view))
         }
 
+    /**
+     * Store with the entries of gateways that is restored after ten seconds from a copy that has those of [copied], and
+     * is not reached before [reachedAt].
+     */
+    private inner class PeerStore(
+        private val scope: TestScope,
+        private val copied: Set<ProcessId>,
+        private val reachedAt: Long = 0,
+    ) : FleetStore by FixedFleetStore(content = null) {
+        private val entries = linkedMapOf(ProcessId("other") to self.copy(id = ProcessId("other")))
+        private var revision = 5L
+        private var isRestored = false
+        val writes = mutableListOf<Long>()
+
+        private fun position(): StorePosition {
+            if (scope.currentTime >= PEERS_RESTORED_AT && !isRestored) {
+                isRestored = true
+                entries.keys.retainAll(copied)
+                revision = 4
+            }
+            return StorePosition(if (isRestored) 2 else 1, revision)
+        }
+
+        override suspend fun register(peer: GatewayPeer): Either<StoreError, StorePosition> {
+            position()
+            entries[peer.id] = peer
+            revision += 1
+            writes += scope.currentTime
+            return position().right()
+        }
+
+        override suspend fun list(part: FleetPart): Either<StoreError, FleetChanges> {
+            if (scope.currentTime < reachedAt) return StoreError.Unavailable("cut off").left()
+            val listed = if (part == FleetPart.PEERS) entries.values.map { FleetChange.PeerListed(it) } else emptyList()
+            return FleetChanges(position(), listed).right()
+        }
+
+        override suspend fun watch(
+            part: FleetPart,
+            position: StorePosition,
+            wait: Duration,
+        ): Either<StoreError, FleetChanges> {
+            delay(minOf(wait, 1.seconds))
+            return list(part).map { if (it.position == position) it.copy(changes = emptyList()) else it }
+        }
+    }
+
+    private fun writesTo(
+        copied: Set<ProcessId>,
+        reachedAt: Long = 0,
+    ): List<Long> {
+        var writes = emptyList<Long>()
+        runTest {
+            val store = PeerStore(this, copied, reachedAt)
+            start(store)
+            delay(60.seconds)
+            writes = store.writes
+        }
+        return writes
+    }
+
+    /** Guards against gateways that do not find each other, so that their shares of limits and budgets are too large. */
+    @Test
+    fun `a gateway writes its entry again if the copy lacks it`() {
+        val writes = writesTo(copied = emptySet())
+        assertEquals(2, writes.size)
+        assertTrue(writes.last() - PEERS_RESTORED_AT in 0..3_000, "written after ${writes.last()} ms")
+    }
+
+    /** Guards against a gateway that has seen only the restored store and takes its entry for written. */
+    @Test
+    fun `a gateway that registered before the restore and reads the store after it writes its entry again`() {
+        assertEquals(2, writesTo(copied = emptySet(), reachedAt = 12_000).size)
+    }
+
+    /** Guards against writes of all gateways to a store that has just come back. */
+    @Test
+    fun `a gateway whose entry is in the copy writes nothing`() {
+        assertEquals(1, writesTo(copied = setOf(self.id)).size)
+    }
+
     private fun erasOf(view: FleetView): List<Long> =
         listOf(
             view.configurationPosition,
@@ -97,5 +180,6 @@
 
     private companion object {
         const val RESTORED_AT = 1_000L
+        const val PEERS_RESTORED_AT = 10_000L
     }
 }
--- a/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/TaskFailureTest.kt
+++ b/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/TaskFailureTest.kt
@@ -265,10 +265,10 @@
             var isRegistered = false
             val store =
                 object : FleetStore by FixedFleetStore(content = null) {
-                    override suspend fun register(peer: GatewayPeer): Either<StoreError, Unit> {
+                    override suspend fun register(peer: GatewayPeer): Either<StoreError, StorePosition> {
                         failure()
                         isRegistered = true
-                        return Unit.right()
+                        return StorePosition().right()
                     }
                 }
             fleetWith(store)
