Write quarantined segments to a restored store again

The entries of prompt segments that crash endpoints are kept for 30 s when the copy lacks them, but nobody wrote them again, so the prompts were sent again after that.

Each gateway has a turn for each entry, by rendezvous hashing; the first writes at once, each next one 1 s later if the entry is still missing, and all that are left after eight turns.

QuarantineRewritingTest, 350 gateways and 5 entries, first call refused: with all turns set to the first (planted) 1,056 calls; now 7 at most, the bound of the test, and the entries are there with 349 gateways gone.

--- a/decisions/src/main/kotlin/org/cicadaturn/decisions/routing/Subset.kt
+++ b/decisions/src/main/kotlin/org/cicadaturn/decisions/routing/Subset.kt
@@ -37,10 +37,17 @@
     entry: ProcessId,
     entries: Collection<ProcessId>,
     endpoint: EndpointId,
+): Int = entryRank(entry, entries, endpoint.text)
+
+/** Returns the position of [entry] among the [entries] that share what has the name [target], from 0. */
+public fun entryRank(
+    entry: ProcessId,
+    entries: Collection<ProcessId>,
+    target: String,
 ): Int {
     val others = hashed((entries.toSet() - entry).map { it.text })
-    val target = hash(endpoint.text)
-    return rank(score(hash(entry.text), target), others, target, others.size + 1)
+    val hashed = hash(target)
+    return rank(score(hash(entry.text), hashed), others, hashed, others.size + 1)
 }
 
 /** Returns the number of entries to assign to each endpoint so that an entry gets about [size] endpoints. */
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/QuarantineTask.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/QuarantineTask.kt
@@ -83,6 +83,7 @@
                     .distinctUntilChanged()
                     .applyLatest { entries -> sendAndAwait { send(QuarantineMessage.Listed(entries, it)) } }
             }
+            launch { rewriteMissing(dependencies) }
             processMessages()
         }
     }
