Ask a peer at the start for what a restored store lists in an older state

A process that starts after a restore knows only the copy: it would serve an older configuration than all others, send to endpoints that left, and answer 404 or 401 for routes and keys that the operator has yet to write again.

Once it has read the configuration and the gateways, it asks up to three peers for their view (the existing call), and does not count its configuration as current before: unknown routes and keys get 503 until then, 2 s at most when the store does not answer. It costs no call to the store.

--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/FleetMessage.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/FleetMessage.kt
@@ -28,6 +28,11 @@
         val view: FleetView,
     ) : FleetMessage
 
+    /** The peers were asked for what they know at the start of this process; [view] is null if none answered. */
+    class PeersAsked(
+        val view: FleetView?,
+    ) : FleetMessage
+
     class Reported(
         val answer: StoreReport,
         val sentAt: Instant,
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/FleetTask.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/FleetTask.kt
@@ -7,8 +7,10 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.flow.MutableStateFlow
 import kotlinx.coroutines.flow.StateFlow
+import kotlinx.coroutines.flow.first
 import kotlinx.coroutines.selects.onTimeout
 import kotlinx.coroutines.selects.select
+import kotlinx.coroutines.withTimeoutOrNull
 import org.apache.logging.log4j.LogManager
 import org.cicadaturn.decisions.gateway.FleetChanges
 import org.cicadaturn.decisions.gateway.FleetPart
@@ -58,6 +60,7 @@
     private val confirmedUntil = MutableStateFlow(emptyMap<FleetPart, Instant>())
     private val askedAt = MutableStateFlow(Instant.DISTANT_PAST)
     private val ownEntry = MutableStateFlow(OwnEntry())
+    private var hasAskedPeers = false
     private val follower =
         FleetFollower(dependencies, supervisor, FollowState(refusedParts, confirmedUntil, askedAt), messages::send)
 
@@ -69,6 +72,7 @@
             supervisor.start(scope, "following $part") { follower.keepFollowing(part) }
         }
         supervisor.start(scope, "registration") { keepRegistered(dependencies, ownEntry) }
+        supervisor.start(scope, "first question to peers") { askPeersAtStart() }
         supervisor.start(scope, "peer relay") { fetchFromPeers() }
         if (sharing != null) supervisor.start(scope, "peer reports") { followPeer(sharing) }
     }
@@ -99,7 +103,7 @@
                 messages.onReceive { receive(it) }
                 if (expiry != null) onTimeout(expiry - now) {}
             }
-            published.value = tracker.state(dependencies.clock.now())
+            published.value = currentState()
             tracker.takeRestorations().forEach {
                 logger.warn("restored store: {}", textOf(it))
                 dependencies.restorationMetrics.applied(it)
@@ -111,6 +115,12 @@
         }
     }
 
+    /** Before the peers are asked, a restored store may list an older configuration than the one that they have. */
+    private fun currentState(): FleetState {
+        val state = tracker.state(dependencies.clock.now())
+        return if (hasAskedPeers) state else state.copy(isConfigurationCurrent = false)
+    }
+
     private fun receive(message: FleetMessage) {
         supervisor.attempt(FLEET_TASK, message) { handle(message) } ?: reject(message)
     }
@@ -124,6 +134,7 @@
             }
             is FleetMessage.GetOwnView -> message.reply.complete(FleetView())
             is FleetMessage.GetReport -> message.reply.complete(null)
+            is FleetMessage.PeersAsked -> hasAskedPeers = true
             is FleetMessage.Failed, is FleetMessage.Relayed, is FleetMessage.Reported -> Unit
         }
     }
@@ -136,9 +147,10 @@
                 recordFailure(message.part, message.error, now)
                 tracker.failed(message.part, now)
             }
-            is FleetMessage.Relayed -> {
-                tracker.relayed(message.view, now)
-                reports.relayed(message.view)
+            is FleetMessage.Relayed -> relay(message.view, now)
+            is FleetMessage.PeersAsked -> {
+                hasAskedPeers = true
+                message.view?.let { relay(it, now) }
             }
             is FleetMessage.Reported -> reports.reported(message.answer, message.sentAt, now)
             is FleetMessage.GetReport -> if (heldRequests.add(message, now)) askedAt.value = message.receivedAt
@@ -146,6 +158,14 @@
         }
     }
 
+    private fun relay(
+        view: FleetView,
+        now: Instant,
+    ) {
+        tracker.relayed(view, now)
+        reports.relayed(view)
+    }
+
     private fun apply(
         answer: FleetMessage.Answered,
         now: Instant,
@@ -230,6 +250,15 @@
         }
     }
 
+    /** Asks a peer, once this process has read the store, for what a restored store lists in an older state. */
+    private suspend fun askPeersAtStart() {
+        val known =
+            withTimeoutOrNull(MAX_START_WAIT) {
+                published.first { it.view.configuration != null && it.view.peersPosition > StorePosition() }
+            }
+        messages.send(FleetMessage.PeersAsked(known?.let { dependencies.fetchPeerView(it.view.peers) }))
+    }
+
     private suspend fun fetchFromPeers() {
         while (true) {
             delay(RELAY_INTERVAL)
@@ -244,6 +273,9 @@
 
         const val QUEUED_MESSAGES = 16
 
+        /** Time in which a store that is available has answered the first calls. */
+        val MAX_START_WAIT = 2.seconds
+
         /** Time between looks for a peer to follow while there is none. */
         val PEER_CHOICE_INTERVAL = 1.seconds
 
--- a/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/RestoredStoreFollowTest.kt
+++ b/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/RestoredStoreFollowTest.kt
@@ -45,10 +45,13 @@
             override fun now(): Instant = Instant.fromEpochMilliseconds(currentTime)
         }
 
-    private fun TestScope.start(store: FleetStore): Fleet {
+    private fun TestScope.start(
+        store: FleetStore,
+        fetchPeerView: suspend (List<GatewayPeer>) -> FleetView? = { null },
+    ): Fleet {
         val times = { part: FleetPart -> fleetWatchTimes(part, 10.seconds, 3.seconds, 1.seconds) }
         val backoff = Backoff { 10.milliseconds }
-        return startFleet(backgroundScope, FleetDependencies(store, self, { null }, times, backoff, clock()))
+        return startFleet(backgroundScope, FleetDependencies(store, self, fetchPeerView, times, backoff, clock()))
     }
 
     /**
@@ -169,6 +172,51 @@
         assertEquals(1, writesTo(copied = setOf(self.id)).size)
     }
 
+    /** Store that was restored from a copy with an older configuration. */
+    private inner class OlderStore : FleetStore by FixedFleetStore(content = null) {
+        override suspend fun list(part: FleetPart): Either<StoreError, FleetChanges> =
+            FleetChanges(
+                StorePosition(2, 300),
+                if (part == FleetPart.CONFIGURATION) listOf(configured(7)) else emptyList(),
+            ).right()
+
+        override suspend fun watch(
+            part: FleetPart,
+            position: StorePosition,
+            wait: Duration,
+        ): Either<StoreError, FleetChanges> {
+            delay(wait)
+            return FleetChanges(position, emptyList()).right()
+        }
+    }
+
+    /** Guards against a new process that denies or undoes what is in force at all others, as it knows only the copy. */
+    @Test
+    fun `a new process takes over the configuration of its peers before it takes its own for current`() =
+        runTest {
+            val newer = RoutingConfiguration(9, emptyList(), emptyList(), null, CallerLimits())
+            val fleet =
+                start(OlderStore()) {
+                    delay(300.milliseconds)
+                    FleetView(configuration = newer, configurationPosition = StorePosition(2, 290))
+                }
+            fleet.state.first { it.isConfigurationCurrent }
+            assertEquals(
+                9L,
+                fleet.state.value.view.configuration
+                    ?.version,
+            )
+        }
+
+    /** Guards against a process without peers that never answers 404 or 401. */
+    @Test
+    fun `the configuration of a process whose peers do not answer is current`() =
+        runTest {
+            val fleet = start(OlderStore()) { null }
+            val state = fleet.state.first { it.isConfigurationCurrent }
+            assertEquals(7L, state.view.configuration?.version)
+        }
+
     private fun erasOf(view: FleetView): List<Long> =
         listOf(
             view.configurationPosition,
