--- a/decisions/src/main/kotlin/org/cicadaturn/decisions/experts/PlacementLease.kt
+++ b/decisions/src/main/kotlin/org/cicadaturn/decisions/experts/PlacementLease.kt
@@ -2,6 +2,7 @@
 
 import org.cicadaturn.schema.generated.LeaseRecord
 import org.cicadaturn.schema.generated.ProcessId
+import org.cicadaturn.schema.generated.StorePosition
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -9,13 +10,15 @@
 
 /** Next call to the store that a lease needs. */
 public sealed interface LeaseStep {
-    /** Read the record; a stale one is sufficient. */
-    public data object Read : LeaseStep
+    /** Read the record; a stale one is sufficient unless [isFresh]. */
+    public data class Read(
+        val isFresh: Boolean,
+    ) : LeaseStep
 
-    /** Write [record] if the stored one still has revision [expected]; null creates it. */
+    /** Write [record] if the stored one is still at [expected]; null creates it. */
     public data class Write(
         val record: LeaseRecord,
-        val expected: Long?,
+        val expected: StorePosition?,
     ) : LeaseStep
 }
 
@@ -28,6 +31,13 @@
  * its last write. It measures this time with a suspend-aware clock, which advances by the larger advance of the
  * monotonic clock and the wall clock, because the monotonic clock stops while a machine is suspended. Times are of the
  * monotonic clock unless stated otherwise.
+ *
+ * The store may be restored from an older copy, which begins a new era and may lack records that were acknowledged.
+ * Three rules exclude a second holder and a token that is given out twice:
+ * - A record that was written in an earlier era does not show that the lease is vacant, so each process waits for
+ *   [LeaseTimes.expiry]. Only a holder that learns of the new era while it may still act writes its lease again at once.
+ * - A write counts only in the era in which the record that it replaces was read, as the store compares revisions alone.
+ * - The first takeover in a new era leaves out the tokens that may have been lost.
  */
 public interface PlacementLease {
     /** Returns the fencing token if this process may act at [now] of the suspend-aware clock, else null. */
@@ -39,29 +49,37 @@
     /** Returns when this process may take the lease over unless it is renewed, or null if it holds or never read it. */
     public fun takeoverTime(): Instant?
 
-    /** Records that [record], or null if there is none, was read with its store [revision]. */
+    /**
+     * Records that [record], or null if there is none, was read at [position] in the store; returns true if this is the
+     * first read of a new era.
+     *
+     * The read ended at [now] of the monotonic clock and at [actingNow] of the suspend-aware clock.
+     */
     public fun seen(
         record: LeaseRecord?,
-        revision: Long,
+        position: StorePosition,
+        isFresh: Boolean,
         now: Instant,
-    )
+        actingNow: Instant,
+    ): Boolean
 
     /**
-     * Records that [record] was written with [revision].
+     * Records that [record] was written at [position] in the store; returns false if the write does not count, as it was
+     * executed in another era than the one of its condition.
      *
      * The write began at [since] of the monotonic clock and at [actingSince] of the suspend-aware clock.
      */
     public fun written(
         record: LeaseRecord,
-        revision: Long,
+        position: StorePosition,
         since: Instant,
         actingSince: Instant,
-    )
+    ): Boolean
 
     /**
      * Promises the holder of [token] not to take over the lease for [LeaseTimes.expiry].
      *
-     * Returns false if this process holds the lease itself or knows of another token.
+     * Returns false if this process holds the lease itself, knows of a higher token or never read the record.
      */
     public fun pledge(
         token: Long,
@@ -114,7 +132,12 @@
     private val times: LeaseTimes,
 ) : PlacementLease {
     private var record: LeaseRecord? = null
-    private var revision: Long? = null
+
+    /** Position of [record], or revision 0 of the era in which there was none; null if it was never read. */
+    private var position: StorePosition? = null
+
+    /** False if [record] was read with a call that may be answered from an earlier state. */
+    private var isFresh = false
     private var seenAt: Instant? = null
     private var validUntil = Instant.DISTANT_PAST
     private var own: LeaseRecord? = null
@@ -125,11 +148,20 @@
 
     override fun next(now: Instant): LeaseStep {
         val mine = own
-        if (mine != null) {
-            return LeaseStep.Write(mine.copy(renewals = mine.renewals + 1, isReleased = isReleased), revision)
-        }
-        if (!mayTakeOver(now)) return LeaseStep.Read
-        return LeaseStep.Write(LeaseRecord(self, (record?.token ?: 0L) + 1, 0), revision)
+        if (mine == null && !mayTakeOver(now)) return LeaseStep.Read(isFresh = false)
+        // The condition of a write may be met by another record if a stale read was answered from an earlier era.
+        val at = position?.takeIf { isFresh } ?: return LeaseStep.Read(isFresh = true)
+        val next =
+            mine?.copy(renewals = mine.renewals + 1, isReleased = isReleased, era = at.era)
+                ?: LeaseRecord(self, nextToken(at.era), renewals = 0, era = at.era)
+        return LeaseStep.Write(next, at.takeIf { record != null })
+    }
+
+    /** A holder may have kept a token of an earlier era, so the era itself is a lower bound as well. */
+    private fun nextToken(era: Long): Long {
+        val lostEras = maxOf(0L, era - eraOf(record))
+        val next = (record?.token ?: 0L) + 1 + lostEras * MAX_LOST_TOKENS
+        return maxOf(next, era * MAX_LOST_TOKENS + 1)
     }
 
     override fun takeoverTime(): Instant? {
@@ -141,42 +173,67 @@
     private fun mayTakeOver(now: Instant): Boolean {
         val at = seenAt ?: return false
         if (isReleased || now < pledgedUntil) return false
+        return isVacant() || now - at >= times.expiry + delay
+    }
+
+    /** Returns true if the record shows that no process acts on the lease. */
+    private fun isVacant(): Boolean {
+        if (eraOf(record) != position?.era) return false
         val known = record ?: return true
         // An earlier run of this process no longer acts on its lease.
-        return known.holder == self || known.isReleased || now - at >= times.expiry + delay
+        return known.holder == self || known.isReleased
     }
 
     override fun seen(
         record: LeaseRecord?,
-        revision: Long,
+        position: StorePosition,
+        isFresh: Boolean,
         now: Instant,
-    ) {
-        val isNewer = seenAt == null || revision > (this.revision ?: 0L)
-        if (!isNewer) return
+        actingNow: Instant,
+    ): Boolean {
+        val known = this.position
+        if (known != null && isOutdated(position, isFresh, known)) return false
+        this.isFresh = isFresh
+        if (position == known && record == this.record) return false
         this.record = record
-        this.revision = if (record == null) null else revision
+        this.position = position
         seenAt = now
-        if (record != own) own = null
+        // As long as the holder may act, no other process can have taken over before the restore.
+        val isHeld = if (eraOf(record) == position.era) record == own else token(actingNow) != null
+        if (!isHeld) own = null
+        return known != null && position.era > known.era
     }
 
+    /** A fresh read began after all earlier answers; within its era it is never older than they are. */
+    private fun isOutdated(
+        position: StorePosition,
+        isFresh: Boolean,
+        known: StorePosition,
+    ): Boolean = if (isFresh) position.era < known.era else position <= known
+
     override fun written(
         record: LeaseRecord,
-        revision: Long,
+        position: StorePosition,
         since: Instant,
         actingSince: Instant,
-    ) {
+    ): Boolean {
+        if (position.era != record.era) return false
         this.record = record
-        this.revision = revision
+        this.position = position
+        isFresh = true
         own = record.takeIf { !it.isReleased }
         seenAt = since
         validUntil = actingSince + times.validity
+        return true
     }
 
     override fun pledge(
         token: Long,
         now: Instant,
     ): Boolean {
-        if (own != null || record?.token != token) return false
+        if (own != null || position == null) return false
+        // After a restore the record may be of a holder before the one that asks.
+        if (token < (record?.token ?: 0L)) return false
         pledgedUntil = now + times.expiry
         return true
     }
@@ -193,4 +250,15 @@
         own = null
         validUntil = Instant.DISTANT_PAST
     }
+
+    /** Returns the era in which [record] was written; the absence of a record belongs to a store without restores. */
+    private fun eraOf(record: LeaseRecord?): Long = record?.era ?: 0L
+
+    private companion object {
+        /**
+         * Takeovers that one restore can lose. Each takes a read and a write, so that seconds have room for a few
+         * hundred at most.
+         */
+        const val MAX_LOST_TOKENS = 1_000L
+    }
 }
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/FleetLog.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/FleetLog.kt
@@ -2,7 +2,9 @@
 
 import org.cicadaturn.decisions.gateway.FleetChange
 import org.cicadaturn.decisions.gateway.FleetChanges
+import org.cicadaturn.decisions.gateway.RestorationStep
 import org.cicadaturn.schema.generated.LiveEndpoint
+import org.cicadaturn.schema.generated.StorePosition
 
 /**
  * Returns the texts to log for [changes]: one for each change, or only the number of changes if there are many. Entries
@@ -21,5 +23,23 @@
     return news.map { if (it is FleetChange.Configured) "version ${it.configuration.version}" else "$it" }
 }
 
+/** Returns the text to log for [step]. */
+internal fun textOf(step: RestorationStep): String =
+    when (step) {
+        is RestorationStep.Restored ->
+            "${step.part} was at ${textOf(step.from)}, is at ${textOf(step.to)}; " +
+                "kept ${namesOf(step.kept)}; withheld ${namesOf(step.withheld)}"
+        is RestorationStep.Dropped -> "${step.part} dropped ${namesOf(step.entries)}, not written again in time"
+    }
+
+private fun namesOf(entries: List<String>): String {
+    if (entries.isEmpty()) return "nothing"
+    val others = entries.size - MAX_LOGGED_CHANGES
+    return entries.take(MAX_LOGGED_CHANGES).joinToString() + if (others > 0) " and $others others" else ""
+}
+
+/** Returns the text to log for [position]. */
+internal fun textOf(position: StorePosition): String = "era ${position.era} revision ${position.revision}"
+
 /** A tenth of the burst that the log takes; a list of each part fits into it several times. */
 private const val MAX_LOGGED_CHANGES = 100
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/FleetTask.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/FleetTask.kt
@@ -1,15 +1,9 @@
 package org.cicadaturn.tasks.gateway
 
-import arrow.core.Either
-import arrow.core.flatMap
-import arrow.core.left
-import arrow.core.right
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.ExperimentalCoroutinesApi
-import kotlinx.coroutines.async
 import kotlinx.coroutines.channels.Channel
-import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.flow.MutableStateFlow
 import kotlinx.coroutines.flow.StateFlow
@@ -24,14 +18,13 @@
 import org.cicadaturn.decisions.gateway.fleetTracker
 import org.cicadaturn.decisions.gateway.reportingPeer
 import org.cicadaturn.decisions.gateway.storeReports
-import org.cicadaturn.decisions.retry.WatchTimes
 import org.cicadaturn.schema.generated.FleetView
 import org.cicadaturn.schema.generated.GatewayPeer
+import org.cicadaturn.schema.generated.StorePosition
 import org.cicadaturn.schema.generated.StoreReport
 import org.cicadaturn.schema.generated.StoreReportRequest
 import org.cicadaturn.tasks.Supervisor
 import org.cicadaturn.tasks.store.StoreError
-import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.Instant
@@ -66,13 +59,20 @@
     private val heldRequests = heldReportRequests()
     private val confirmedUntil = MutableStateFlow(emptyMap<FleetPart, Instant>())
     private val askedAt = MutableStateFlow(Instant.DISTANT_PAST)
+    private val ownEntry = MutableStateFlow(OwnEntry())
+    private var hasAskedPeers = false
+    private val follower =
+        FleetFollower(dependencies, supervisor, FollowState(refusedParts, confirmedUntil, askedAt), messages::send)
 
     override val state: StateFlow<FleetState> = published
 
     fun start(scope: CoroutineScope) {
-        supervisor.start(scope, TASK, isVital = true) { processMessages() }
-        FleetPart.entries.forEach { part -> supervisor.start(scope, "following $part") { keepFollowing(part) } }
-        supervisor.start(scope, "registration") { register() }
+        supervisor.start(scope, FLEET_TASK, isVital = true) { processMessages() }
+        FleetPart.entries.forEach { part ->
+            supervisor.start(scope, "following $part") { follower.keepFollowing(part) }
+        }
+        supervisor.start(scope, "registration") { keepRegistered(dependencies, ownEntry) }
+        supervisor.start(scope, "first question to peers") { askPeersAtStart() }
         supervisor.start(scope, "peer relay") { fetchFromPeers() }
         if (sharing != null) supervisor.start(scope, "peer reports") { followPeer(sharing) }
     }
@@ -103,16 +103,26 @@
                 messages.onReceive { receive(it) }
                 if (expiry != null) onTimeout(expiry - now) {}
             }
-            published.value = tracker.state(dependencies.clock.now())
+            published.value = currentState()
+            tracker.takeRestorations().forEach {
+                logger.warn("restored store: {}", textOf(it))
+                dependencies.restorationMetrics.applied(it)
+            }
             confirmedUntil.value = FleetPart.entries.associateWith(reports::confirmedUntil)
             heldRequests.complete(reports.count, dependencies.clock.now()) { held ->
-                supervisor.attempt(TASK, "a report") { reports.answer(held, suspendAwareTime()) }
+                supervisor.attempt(FLEET_TASK, "a report") { reports.answer(held, suspendAwareTime()) }
             }
         }
     }
 
+    /** Before the peers are asked, a restored store may list an older configuration than the one that they have. */
+    private fun currentState(): FleetState {
+        val state = tracker.state(dependencies.clock.now())
+        return if (hasAskedPeers) state else state.copy(isConfigurationCurrent = false)
+    }
+
     private fun receive(message: FleetMessage) {
-        supervisor.attempt(TASK, message) { handle(message) } ?: reject(message)
+        supervisor.attempt(FLEET_TASK, message) { handle(message) } ?: reject(message)
     }
 
     /** Answers a message that could not be handled; a part whose changes may be missing is not current any more. */
@@ -124,6 +134,7 @@
             }
             is FleetMessage.GetOwnView -> message.reply.complete(FleetView())
             is FleetMessage.GetReport -> message.reply.complete(null)
+            is FleetMessage.PeersAsked -> hasAskedPeers = true
             is FleetMessage.Failed, is FleetMessage.Relayed, is FleetMessage.Reported -> Unit
         }
     }
@@ -136,9 +147,10 @@
                 recordFailure(message.part, message.error, now)
                 tracker.failed(message.part, now)
             }
-            is FleetMessage.Relayed -> {
-                tracker.relayed(message.view, now)
-                reports.relayed(message.view)
+            is FleetMessage.Relayed -> relay(message.view, now)
+            is FleetMessage.PeersAsked -> {
+                hasAskedPeers = true
+                message.view?.let { relay(it, now) }
             }
             is FleetMessage.Reported -> reports.reported(message.answer, message.sentAt, now)
             is FleetMessage.GetReport -> if (heldRequests.add(message, now)) askedAt.value = message.receivedAt
@@ -146,19 +158,32 @@
         }
     }
 
+    private fun relay(
+        view: FleetView,
+        now: Instant,
+    ) {
+        tracker.relayed(view, now)
+        reports.relayed(view)
+    }
+
     private fun apply(
         answer: FleetMessage.Answered,
         now: Instant,
     ) {
         val isChanged = answer.isList || answer.changes.changes.isNotEmpty()
-        recordAnswer(answer.part, answer.changes.revision, isChanged, now)
-        val texts = logTextsOf(answer.changes, tracker.state(now).view.endpoints)
+        recordAnswer(answer.part, answer.changes.position, isChanged, now)
+        val texts = logTextsOf(answer.changes, published.value.view.endpoints)
         if (answer.isList) {
             tracker.listed(answer.part, answer.changes, now)
         } else {
             tracker.changed(answer.part, answer.changes, now)
         }
-        texts.forEach { logger.info("fleet: {} at revision {}: {}", answer.part, answer.changes.revision, it) }
+        if (answer.part == FleetPart.PEERS) {
+            ownEntry.value = ownEntry.value.after(answer.changes, answer.isList, dependencies.self.id)
+        }
+        dependencies.restorationMetrics.answered(answer.changes.position.era)
+        val at = textOf(answer.changes.position)
+        texts.forEach { logger.info("fleet: {} at {}: {}", answer.part, at, it) }
         answer.isApplied.complete(true)
     }
 
@@ -166,15 +191,15 @@
 
     private fun recordAnswer(
         part: FleetPart,
-        revision: Long,
+        position: StorePosition,
         isChanged: Boolean,
         now: Instant,
     ) {
-        reports.answered(part, revision, isChanged, suspendAwareTime())
+        reports.answered(part, position, isChanged, suspendAwareTime())
         if (part in unavailableParts.value) {
             unavailableParts.value -= part
             refusedParts.value -= part
-            logger.info("fleet: {} available again at revision {}, {}", part, revision, silence(part, now))
+            logger.info("fleet: {} available again at {}, {}", part, textOf(position), silence(part, now))
         }
         answeredAt[part] = now
     }
@@ -196,117 +221,6 @@
         now: Instant,
     ): String = answeredAt[part]?.let { "${(now - it).inWholeMilliseconds} ms after its last answer" } ?: "not read yet"
 
-    /** Follows [part] from the start again if that ends with a defect, which must not leave the process with old data. */
-    private suspend fun keepFollowing(part: FleetPart) {
-        while (true) {
-            supervisor.attempt(TASK, "an answer about $part") { follow(part) }
-            messages.send(FleetMessage.Failed(part, StoreError.Unanswered("its answer met a defect")))
-            delay(RESTART_DELAY)
-        }
-    }
-
-    private suspend fun follow(part: FleetPart) {
-        var revision: Long? = null
-        var failures = 0
-        while (true) {
-            val from = revision
-            val answer =
-                when {
-                    from == null -> dependencies.store.list(part)
-                    failures > 0 -> catchUp(part, from)
-                    else -> watch(part, from)
-                }
-            answer.flatMap { send(part, it, isList = from == null) }.fold(
-                { error ->
-                    // A failed watch may have missed changes that the store no longer keeps, so a list follows.
-                    if (error !is StoreError.Unavailable) revision = null
-                    if (error !is StoreError.Compacted) {
-                        failures += 1
-                        messages.send(FleetMessage.Failed(part, error))
-                        delay(dependencies.backoff.delayBefore(failures))
-                        if (error is StoreError.Unavailable) awaitTurn(part)
-                    }
-                },
-                { changes ->
-                    failures = 0
-                    revision = changes.revision
-                    if (changes.changes.isNotEmpty()) delay(dependencies.watchTimes(part).pause)
-                },
-            )
-        }
-    }
-
-    private suspend fun watch(
-        part: FleetPart,
-        revision: Long,
-    ): Either<StoreError, FleetChanges> {
-        val now = dependencies.clock.now()
-        val alone = dependencies.watchTimes(part)
-        val shared = sharing?.times?.invoke(part) ?: return watch(part, revision, alone)
-        if (now - askedAt.value < REPORTING_TIME) return watch(part, revision, shared.reporting)
-        if (now >= confirmedUntil(part)) return watch(part, revision, alone)
-        watchWhileConfirmed(part, revision, shared.longestWait)?.let { return it }
-        logger.info("fleet: {} at revision {} is read, as no peer confirms it any longer", part, revision)
-        return catchUp(part, revision)
-    }
-
-    /** Returns the changes of [part] up to now. */
-    private suspend fun catchUp(
-        part: FleetPart,
-        revision: Long,
-    ): Either<StoreError, FleetChanges> {
-        val times = dependencies.watchTimes(part)
-        return watch(part, revision, times.copy(wait = CATCH_UP_WAIT, limit = times.limit - times.wait))
-    }
-
-    /**
-     * Waits until [part] is the first of the parts whose calls are refused, or one of these has been answered.
-     *
-     * A store that refuses the calls of a process refuses them for all parts, so the calls for one of them show when it
-     * serves the process again.
-     */
-    private suspend fun awaitTurn(part: FleetPart) {
-        val refused = refusedParts.value
-        refusedParts.first { now -> now.none { it < part } || !now.containsAll(refused) }
-    }
-
-    private suspend fun watch(
-        part: FleetPart,
-        revision: Long,
-        times: WatchTimes,
-    ): Either<StoreError, FleetChanges> =
-        withTimeoutOrNull(times.limit) { dependencies.store.watch(part, revision, times.wait) }
-            ?: StoreError.Unanswered("no answer to a watch within ${times.limit}").left()
-
-    /** Watches [part] as long as a peer confirms it; returns null if that ends before an answer. */
-    private suspend fun watchWhileConfirmed(
-        part: FleetPart,
-        revision: Long,
-        wait: Duration,
-    ): Either<StoreError, FleetChanges>? =
-        coroutineScope {
-            val answer = async { dependencies.store.watch(part, revision, wait) }
-            val end = async { awaitEndOfConfirmation(part) }
-            select {
-                answer.onAwait { it }
-                end.onAwait { null }
-            }.also {
-                answer.cancel()
-                end.cancel()
-            }
-        }
-
-    private suspend fun awaitEndOfConfirmation(part: FleetPart) {
-        while (true) {
-            val until = confirmedUntil(part)
-            val remaining = until - dependencies.clock.now()
-            if (!remaining.isPositive()) return
-            withTimeoutOrNull(remaining) { confirmedUntil.first { it[part] != until } }
-        }
-    }
-
-    private fun confirmedUntil(part: FleetPart): Instant = confirmedUntil.value[part] ?: Instant.DISTANT_PAST
-
     /** Learns from a peer what the store answers to it, so that this process need not ask the store as often. */
     private suspend fun followPeer(sharing: WatchSharing) {
         val choice = reportingPeer(dependencies.self.id)
@@ -331,23 +245,13 @@
         }
     }
 
-    /** Sends an answer of the store to this task and returns it, or an error if it could not be applied. */
-    private suspend fun send(
-        part: FleetPart,
-        changes: FleetChanges,
-        isList: Boolean,
-    ): Either<StoreError, FleetChanges> {
-        val isApplied = CompletableDeferred<Boolean>()
-        messages.send(FleetMessage.Answered(part, changes, isList, isApplied))
-        return if (isApplied.await()) changes.right() else StoreError.Unanswered("its answer met a defect").left()
-    }
-
-    private suspend fun register() {
-        var failures = 0
-        while (dependencies.store.register(dependencies.self).isLeft()) {
-            failures += 1
-            delay(dependencies.backoff.delayBefore(failures))
-        }
+    /** Asks a peer, once this process has read the store, for what a restored store lists in an older state. */
+    private suspend fun askPeersAtStart() {
+        val known =
+            withTimeoutOrNull(MAX_START_WAIT) {
+                published.first { it.view.configuration != null && it.view.peersPosition > StorePosition() }
+            }
+        messages.send(FleetMessage.PeersAsked(known?.let { dependencies.fetchPeerView(it.view.peers) }))
     }
 
     private suspend fun fetchFromPeers() {
@@ -362,17 +266,10 @@
     private companion object {
         val logger = LogManager.getLogger(FleetTask::class.java)
 
-        const val TASK = "fleet"
         const val QUEUED_MESSAGES = 16
 
-        /** Bounds the calls and log lines that a defect causes if it occurs each time. */
-        val RESTART_DELAY = 1.seconds
-
-        /** Wait of a call that returns the changes up to now. */
-        val CATCH_UP_WAIT = 1.milliseconds
-
-        /** Time after a request of a peer for which this process follows the store closely. */
-        val REPORTING_TIME = 3.seconds
+        /** Time in which a store that is available has answered the first calls. */
+        val MAX_START_WAIT = 2.seconds
 
         /** Time between looks for a peer to follow while there is none. */
         val PEER_CHOICE_INTERVAL = 1.seconds
--- a/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/FleetLogTest.kt
+++ b/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/FleetLogTest.kt
@@ -10,13 +10,15 @@
 import org.cicadaturn.schema.generated.NetworkAddress
 import org.cicadaturn.schema.generated.RoutingConfiguration
 import org.cicadaturn.schema.generated.ServiceId
+import org.cicadaturn.schema.generated.StorePosition
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertTrue
 import org.junit.jupiter.api.Test
 import kotlin.time.Duration
 
 class FleetLogTest {
-    private fun changes(count: Int) = FleetChanges(7, (1..count).map { FleetChange.EndpointGone(EndpointId("e$it")) })
+    private fun changes(count: Int) =
+        FleetChanges(StorePosition(0, 7), (1..count).map { FleetChange.EndpointGone(EndpointId("e$it")) })
 
     /**
      * Guards against a first list that uses up the rate limit of the log. In review/3, nothing that followed the list of
@@ -41,7 +43,7 @@
     @Test
     fun `a configuration is logged by its version`() {
         val configuration = RoutingConfiguration(5, emptyList(), emptyList(), null, CallerLimits())
-        val changes = FleetChanges(7, listOf(FleetChange.Configured(configuration)))
+        val changes = FleetChanges(StorePosition(0, 7), listOf(FleetChange.Configured(configuration)))
         assertEquals(listOf("version 5"), logTextsOf(changes, emptyList()))
     }
 
@@ -51,7 +53,7 @@
         val known = (1..15).map { endpoint("e$it", AdmissionState.IN_SERVICE) }
         val leaves = endpoint("e3", AdmissionState.DRAINED)
         val listed = (known.filter { it.id != leaves.id } + leaves).map { FleetChange.EndpointListed(it) }
-        val text = logTextsOf(FleetChanges(7, listed), known).single()
+        val text = logTextsOf(FleetChanges(StorePosition(0, 7), listed), known).single()
         assertTrue("e3" in text && "DRAINED" in text, text)
     }
 
