Run at most two attempts of a request at once

An attempt that stood by could itself start one that nobody owned: two silent endpoints got the same request from each other in turn (up to 8 sends of one request within 3 s), a connection that was in use again was closed under another caller's request (502), 503 was answered while an endpoint ran the request, and a request could last until its deadline after its answer.

Only the standby of the attempt that is alone may start now. With it, further findings of the review of that change: - the time of an answer counts from the sending of its request, not from the moment at which the silent endpoint was abandoned (3 ms instead of 1.4 s, by which a stop judges); - a stream whose last event may be wrong is cut also if another endpoint stands by; - a failure that the other endpoint answers ends a request that has not begun, so that its caller has time for a retry; - an endpoint that had the request counts as tried also if it cannot be reached later, so that no more than the allowed number of endpoints get it; - the trial of a prompt is not sent to a second endpoint; - the first event of an endpoint that stood by is recorded.

--- a/decisions/src/main/kotlin/org/cicadaturn/decisions/gateway/AttemptPolicy.kt
+++ b/decisions/src/main/kotlin/org/cicadaturn/decisions/gateway/AttemptPolicy.kt
@@ -92,7 +92,8 @@
     // refused it. Without a wait, a stream that has begun would be cut while its caller still waits for the next event.
     val isRefused = end == AttemptEnd.NOT_EXECUTED && !history.mayHaveRun
     val canContinue = isResumable && history.isAnswerBegun && history.hasRefused
-    if ((isRefused || canContinue) && hasTime && history.holdTimeLeft > Duration.ZERO) return NextStep.HOLD
+    val canWait = hasTime && history.holdTimeLeft > Duration.ZERO
+    if (canWait && (isRefused || canContinue)) return NextStep.HOLD
     return finalStep(end, history)
 }
 
--- a/decisions/src/test/kotlin/org/cicadaturn/decisions/gateway/AttemptPolicyTest.kt
+++ b/decisions/src/test/kotlin/org/cicadaturn/decisions/gateway/AttemptPolicyTest.kt
@@ -18,7 +18,6 @@
         isAnswerBegun: Boolean = false,
         isResumable: Boolean = false,
         holdTimeLeft: Duration = Duration.ZERO,
-        hasRefused: Boolean = false,
     ) = AttemptHistory(
         kind,
         isResumable,
@@ -26,7 +25,7 @@
         maxEndpoints,
         0,
         mayHaveRun,
-        hasRefused,
+        hasRefused = false,
         isAnswerBegun,
         1.seconds,
         holdTimeLeft,
@@ -80,8 +79,7 @@
                 isAnswerBegun = true,
                 isResumable = true,
                 holdTimeLeft = 1.seconds,
-                hasRefused = true,
-            )
+            ).copy(hasRefused = true)
         return listOf(
             Case(end, history, NextStep.HOLD),
             Case(end, history.copy(holdTimeLeft = Duration.ZERO), NextStep.CUT),
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/AnswerParts.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/AnswerParts.kt
@@ -1,6 +1,7 @@
 package org.cicadaturn.tasks.gateway
 
 import kotlinx.coroutines.withTimeoutOrNull
+import org.cicadaturn.schema.generated.RouteKind
 import org.cicadaturn.tasks.http.HttpPart
 import org.cicadaturn.tasks.http.valueOf
 import java.io.ByteArrayOutputStream
@@ -95,8 +96,9 @@
         return received
     }
 
+    /** The state of its group decides whether another endpoint can help a stream. */
     private suspend fun canOthersHelp(hasBegun: Boolean): Boolean =
-        !attempt.dependsOnGroup || balancer.shouldAbandon(attempt.endpoint.id, hasBegun)
+        attempt.kind != RouteKind.STREAM || balancer.shouldAbandon(attempt.endpoint.id, hasBegun)
 
     /** Waits for the next part for [limit]. */
     suspend fun awaitPart(limit: Duration): WaitResult =
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/AttemptRequests.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/AttemptRequests.kt
@@ -50,7 +50,6 @@
             requestId = request.head.headers.valueOf(dialect.requestId),
             silenceLimit = minOf(limit, end).coerceAtLeast(1.milliseconds),
             standby = standby.takeIf { triesAnother },
-            dependsOnGroup = triesAnother && route.kind == RouteKind.STREAM,
             timeLimit = end,
             events = expectedEvents(),
             pauseTarget = route.pauseTarget,
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/Exchange.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/Exchange.kt
@@ -23,7 +23,6 @@
  * @property requestId identifier that the endpoint must echo; null if the caller sent none
  * @property silenceLimit longest wait for the answer, and for the next event or piece of it, before [standby] is started
  * @property standby sends the request to another endpoint while this one is silent; null if only this one may have it
- * @property dependsOnGroup true if the state of the group of the endpoint decides whether another endpoint can help
  * @property timeLimit time after which the attempt ends if no answer has come
  * @property events what the events must be; null if the answer must be a body
  * @property pauseTarget pause between events up to which callers value a stream fully; null if there is none
@@ -39,7 +38,6 @@
     val requestId: String?,
     val silenceLimit: Duration,
     val standby: Standby?,
-    val dependsOnGroup: Boolean,
     val timeLimit: Duration,
     val events: ExpectedEvents?,
     val pauseTarget: Duration?,
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/PromptGate.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/PromptGate.kt
@@ -24,7 +24,9 @@
     private val prompt: List<PromptSegmentId>,
     private val clock: Clock,
 ) {
-    private var hasTrial = false
+    /** True if the request is the one trial of its service, which only one endpoint may have at a time. */
+    var hasTrial = false
+        private set
 
     /** True if the prompt has segments that other prompts may share; the last one is the request's own. */
     val hasSharedSegments: Boolean get() = prompt.size > 1
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/RequestAttempts.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/RequestAttempts.kt
@@ -1,5 +1,6 @@
 package org.cicadaturn.tasks.gateway
 
+import kotlinx.coroutines.CancellationException
 import org.cicadaturn.decisions.gateway.AttemptEnd
 import org.cicadaturn.decisions.gateway.AttemptHistory
 import org.cicadaturn.decisions.gateway.EndpointRequest
@@ -50,7 +51,7 @@
         isCurrent: () -> Boolean,
     ): AttemptResult {
         // Counted before the request is sent, as "not run" must not be answered once it may have been sent.
-        tried += endpoint.id
+        val isFirst = tried.add(endpoint.id)
         progress.sends += 1
         val observation = gate.observe(endpoint)
         val attempt =
@@ -61,12 +62,19 @@
                 onConnected = { if (isCurrent()) progress.earlierRequests = it },
                 onProgress = { recordProgress(observation, it, isCurrent()) },
             )
-        val result = exchange.run(attempt, sink)
+        val result =
+            try {
+                exchange.run(attempt, sink)
+            } catch (e: CancellationException) {
+                mayHaveRun = true
+                throw e
+            }
         observation.ended()
         if (result !is AttemptResult.Failed) return result
         if (result.isDisconnected && gate.hasSharedSegments) observation.lost()
         if (result.end == AttemptEnd.NOT_SENT) {
-            tried -= endpoint.id
+            // One that had the request before still counts.
+            if (isFirst) tried -= endpoint.id
             excluded += endpoint.id
             progress.sends -= 1
             unsent += 1
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/RequestExecution.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/RequestExecution.kt
@@ -72,13 +72,9 @@
     private var nextStandbyAt = Instant.DISTANT_PAST
 
     private fun timeLimit(): Duration {
-        val requested =
-            request.head.headers
-                .valueOf(dialect.deadlineMillis)
-                ?.trim()
-                ?.toLongOrNull()
-                ?.milliseconds
-        return minOf(requested ?: route.timeout, route.timeout)
+        val requested = request.head.headers.valueOf(dialect.deadlineMillis)
+        val limit = requested?.trim()?.toLongOrNull()?.milliseconds
+        return minOf(limit ?: route.timeout, route.timeout)
     }
 
     private fun remaining(): Duration = deadline - clock.now()
@@ -223,7 +219,7 @@
             hasReturned = timeSpent() > MIN_RETURN_TIME,
         )
 
-    /** Returns the time that the caller had spent on earlier attempts, as far as its deadline tells. */
+    /** Time that the caller had spent on earlier attempts, as far as its deadline tells. */
     private fun timeSpent(): Duration = (route.timeout - timeLimit()).coerceAtLeast(Duration.ZERO)
 
     private fun record(
@@ -290,15 +286,16 @@
         first: LiveEndpoint,
     ): EndedAttempt {
         var endpoint = first
-        var standby = standbyOf(scope, endpoint)
-        beginAt(endpoint)
+        var standby = standbyOf(scope, endpoint, isActive = true)
+        beginAt(endpoint, clock.now())
         var result = attempts.run(endpoint, remaining(), answer, standby, isCurrent = { true })
-        while (result is AttemptResult.Failed) {
+        while (result is AttemptResult.Failed && result.canContinue) {
             val next = standby.running ?: break
             record("attempt", endpoint, result.detail, NextStep.REPEAT, result)
             endpoint = next.endpoint
             standby = next.standby
-            beginAt(endpoint)
+            beginAt(endpoint, next.startedAt)
+            if (next.isAccepted) progress.begunAt = progress.begunAt ?: clock.now()
             next.promote()
             result = next.result.await()
         }
@@ -306,27 +303,33 @@
         return EndedAttempt(endpoint, result)
     }
 
-    private fun beginAt(endpoint: LiveEndpoint) {
+    private fun beginAt(
+        endpoint: LiveEndpoint,
+        time: Instant,
+    ) {
         progress.endpoint = endpoint.id
-        progress.placedAt = clock.now()
+        progress.placedAt = time
         progress.earlierRequests = null
     }
 
     private fun standbyOf(
         scope: CoroutineScope,
         endpoint: LiveEndpoint,
+        isActive: Boolean,
     ): EndpointStandby =
         EndpointStandby(
             scope,
             answer,
+            clock,
+            isActive,
             choose = { chooseBeside(endpoint) },
-            createNext = { standbyOf(scope, it) },
+            createNext = { standbyOf(scope, it, isActive = false) },
             run = ::runStandby,
         )
 
     /** Returns another endpoint than [silent] that can serve the request now, or null. */
     private suspend fun chooseBeside(silent: LiveEndpoint): LiveEndpoint? {
-        val canHelp = (!answer.isBegun || isResumable) && gate.isOpen() && canRepeatInTime()
+        val canHelp = (!answer.isBegun || isResumable) && gate.isOpen() && !gate.hasTrial && canRepeatInTime()
         if (!canHelp || clock.now() < nextStandbyAt) return null
         val request = attempts.endpointRequest(canWait = false, silent = silent.id)
         if (!balancer.canPlace(request)) return null
@@ -341,7 +344,9 @@
         val result =
             attempts.run(attempt.endpoint, remaining(), sink, attempt.standby, isCurrent = { attempt.isPromoted })
         if (result is AttemptResult.Failed && !attempt.isPromoted) {
-            record("attempt", attempt.endpoint, result.detail, null, result)
+            // A failure is the answer of the service; its caller may have time for a retry of its own.
+            if (result.end == AttemptEnd.FAILED && !answer.isBegun) attempt.awaitTurn()
+            if (!attempt.isPromoted) record("attempt", attempt.endpoint, result.detail, null, result)
             nextStandbyAt = clock.now() + HOLD_PAUSE * progress.sends
         }
         return result
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/Standby.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/Standby.kt
@@ -8,6 +8,8 @@
 import org.cicadaturn.decisions.gateway.StreamEvent
 import org.cicadaturn.schema.generated.LiveEndpoint
 import org.cicadaturn.tasks.http.ResponseHead
+import kotlin.time.Clock
+import kotlin.time.Instant
 
 /**
  * Sends a request to another endpoint while the endpoint of an attempt is silent.
@@ -29,10 +31,16 @@
     fun cancel(): Boolean
 }
 
-/** Attempt at [endpoint] beside one that is silent. */
+/**
+ * Attempt at [endpoint] beside one that is silent.
+ *
+ * @property standby standby of this attempt, which can start once this attempt is the only one
+ * @property startedAt time at which the request was sent to [endpoint]
+ */
 internal class StandbyAttempt(
     val endpoint: LiveEndpoint,
     val standby: EndpointStandby,
+    val startedAt: Instant,
     private val abandon: () -> Unit,
 ) {
     private val released = CompletableDeferred<Unit>()
@@ -50,6 +58,7 @@
     /** Makes this attempt the only one, as the one before it has ended, whose connection may be in use again. */
     fun promote() {
         isAccepted = true
+        standby.activate()
         released.complete(Unit)
     }
 
@@ -66,7 +75,11 @@
 /**
  * Standby of one attempt. Used by the coroutines of one request, which all run on the event loop of the process.
  *
+ * At most two attempts of a request run at once: the standby of an attempt that stands by is not active. Otherwise two
+ * silent endpoints would have the request sent to each other in turn.
+ *
  * @param scope scope of the request
+ * @param isActive true if its attempt is the only one of the request
  * @param choose returns the endpoint to which the request is sent as well, or null if none can serve it now
  * @param createNext returns the standby of an attempt at the given endpoint
  * @param run runs an attempt, which writes to the given sink
@@ -74,6 +87,8 @@
 internal class EndpointStandby(
     private val scope: CoroutineScope,
     private val answer: AnswerSink,
+    private val clock: Clock,
+    private var isActive: Boolean,
     private val choose: suspend () -> LiveEndpoint?,
     private val createNext: (LiveEndpoint) -> EndpointStandby,
     private val run: suspend (StandbyAttempt, AnswerSink) -> AttemptResult,
@@ -86,15 +101,20 @@
     override val isAccepted: Boolean get() = running?.isAccepted == true
 
     override suspend fun start(abandon: () -> Unit) {
-        if (running != null) return
+        if (!isActive || running != null) return
         val endpoint = choose() ?: return
-        val attempt = StandbyAttempt(endpoint, createNext(endpoint), abandon)
+        val attempt = StandbyAttempt(endpoint, createNext(endpoint), clock.now(), abandon)
         // Started at once, so that the end of an attempt that is cancelled before it runs is counted as well.
         attempt.result =
             scope.async(start = CoroutineStart.UNDISPATCHED) { run(attempt, StandbySink(answer, attempt::awaitTurn)) }
         other = attempt
     }
 
+    /** Lets this standby start, as its attempt is the only one now. */
+    fun activate() {
+        isActive = true
+    }
+
     override fun cancel(): Boolean {
         if (isAccepted) return false
         close()
