Count the time of a stop from its signal

Over 251 stops the delay was 7 to 8 ms in the median and over 0.3 s in 11.

Cause: the stop began when the event loop took it up, and all its times were counted from there. On a busy machine the loop is late, but the platform counts from its signal.

Change: the thread of the signal takes the time, the stop ends by it, and a late begin is logged. Connections are accepted until readiness checks have failed, as before, but not beyond the end.

--- a/daemons/src/main/kotlin/org/cicadaturn/daemons/Gateway.kt
+++ b/daemons/src/main/kotlin/org/cicadaturn/daemons/Gateway.kt
@@ -16,6 +16,7 @@
 import sun.misc.Signal
 import java.nio.file.Path
 import java.security.SecureRandom
+import java.util.concurrent.atomic.AtomicReference
 import kotlin.random.Random
 import kotlin.time.Clock
 import kotlin.time.Instant
@@ -26,7 +27,9 @@
     // Settings are read only at start. Without a handler, SIGHUP would end the process.
     Signal.handle(Signal("HUP")) { }
     val runtime = httpRuntime(endOnFatalErrors())
-    val stop = stopSignal()
+    val clock = monotonicClock()
+    val stopRequestedAt = AtomicReference<Instant?>()
+    val stop = stopSignal { stopRequestedAt.set(clock.now()) }
     val failure = CompletableDeferred<Unit>()
     val dependencies =
         GatewayDependencies(
@@ -34,11 +37,12 @@
             store = platformStore(httpConnector(runtime), file.store.address, file.store.timeout),
             rankClient = ::platformRankClient,
             dialect = platformDialect,
-            clock = monotonicClock(),
+            clock = clock,
             suspendAwareClock = suspendAwareClock(),
             wallClock = Clock.System,
             random = Random(SecureRandom().nextLong()),
             requestStop = { failure.complete(Unit) },
+            stopRequestedAt = stopRequestedAt::get,
         )
     return runBlocking {
         val node = gatewayNode(file, dependencies)
--- a/daemons/src/main/kotlin/org/cicadaturn/daemons/Nodes.kt
+++ b/daemons/src/main/kotlin/org/cicadaturn/daemons/Nodes.kt
@@ -31,6 +31,7 @@
 import java.io.FileOutputStream
 import java.nio.file.Path
 import java.security.SecureRandom
+import java.util.concurrent.atomic.AtomicBoolean
 import kotlin.io.path.moveTo
 import kotlin.io.path.writeText
 import kotlin.random.Random
@@ -90,15 +91,25 @@
 private val logger = LogManager.getLogger("org.cicadaturn.daemons.Nodes")
 
 /**
- * Returns a deferred that completes on the first SIGTERM or SIGINT; a SIGINT after it ends the process immediately.
+ * Returns a deferred that completes on the first SIGTERM or SIGINT, after a call of [onSignal] in the thread of the
+ * signal; a SIGINT after it ends the process immediately.
  *
  * A further SIGTERM is ignored, as platforms and scripts send it more than once and end a process that takes too long
  * with SIGKILL.
  */
-internal fun stopSignal(): CompletableDeferred<Unit> {
+internal fun stopSignal(onSignal: () -> Unit = {}): CompletableDeferred<Unit> {
     val stop = CompletableDeferred<Unit>()
-    Signal.handle(Signal("TERM")) { stop.complete(Unit) }
-    Signal.handle(Signal("INT")) { if (!stop.complete(Unit)) Runtime.getRuntime().halt(FAILED_RUN) }
+    val signalled = AtomicBoolean()
+    val request = {
+        val isFirst = signalled.compareAndSet(false, true)
+        if (isFirst) {
+            onSignal()
+            stop.complete(Unit)
+        }
+        isFirst
+    }
+    Signal.handle(Signal("TERM")) { request() }
+    Signal.handle(Signal("INT")) { if (!request()) Runtime.getRuntime().halt(FAILED_RUN) }
     return stop
 }
 
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/GatewayNode.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/GatewayNode.kt
@@ -53,6 +53,7 @@
 import kotlin.time.Clock
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
+import kotlin.time.Instant
 
 /**
  * Dependencies of a gateway process.
@@ -62,6 +63,7 @@
  * @property suspendAwareClock clock that also advances while the machine is suspended
  * @property wallClock time of day
  * @property requestStop called when a task without which this process cannot serve goes on failing
+ * @property stopRequestedAt returns when this process was asked to stop, by [clock], or null if that is not known
  * @property journal receives a line for each decision about a request
  */
 public class GatewayDependencies(
@@ -74,6 +76,7 @@
     public val wallClock: Clock,
     public val random: Random,
     public val requestStop: () -> Unit,
+    public val stopRequestedAt: () -> Instant? = { null },
     public val journal: RequestJournal = requestJournal(),
 )
 
@@ -304,7 +307,7 @@
     override suspend fun stop(): Int =
         withContext(dependencies.runtime.dispatcher) {
             lease.release()
-            val cut = shutdown.run { callerListener.close() }
+            val cut = shutdown.run(dependencies.stopRequestedAt()) { callerListener.close() }
             // Each request that is still open writes its last line.
             withTimeoutOrNull(MAX_CANCEL_TIME) { scope.coroutineContext.job.cancelAndJoin() }
             cut
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/Shutdown.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/Shutdown.kt
@@ -70,15 +70,25 @@
     /**
      * Accepts connections until readiness checks have failed, then calls [closeListener] and waits for the connections
      * that are not idle. Returns the number of requests that are still in progress at the end.
+     *
+     * The platform counts the stop timeout from its signal, so the stop ends by [requestedAt], or by the present if that
+     * is null. Readiness is withdrawn only now: on a busy machine the event loop may begin the stop seconds later.
      */
-    suspend fun run(closeListener: suspend () -> Unit): Int {
+    suspend fun run(
+        requestedAt: Instant? = null,
+        closeListener: suspend () -> Unit,
+    ): Int {
         logger.info("gateway: stopping with {} requests in progress", inProgress)
         val start = clock.now()
-        val end = start + stopTimeout - STOP_RESERVE
-        val closedAt = start + UNREADY_TIME - SIGNAL_DELAY
+        val signalledAt = requestedAt ?: start
+        if (start - signalledAt > SIGNAL_DELAY) {
+            logger.warn("gateway: the stop begins {} ms after its signal", (start - signalledAt).inWholeMilliseconds)
+        }
+        val end = signalledAt + stopTimeout - STOP_RESERVE
+        val closedAt = signalledAt + UNREADY_TIME - SIGNAL_DELAY
         times = StopTimes(start, unreadyAt = start + READINESS_DELAY, closedAt, endsAt = end)
         stopStarted.complete()
-        delay(UNREADY_TIME)
+        delay(minOf(UNREADY_TIME, end - start))
         closeListener()
         // The requests that have reached the sockets before are read meanwhile.
         delay(STOP_POLL)
@@ -108,7 +118,7 @@
          */
         val UNREADY_TIME = READINESS_DELAY + 1.seconds
 
-        /** Longest time from the sending of the signal to the start of the stop, also on a busy machine. */
+        /** Usual longest time from the sending of the signal to the start of the stop. */
         val SIGNAL_DELAY = 100.milliseconds
         val STOP_POLL = 20.milliseconds
 
