Take no confirmation from a peer that lies behind an era

A peer's report says that a part has not changed since a position. One that had not read the restored store yet named a position of the older era, which is below any of the new one, and so seemed to confirm what this process had read.

Reports of an older era than the known one are ignored. The new test of StoreReportsTest was not run on the code before, which has no such condition; the one about a newer era passes without the change. Both pass now.

--- a/decisions/src/main/kotlin/org/cicadaturn/decisions/gateway/StoreReports.kt
+++ b/decisions/src/main/kotlin/org/cicadaturn/decisions/gateway/StoreReports.kt
@@ -123,6 +123,8 @@
         if (report == null) return
         val known = parts.getValue(part)
         val valid = validity(part) ?: return
+        // A peer that has not read the restored store says nothing about it.
+        if (report.changePosition.era < known.position.era) return
         known.confirmedUntil =
             if (report.changePosition <= known.position) {
                 maxOf(known.confirmedUntil, minOf(answeredAt - report.age, now) + valid)
--- a/decisions/src/test/kotlin/org/cicadaturn/decisions/gateway/StoreReportsTest.kt
+++ b/decisions/src/test/kotlin/org/cicadaturn/decisions/gateway/StoreReportsTest.kt
@@ -69,6 +69,23 @@
         assertEquals(start - 1.seconds, reports.confirmedUntil(part))
     }
 
+    /** Guards against a change in a restored store that is read late, as a peer confirms what was before the restore. */
+    @Test
+    fun `a peer that lies behind an era confirms nothing`() {
+        reports.answered(part, StorePosition(1, 5), isChanged = true, start)
+        reports.reported(report(10), start, start)
+        assertEquals(Instant.DISTANT_PAST, reports.confirmedUntil(part))
+    }
+
+    /** Guards against a restore that is learned of late, as its revisions are lower than the known ones. */
+    @Test
+    fun `a report of a newer era with a lower revision is a change`() {
+        val answer = StoreReport(1, Duration.ZERO, configuration = PartReport(StorePosition(1, 3), Duration.ZERO))
+        reports.reported(report(10), start, start)
+        reports.reported(answer, start, start)
+        assertEquals(start + 500.milliseconds, reports.confirmedUntil(part))
+    }
+
     /** Guards against processes that confirm each other's reports while the store answers none of them. */
     @Test
     fun `reports of a peer are not reported`() {
