Deny no request while only another part has shown a restore

The parts of the fleet learn of a restore one after the other. Until the configuration was read again it counted as current, so a route or key that was added after the restore could be answered 404 or 401.

The configuration is current only if no part is of a newer era. The new test of RestoredStoreTest was not run on the code before, which has no such condition.

--- a/decisions/src/main/kotlin/org/cicadaturn/decisions/gateway/FleetTracker.kt
+++ b/decisions/src/main/kotlin/org/cicadaturn/decisions/gateway/FleetTracker.kt
@@ -296,12 +296,15 @@
         val isConfirmed = source.isCurrent || now - source.relayedAt < MAX_RELAY_AGE
         return FleetState(
             view = view,
-            isConfigurationCurrent = isConfirmed && now >= supersededUntil,
+            isConfigurationCurrent = isConfirmed && now >= supersededUntil && isConfigurationOfNewestEra(),
             isKnown = view.configuration != null && hasEndpoints,
             missingQuarantine = quarantine.kept.mapNotNull { quarantine[it] },
         )
     }
 
+    private fun isConfigurationOfNewestEra(): Boolean =
+        FleetPart.entries.none { view.positionOf(it).era > view.configurationPosition.era }
+
     private fun removeExpired(now: Instant) {
         val next = nextKeptExpiry() ?: return
         if (next > now) return
--- a/decisions/src/test/kotlin/org/cicadaturn/decisions/gateway/RestoredStoreTest.kt
+++ b/decisions/src/test/kotlin/org/cicadaturn/decisions/gateway/RestoredStoreTest.kt
@@ -173,6 +173,17 @@
         assertTrue(tracker.state(start + 3.seconds).isConfigurationCurrent)
     }
 
+    /** Guards against 404 and 401 while only another part has shown that the store was restored. */
+    @Test
+    fun `a configuration of an older era than another part is not current`() {
+        list(FleetPart.CONFIGURATION, content(1, 500, configuration(9)))
+        list(FleetPart.ENDPOINTS, content(1, 500, endpoint("a")))
+        list(FleetPart.ENDPOINTS, content(2, 300, endpoint("a")))
+        assertFalse(tracker.state(start).isConfigurationCurrent)
+        list(FleetPart.CONFIGURATION, content(2, 300, configuration(9)))
+        assertTrue(tracker.state(start).isConfigurationCurrent)
+    }
+
     /** Guards against requests to an endpoint that has said that it leaves and that the copy lists in service. */
     @Test
     fun `an endpoint that left stays left until it starts anew`() {
