Withhold a removed endpoint anew after each restore

An endpoint that was removed without a word and that the copy lists is drained for 5 s. A second restore within that time did not begin it anew, although its copy lists the endpoint too.

RestoredStoreTest 'what is kept after a restore is kept after the next one' failed before ([c] in service 4 s after the second restore) and passes now.

--- a/decisions/src/main/kotlin/org/cicadaturn/decisions/gateway/EndpointEntries.kt
+++ b/decisions/src/main/kotlin/org/cicadaturn/decisions/gateway/EndpointEntries.kt
@@ -89,7 +89,8 @@
         removed.remove(id)
         if (leftBefore[id].let { it != null && it != endpoint.startedAt }) leftBefore.remove(id)
         if (endpoint.state == AdmissionState.DRAINED) left[id] = endpoint.startedAt else left.remove(id)
-        val wasRemoved = removedBefore.remove(id) == endpoint.startedAt
+        val wasWithheld = withheld[id]?.endpoint?.startedAt == endpoint.startedAt
+        val wasRemoved = removedBefore.remove(id) == endpoint.startedAt || wasWithheld
         if (isRestored && wasRemoved) withheld[id] = Withheld(endpoint, now + WITHHOLDING_TIME)
         val isDrained = isContradicted(endpoint) || withheld[id]?.endpoint?.startedAt == endpoint.startedAt
         entries.put(if (isDrained) endpoint.copy(state = AdmissionState.DRAINED) else endpoint)
--- a/decisions/src/test/kotlin/org/cicadaturn/decisions/gateway/RestoredStoreTest.kt
+++ b/decisions/src/test/kotlin/org/cicadaturn/decisions/gateway/RestoredStoreTest.kt
@@ -269,6 +269,26 @@
         assertEquals(emptyList<QuarantinedSegment>(), view(32.seconds).quarantine)
     }
 
+    /** Guards against what is known from before the first of two restores and is lost in the second. */
+    @Test
+    fun `what is kept after a restore is kept after the next one`() {
+        list(FleetPart.ENDPOINTS, content(1, 500, endpoint("a"), endpoint("b", AdmissionState.DRAINED), endpoint("c")))
+        list(FleetPart.DRAINED_DOMAINS, content(1, 500, domain))
+        list(FleetPart.CONFIGURATION, content(1, 500, configuration(9)))
+        change(FleetPart.ENDPOINTS, content(1, 501, gone("c")))
+        list(FleetPart.ENDPOINTS, content(2, 300, endpoint("b"), endpoint("c")))
+        list(FleetPart.DRAINED_DOMAINS, content(2, 300))
+        list(FleetPart.CONFIGURATION, content(2, 300, configuration(7)))
+        list(FleetPart.ENDPOINTS, content(3, 200, endpoint("b"), endpoint("c")), 2.seconds)
+        list(FleetPart.DRAINED_DOMAINS, content(3, 200), 2.seconds)
+        list(FleetPart.CONFIGURATION, content(3, 200, configuration(5)), 2.seconds)
+        assertEquals(setOf("a"), inService(4.seconds))
+        assertEquals(emptySet<String>(), inService(6.seconds), "c is withheld for 5 s after the second restore")
+        assertEquals(listOf(domain), view(31.seconds).drainedDomains)
+        assertEquals(9L, version(31.seconds))
+        assertFalse(tracker.state(start + 31.seconds).isConfigurationCurrent)
+    }
+
     /** Guards against a process that is cut off from the store and forgets what it knew when a peer tells of the copy. */
     @Test
     fun `a restored state that a peer relays is merged like one from the store`() {
