--- a/decisions/src/test/kotlin/org/cicadaturn/decisions/gateway/RestoredStoreTest.kt
+++ b/decisions/src/test/kotlin/org/cicadaturn/decisions/gateway/RestoredStoreTest.kt
@@ -173,6 +173,17 @@
         assertTrue(tracker.state(start + 3.seconds).isConfigurationCurrent)
     }
 
+    /** Guards against 404 and 401 while only another part has shown that the store was restored. */
+    @Test
+    fun `a configuration of an older era than another part is not current`() {
+        list(FleetPart.CONFIGURATION, content(1, 500, configuration(9)))
+        list(FleetPart.ENDPOINTS, content(1, 500, endpoint("a")))
+        list(FleetPart.ENDPOINTS, content(2, 300, endpoint("a")))
+        assertFalse(tracker.state(start).isConfigurationCurrent)
+        list(FleetPart.CONFIGURATION, content(2, 300, configuration(9)))
+        assertTrue(tracker.state(start).isConfigurationCurrent)
+    }
+
     /** Guards against requests to an endpoint that has said that it leaves and that the copy lists in service. */
     @Test
     fun `an endpoint that left stays left until it starts anew`() {
@@ -258,6 +269,26 @@
         assertEquals(emptyList<QuarantinedSegment>(), view(32.seconds).quarantine)
     }
 
+    /** Guards against what is known from before the first of two restores and is lost in the second. */
+    @Test
+    fun `what is kept after a restore is kept after the next one`() {
+        list(FleetPart.ENDPOINTS, content(1, 500, endpoint("a"), endpoint("b", AdmissionState.DRAINED), endpoint("c")))
+        list(FleetPart.DRAINED_DOMAINS, content(1, 500, domain))
+        list(FleetPart.CONFIGURATION, content(1, 500, configuration(9)))
+        change(FleetPart.ENDPOINTS, content(1, 501, gone("c")))
+        list(FleetPart.ENDPOINTS, content(2, 300, endpoint("b"), endpoint("c")))
+        list(FleetPart.DRAINED_DOMAINS, content(2, 300))
+        list(FleetPart.CONFIGURATION, content(2, 300, configuration(7)))
+        list(FleetPart.ENDPOINTS, content(3, 200, endpoint("b"), endpoint("c")), 2.seconds)
+        list(FleetPart.DRAINED_DOMAINS, content(3, 200), 2.seconds)
+        list(FleetPart.CONFIGURATION, content(3, 200, configuration(5)), 2.seconds)
+        assertEquals(setOf("a"), inService(4.seconds))
+        assertEquals(emptySet<String>(), inService(6.seconds), "c is withheld for 5 s after the second restore")
+        assertEquals(listOf(domain), view(31.seconds).drainedDomains)
+        assertEquals(9L, version(31.seconds))
+        assertFalse(tracker.state(start + 31.seconds).isConfigurationCurrent)
+    }
+
     /** Guards against a process that is cut off from the store and forgets what it knew when a peer tells of the copy. */
     @Test
     fun `a restored state that a peer relays is merged like one from the store`() {
