--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/GatewayDialect.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/GatewayDialect.kt
@@ -1,6 +1,7 @@
 package org.cicadaturn.tasks.gateway
 
 import org.cicadaturn.decisions.gateway.AnswerHead
+import org.cicadaturn.decisions.gateway.EndpointNotice
 import org.cicadaturn.decisions.gateway.LoadSample
 import org.cicadaturn.decisions.ratelimit.NamedLimit
 import org.cicadaturn.schema.generated.Header
@@ -23,6 +24,7 @@
  * @property promptOf returns the segments of the prompt that the headers of a request name, in order; empty if it has none
  * @property loadOf returns the load that an endpoint reported in the headers of an answer, or null
  * @property limitOf returns what the headers of an answer say about the rate of requests that its endpoint takes
+ * @property noticeOf returns what an answer says about the end of its endpoint and about a pause in requests
  */
 public data class GatewayDialect(
     val requestId: String,
@@ -36,6 +38,7 @@
     val promptOf: (List<Header>) -> List<PromptSegmentId>,
     val loadOf: (List<Header>) -> LoadSample?,
     val limitOf: (List<Header>) -> NamedLimit,
+    val noticeOf: (ResponseHead) -> EndpointNotice,
 )
 
 /** Returns what decides how the answer with [head] is read; only headers that reach the caller count. */
--- a/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/TestGateway.kt
+++ b/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/TestGateway.kt
@@ -1,7 +1,10 @@
 package org.cicadaturn.tasks.gateway
 
 import kotlinx.coroutines.runBlocking
+import org.cicadaturn.decisions.gateway.EndpointNotice
 import org.cicadaturn.decisions.gateway.FleetChange
+import org.cicadaturn.decisions.gateway.LeavingNotice
+import org.cicadaturn.decisions.gateway.PauseNotice
 import org.cicadaturn.decisions.ratelimit.NamedLimit
 import org.cicadaturn.schema.generated.AdmissionState
 import org.cicadaturn.schema.generated.CallerLimits
@@ -27,6 +30,7 @@
 import org.cicadaturn.tasks.FatalErrorHandler
 import org.cicadaturn.tasks.Node
 import org.cicadaturn.tasks.experts.RankClient
+import org.cicadaturn.tasks.http.ResponseHead
 import org.cicadaturn.tasks.http.httpRuntime
 import org.cicadaturn.tasks.http.valueOf
 import java.net.Socket
@@ -194,8 +198,26 @@
         promptOf = promptOf,
         loadOf = { null },
         limitOf = ::testLimit,
+        noticeOf = ::testNotice,
     )
 
+private fun testNotice(head: ResponseHead): EndpointNotice {
+    val leaving = head.headers.valueOf("X-Leaving")
+    val seconds = head.headers.valueOf("X-Pause")?.takeIf { head.status == 503 }
+    return EndpointNotice(
+        when (leaving) {
+            null -> LeavingNotice.None
+            "1" -> LeavingNotice.Announced
+            else -> LeavingNotice.Unreadable(leaving)
+        },
+        when (seconds) {
+            null -> PauseNotice.None
+            else ->
+                seconds.toDoubleOrNull()?.let { PauseNotice.Requested(it.seconds) } ?: PauseNotice.Unreadable(seconds)
+        },
+    )
+}
+
 private fun testLimit(headers: List<Header>): NamedLimit {
     val values = headers.filter { it.name.equals("X-Limit", ignoreCase = true) }.map { it.value }
     val numbers = values.mapNotNull { it.toDoubleOrNull() }
