Bind endpoints that leave or pause at once

Answers that are believed (successes, refusals, failures) now pass on what they say; those of another request or endpoint, without a signature or with status 421 do not. Peers tell each other about endpoints that leave with the exchange of limits; a pause is said to one process and is not told. Logs, metrics and the state dump show why an endpoint gets nothing and until when. LimitExchangeTest gets the new dependency, none of its checks changed.

--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/AttemptExecution.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/AttemptExecution.kt
@@ -5,10 +5,12 @@
 import org.cicadaturn.decisions.gateway.AnswerVerdict
 import org.cicadaturn.decisions.gateway.AttemptEnd
 import org.cicadaturn.decisions.gateway.BodyFraming
+import org.cicadaturn.decisions.gateway.EndpointNotice
 import org.cicadaturn.decisions.gateway.EndpointUse
 import org.cicadaturn.decisions.gateway.EventBatch
 import org.cicadaturn.decisions.gateway.ExpectedAnswer
 import org.cicadaturn.decisions.gateway.ExpectedEvents
+import org.cicadaturn.decisions.gateway.PauseNotice
 import org.cicadaturn.decisions.gateway.StreamEvent
 import org.cicadaturn.decisions.gateway.eventStream
 import org.cicadaturn.decisions.gateway.verdictOn
@@ -39,6 +41,9 @@
     /** Number of events received; null before the head of a stream. */
     private var events: Int? = null
 
+    private var notice = EndpointNotice()
+    private val asksForPause: Boolean get() = notice.pause is PauseNotice.Requested
+
     /** What the answer looks like; null before its head, and for a failure of the endpoint. */
     private var summary: AnswerSummary? = null
 
@@ -94,6 +99,8 @@
         dialect.loadOf(head.headers)?.let { balancer.loadReported(attempt.endpoint.id, it) }
         if (head.status == MISDIRECTED_REQUEST) return
         balancer.limits.named(attempt.endpoint.id, dialect.limitOf(head.headers), start)
+        notice = dialect.noticeOf(head)
+        if (!notice.isEmpty) balancer.notices.noticed(attempt.endpoint, notice, attempt.requestId)
     }
 
     private fun accepted() {
@@ -117,12 +124,21 @@
         allowReuse(head)
         val isNotExecuted = head.headers.valueOf(dialect.notExecuted) != null || head.status == MISDIRECTED_REQUEST
         if (isNotExecuted) {
-            use = EndpointUse.Refused(hadFreePlaces = hasFreePlaces(head))
+            use = EndpointUse.Refused(hadFreePlaces = hasFreePlaces(head), isPause = asksForPause)
             return AttemptResult.Failed(AttemptEnd.NOT_EXECUTED, "refused with ${head.status}")
         }
         // The caller would take this status as proof that the request was not run, but the endpoint did not say so.
         if (head.status in NOT_EXECUTED_STATUSES) {
-            return failed(AttemptEnd.BROKEN, "status ${head.status} without a denial")
+            val use =
+                if (asksForPause) {
+                    EndpointUse.Refused(
+                        hadFreePlaces = false,
+                        isPause = true,
+                    )
+                } else {
+                    EndpointUse.Failed
+                }
+            return failed(AttemptEnd.BROKEN, "status ${head.status} without a denial", use)
         }
         if (head.status < SERVER_ERROR && !sink.isBegun) return deliver(head, body)
         use = EndpointUse.Failed
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/BalancerMessage.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/BalancerMessage.kt
@@ -5,13 +5,17 @@
 import org.cicadaturn.decisions.dispatch.DispatchTicket
 import org.cicadaturn.decisions.dispatch.GroupReport
 import org.cicadaturn.decisions.gateway.EndpointBalancer
+import org.cicadaturn.decisions.gateway.EndpointNotice
 import org.cicadaturn.decisions.gateway.EndpointRequest
 import org.cicadaturn.decisions.gateway.EndpointUse
 import org.cicadaturn.decisions.gateway.FleetState
 import org.cicadaturn.decisions.gateway.LoadSample
 import org.cicadaturn.decisions.ratelimit.NamedLimit
+import org.cicadaturn.schema.generated.DepartureReport
 import org.cicadaturn.schema.generated.EndpointId
 import org.cicadaturn.schema.generated.EndpointLimitReport
+import org.cicadaturn.schema.generated.LiveEndpoint
+import org.cicadaturn.schema.generated.ProcessId
 import org.cicadaturn.schema.generated.ServiceId
 import kotlin.time.Instant
 
@@ -81,8 +85,21 @@
         val reports: List<EndpointLimitReport>,
     ) : BalancerMessage
 
-    /** Request for what is known about limits; [fallback] is the reply if [read] fails. */
-    class ReadLimits<T>(
+    /** What the answer to the request with [requestId] says about [endpoint], as that was when the request was sent. */
+    class Noticed(
+        val endpoint: LiveEndpoint,
+        val notice: EndpointNotice,
+        val requestId: String?,
+    ) : BalancerMessage
+
+    /** Endpoints that leave, as [sender] reports. */
+    class DeparturesReported(
+        val reports: List<DepartureReport>,
+        val sender: ProcessId?,
+    ) : BalancerMessage
+
+    /** Request for a part of what the balancer knows; [fallback] is the reply if [read] fails. */
+    class ReadState<T>(
         val read: (EndpointBalancer, Instant) -> T,
         val fallback: T,
         val reply: CompletableDeferred<T>,
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/EndpointLimits.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/EndpointLimits.kt
@@ -1,6 +1,5 @@
 package org.cicadaturn.tasks.gateway
 
-import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.channels.ReceiveChannel
 import org.cicadaturn.decisions.gateway.EndpointBalancer
@@ -56,15 +55,9 @@
 
     override fun reported(reports: List<EndpointLimitReport>) = send(BalancerMessage.LimitsReported(reports))
 
-    override suspend fun takeNews(): List<EndpointLimitReport> = read(EndpointBalancer::takeLimitNews)
+    override suspend fun takeNews(): List<EndpointLimitReport> = readState(send, EndpointBalancer::takeLimitNews)
 
-    override suspend fun reports(): List<EndpointLimitReport> = read(EndpointBalancer::limitReports)
+    override suspend fun reports(): List<EndpointLimitReport> = readState(send, EndpointBalancer::limitReports)
 
-    override suspend fun status(): List<EndpointLimitStatus> = read(EndpointBalancer::limitStatus)
-
-    private suspend fun <T> read(read: (EndpointBalancer, Instant) -> List<T>): List<T> {
-        val reply = CompletableDeferred<List<T>>()
-        send(BalancerMessage.ReadLimits(read, emptyList(), reply))
-        return reply.await()
-    }
+    override suspend fun status(): List<EndpointLimitStatus> = readState(send, EndpointBalancer::limitStatus)
 }
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/GatewayAdmin.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/GatewayAdmin.kt
@@ -10,6 +10,7 @@
 import kotlinx.serialization.json.jsonObject
 import kotlinx.serialization.json.put
 import org.cicadaturn.decisions.gateway.FleetState
+import org.cicadaturn.decisions.gateway.WithheldEndpoint
 import org.cicadaturn.decisions.ratelimit.EndpointLimitStatus
 import org.cicadaturn.schema.generated.FleetView
 import org.cicadaturn.schema.generated.Header
@@ -25,7 +26,8 @@
     private val isReady: () -> Boolean,
     private val state: () -> FleetState,
     private val segments: suspend () -> List<SegmentStatus>,
-    private val limits: suspend () -> List<EndpointLimitStatus>,
+    private val balancer: Balancer,
+    private val notices: NoticeMetrics,
 ) {
     /** Answers the requests on [link] until the connection ends. */
     suspend fun serve(link: HttpLink) {
@@ -53,21 +55,27 @@
             else -> Triple(NOT_FOUND, TEXT, "use /healthz, /readyz, /metrics or /dump\n".encodeToByteArray())
         }
 
-    private fun scrape(): ByteArray {
+    private suspend fun scrape(): ByteArray {
+        // A pause ends without a message, so the endpoints are counted when they are asked for.
+        notices.withheld(balancer.notices.withheld())
         val out = ByteArrayOutputStream()
         PrometheusTextFormatWriter.create().write(out, registry.scrape())
         return out.toByteArray()
     }
 
-    /** Returns the fleet view as JSON, without the keys of organisations, suspected prompt segments, and limits of endpoints. */
+    /**
+     * Returns the fleet view as JSON, without the keys of organisations, suspected prompt segments, limits of endpoints, and
+     * endpoints that get no requests.
+     */
     private suspend fun dump(): ByteArray {
         val view = state().view
         val tenancies = view.configuration?.tenancies?.map { it.copy(keys = emptyList()) }
         val shown = view.copy(configuration = view.configuration?.copy(tenancies = tenancies))
         val fleet = Json.encodeToJsonElement(FleetView.serializer(), shown).jsonObject
         val suspected = Json.encodeToJsonElement(ListSerializer(SegmentStatus.serializer()), segments())
-        val limited = JsonArray(limits().map { jsonOf(it) })
-        val added = mapOf("suspectedSegments" to suspected, "endpointLimits" to limited)
+        val limited = JsonArray(balancer.limits.status().map { jsonOf(it) })
+        val withheld = JsonArray(balancer.notices.withheld().map { jsonOf(it) })
+        val added = mapOf("suspectedSegments" to suspected, "endpointLimits" to limited, "withheld" to withheld)
         return JsonObject(fleet + added).toString().encodeToByteArray()
     }
 
@@ -80,6 +88,14 @@
             put("confirmedMsAgo", status.confirmedBefore.inWholeMilliseconds)
         }
 
+    private fun jsonOf(withheld: WithheldEndpoint): JsonObject =
+        buildJsonObject {
+            put("endpoint", withheld.endpoint.text)
+            put("reason", withheld.reason.text)
+            put("remainingMs", withheld.remaining?.inWholeMilliseconds)
+            withheld.departure?.let { put("source", it.source.text) }
+        }
+
     private companion object {
         const val TEXT = "text/plain; charset=utf-8"
         const val OK = 200
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/GatewayNode.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/GatewayNode.kt
@@ -17,6 +17,7 @@
 import org.cicadaturn.decisions.gateway.EventNumbering
 import org.cicadaturn.decisions.gateway.FleetPart
 import org.cicadaturn.decisions.gateway.RouteTable
+import org.cicadaturn.decisions.gateway.Unavailability
 import org.cicadaturn.decisions.gateway.endpointBalancer
 import org.cicadaturn.decisions.gateway.fleetWatchTimes
 import org.cicadaturn.decisions.gateway.reportTimes
@@ -33,6 +34,7 @@
 import org.cicadaturn.schema.generated.PledgeAnswer
 import org.cicadaturn.schema.generated.PledgeRequest
 import org.cicadaturn.schema.generated.ProcessId
+import org.cicadaturn.schema.generated.ServiceId
 import org.cicadaturn.tasks.Node
 import org.cicadaturn.tasks.Supervisor
 import org.cicadaturn.tasks.experts.Lease
@@ -130,8 +132,9 @@
     private val rankClient = dependencies.rankClient(connector, startPool(), memory)
     private val peerTasks = PeerTasks(scope, peer, fleet, connector, dependencies, supervisor)
     private val limitMetrics = LimitMetrics(registry)
+    private val noticeMetrics = NoticeMetrics(registry)
     private val balancer = startRequestBalancer()
-    private val limitExchange = peerTasks.startLimitExchange(balancer.limits, limitMetrics)
+    private val limitExchange = peerTasks.startLimitExchange(balancer, limitMetrics)
     private val exchange = Exchange(connector, pool, balancer, dependencies.dialect, dependencies.clock, memory)
     private val lease = leaseOfPlacement()
     private val shutdown = StopSequence(file.process.stopTimeout, dependencies.clock) { balancer.isIsolated.value }
@@ -141,7 +144,7 @@
     private val quarantineMetrics = QuarantineMetrics(registry)
     private val quarantine = peerTasks.startQuarantine(quarantineMetrics)
     private val admin =
-        GatewayAdmin(registry, ::isReady, { fleet.state.value }, quarantine::status, balancer.limits::status)
+        GatewayAdmin(registry, ::isReady, { fleet.state.value }, quarantine::status, balancer, noticeMetrics)
     private val handler =
         RequestHandler(
             RequestDependencies(
@@ -206,11 +209,28 @@
         val dispatcher = dispatcher(endpoints, dependencies.random::nextDouble)
         return startBalancer(
             scope,
-            BalancerDependencies(endpoints, dispatcher, fleet, askGroup, dependencies.clock, limitMetrics::held),
+            BalancerDependencies(
+                endpoints,
+                dispatcher,
+                fleet,
+                askGroup,
+                dependencies.clock,
+                ::recordWithheld,
+                noticeMetrics::noticed,
+            ),
             supervisor,
         )
     }
 
+    private fun recordWithheld(
+        service: ServiceId,
+        cause: Unavailability,
+        action: LimitAction,
+    ) {
+        if (cause == Unavailability.AT_NAMED_LIMIT) limitMetrics.held(service, action)
+        if (cause != Unavailability.AT_NAMED_LIMIT) noticeMetrics.held(service, cause, action)
+    }
+
     private fun peerService(): PeerService =
         PeerService(fleet::ownView, ::pledge, quarantine::receive, limitExchange::receive, fleet::storeReport)
 
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/LimitExchange.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/LimitExchange.kt
@@ -16,6 +16,7 @@
 import kotlinx.coroutines.selects.onTimeout
 import kotlinx.coroutines.selects.select
 import org.apache.logging.log4j.LogManager
+import org.cicadaturn.schema.generated.DepartureReport
 import org.cicadaturn.schema.generated.EndpointId
 import org.cicadaturn.schema.generated.EndpointLimitReport
 import org.cicadaturn.schema.generated.GatewayPeer
@@ -28,7 +29,7 @@
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.Instant
 
-/** Task that tells other gateways which limits endpoints name, and learns from them. */
+/** Task that tells other gateways which limits endpoints name and which endpoints leave, and learns from them. */
 internal interface LimitExchange {
     /** Adds the [news] of another process and returns what it should know. */
     suspend fun receive(news: LimitNews): LimitNews
@@ -38,12 +39,14 @@
  * Dependencies of the limit exchange.
  *
  * @property limits limits that this process knows
+ * @property notices endpoints that leave, as far as this process knows
  * @property exchange sends news to a process and returns its answer, or null if there is none within its time limit
  * @property clock monotonic clock
  */
 internal class LimitExchangeDependencies(
     val self: ProcessId,
     val limits: EndpointLimits,
+    val notices: ReportedNotices,
     val fleet: Fleet,
     val exchange: suspend (GatewayPeer, LimitNews) -> LimitNews?,
     val metrics: LimitMetrics,
@@ -71,6 +74,7 @@
 ) : LimitExchange {
     private val self = dependencies.self
     private val limits = dependencies.limits
+    private val notices = dependencies.notices
     private val metrics = dependencies.metrics
     private val clock = dependencies.clock
     private val log = LimitLog()
@@ -143,10 +147,13 @@
         val news = message.news
         news.reports.forEach { reported[it.endpoint] = it to news.sender }
         limits.reported(news.reports)
-        if (refreshAt == null && news.reports.isNotEmpty()) refreshAt = clock.now() + REFRESH_INTERVAL
+        if (news.departures.isNotEmpty()) notices.departuresReported(news.departures, news.sender)
+        val isEmpty = news.reports.isEmpty() && news.departures.isEmpty()
+        if (refreshAt == null && !isEmpty) refreshAt = clock.now() + REFRESH_INTERVAL
         val reply = message.reply ?: return
         val known = limits.reports()
-        reply.complete(LimitNews(if (news.isQuery) known else known.newerThan(news.reports), sender = self))
+        val departures = if (news.isQuery) notices.departures() else emptyList()
+        reply.complete(LimitNews(if (news.isQuery) known else known.newerThan(news.reports), departures, sender = self))
     }
 
     private suspend fun sendChanges(now: Instant) {
@@ -156,7 +163,7 @@
         val changes = limits.takeNews()
         log.textsOf(changes, ::sourceOf).forEach { logger.info("limits: {}", it) }
         reported.clear()
-        send(changes, chosenPeers(PEERS_PER_CHANGE))
+        send(changes, notices.takeDepartures(), chosenPeers(PEERS_PER_CHANGE))
         metrics.limits(limits.status())
     }
 
@@ -178,22 +185,29 @@
                 .mapTo(HashSet()) { it.id },
         )
         if (sendAt == null) reported.clear()
-        refreshAt = if (known.isEmpty()) null else now + REFRESH_INTERVAL
-        send(known.shuffled(dependencies.random).take(REPORTS_PER_MESSAGE), chosenPeers(1))
+        val departures = notices.departures(lately = true)
+        refreshAt = if (known.isEmpty() && departures.isEmpty()) null else now + REFRESH_INTERVAL
+        send(known.shuffled(dependencies.random).take(REPORTS_PER_MESSAGE), departures, chosenPeers(1))
         metrics.limits(limits.status())
     }
 
-    /** Sends [reports] to [peers]; a process that does not answer delays no other, and calls end with their time limit. */
+    /**
+     * Sends [reports] and [departures] to [peers]; a process that does not answer delays no other, and calls end with
+     * their time limit.
+     */
     private fun send(
         reports: List<EndpointLimitReport>,
+        departures: List<DepartureReport>,
         peers: List<GatewayPeer>,
     ) {
-        for (part in reports.chunked(REPORTS_PER_MESSAGE)) {
-            val news = LimitNews(part, sender = self)
+        val messages =
+            reports.chunked(REPORTS_PER_MESSAGE).map { LimitNews(it, sender = self) } +
+                departures.chunked(REPORTS_PER_MESSAGE).map { LimitNews(departures = it, sender = self) }
+        for (news in messages) {
             peers.forEach { peer ->
                 scope.launch {
                     val answer = supervisor.attempt(TASK, "a call to a peer") { Answer(call(peer, news)) }
-                    answer?.news?.takeIf { it.reports.isNotEmpty() }?.let {
+                    answer?.news?.takeIf { it.reports.isNotEmpty() || it.departures.isNotEmpty() }?.let {
                         received.trySend(ReceivedLimits(it, reply = null))
                     }
                 }
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/LimitLog.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/LimitLog.kt
@@ -69,7 +69,7 @@
  * concurrent use.
  */
 internal class UnreadableLimits {
-    private val loggedAt = LinkedHashMap<EndpointId, Instant>()
+    private val lines = LineIntervals<EndpointId>(INTERVAL)
 
     /** Returns the text for [limit] of [endpoint], or null if there was one a short time ago. */
     fun textOf(
@@ -77,20 +77,12 @@
         limit: NamedLimit.Unreadable,
         now: Instant,
     ): String? {
-        val last = loggedAt[endpoint]
-        if (last != null && now - last < INTERVAL) return null
-        loggedAt.remove(endpoint)
-        loggedAt[endpoint] = now
-        if (loggedAt.size > MAX_ENDPOINTS) loggedAt.remove(loggedAt.keys.first())
-        val text = limit.text.map { if (it.isISOControl()) '?' else it }.joinToString("")
-        return "${endpoint.text} names a limit that cannot be read and changes nothing: \"$text\""
+        if (!lines.isDue(endpoint, now)) return null
+        return "${endpoint.text} names a limit that cannot be read and changes nothing: \"${printable(limit.text)}\""
     }
 
     private companion object {
         /** Shortest time between two lines about one endpoint. */
         val INTERVAL = 10.seconds
-
-        /** Bounds the memory; beyond it, the lines about an endpoint may come more often. */
-        const val MAX_ENDPOINTS = 256
     }
 }
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/PeerTasks.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/PeerTasks.kt
@@ -19,16 +19,17 @@
     private val dependencies: GatewayDependencies,
     private val supervisor: Supervisor,
 ) {
-    /** Starts the exchange of the [limits] that endpoints name. */
+    /** Starts the exchange of the limits that endpoints name and of the endpoints that leave, as [balancer] knows them. */
     fun startLimitExchange(
-        limits: EndpointLimits,
+        balancer: Balancer,
         metrics: LimitMetrics,
     ): LimitExchange =
         startLimitExchange(
             scope,
             LimitExchangeDependencies(
                 self = self.id,
-                limits = limits,
+                limits = balancer.limits,
+                notices = balancer.notices,
                 fleet = fleet,
                 exchange = { other, news -> exchangeLimits(connector, other, news) },
                 metrics = metrics,
--- a/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/LimitExchangeTest.kt
+++ b/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/LimitExchangeTest.kt
@@ -71,6 +71,7 @@
                     LimitExchangeDependencies(
                         self = ProcessId(name),
                         limits = limits,
+                        notices = NoNotices,
                         fleet = StateFleet(state),
                         exchange = { peer, news -> call(name, peer.id.text, news) },
                         metrics = LimitMetrics(PrometheusRegistry()),
