Refuse at once what may only go to endpoints that leave

Cause: a repeated request whose remaining endpoints all leave found "no endpoint" and waited for its whole time, as only a service without any other endpoint counted as left. Change: the cause follows from the endpoints to which the request may go. Result: WithheldEndpointsTest "a retry is rejected at once if the endpoints to which it may go leave" passes; the tests of the balancer and the dispatcher pass.

--- a/decisions/src/main/kotlin/org/cicadaturn/decisions/gateway/BalancerTypes.kt
+++ b/decisions/src/main/kotlin/org/cicadaturn/decisions/gateway/BalancerTypes.kt
@@ -37,7 +37,10 @@
     val only: Set<EndpointId>?,
     val isRetry: Boolean,
     val canWait: Boolean,
-)
+) {
+    /** Returns true if the request's own history lets it go to [endpoint]. */
+    public fun mayGoTo(endpoint: EndpointId): Boolean = endpoint !in excluded && (only == null || endpoint in only)
+}
 
 /** Result of [EndpointBalancer.choose]. */
 public sealed interface EndpointChoice {
@@ -79,7 +82,7 @@
     AT_RATE("every endpoint is at its rate"),
     AT_NAMED_LIMIT("every endpoint gets as many requests as it takes"),
     PAUSED("every endpoint asked for a pause or gets as many requests as it takes"),
-    LEAVING("every endpoint of the service leaves"),
+    LEAVING("every endpoint that may get the request leaves"),
     NO_RETRY("the retry budget is used up"),
     DEFECT("the placement failed by a defect, which the log of this process shows"),
 }
--- a/decisions/src/main/kotlin/org/cicadaturn/decisions/gateway/LeastLoadBalancer.kt
+++ b/decisions/src/main/kotlin/org/cicadaturn/decisions/gateway/LeastLoadBalancer.kt
@@ -147,17 +147,14 @@
         pool: ServicePool,
         now: Instant,
     ): Either<EndpointChoice.None, List<BalancedEndpoint>> {
-        val usable =
-            grouped(serving.of(request.service), now).filter {
-                it.endpoint.id !in request.excluded && (request.only == null || it.endpoint.id in request.only)
-            }
-        if (usable.isEmpty()) return none(serving.causeOfNone(request.service))
+        val usable = grouped(serving.of(request.service), now).filter { request.mayGoTo(it.endpoint.id) }
+        if (usable.isEmpty()) return none(serving.causeOfNone(request))
         val running = usable.filter { groups.health(it.endpoint.id, now) in RUNNING }.ifEmpty { probe(usable, now) }
         if (running.isEmpty()) return none(Unavailability.DOWN)
         // What endpoints ask for binds every request, also one for which no other endpoint is left.
         val holds = permits.holds(running, now)
         val allowed = running.filter { holds[it]?.isAskedFor != true }
-        if (allowed.isEmpty()) return noneBy(holds, now)
+        if (allowed.isEmpty()) return none(permits.causeOf(holds), permits.budget(holds, now))
         val withRoom = if (request.canWait) allowed.filter { room.hasRoom(it, now) } else allowed
         if (withRoom.isEmpty()) return none(Unavailability.AT_LIMIT)
         val open = withRoom.filter { it !in holds }
@@ -168,14 +165,6 @@
         return if (candidates.isEmpty()) none(Unavailability.AT_RATE) else candidates.right()
     }
 
-    private fun noneBy(
-        holds: Map<BalancedEndpoint, SendHold>,
-        now: Instant,
-    ): Either<EndpointChoice.None, Nothing> {
-        val isPaused = holds.values.any { it.reason == WithholdReason.PAUSED }
-        return none(if (isPaused) Unavailability.PAUSED else Unavailability.AT_NAMED_LIMIT, permits.budget(holds, now))
-    }
-
     private fun none(
         cause: Unavailability,
         budget: RateBudget? = null,
--- a/decisions/src/main/kotlin/org/cicadaturn/decisions/gateway/SendPermits.kt
+++ b/decisions/src/main/kotlin/org/cicadaturn/decisions/gateway/SendPermits.kt
@@ -137,6 +137,12 @@
         pauses.sent(member.endpoint, now)
     }
 
+    /** Returns why a request finds no endpoint because of [holds], which the endpoints asked for. */
+    fun causeOf(holds: Map<BalancedEndpoint, SendHold>): Unavailability {
+        val isPaused = holds.values.any { it.reason == WithholdReason.PAUSED }
+        return if (isPaused) Unavailability.PAUSED else Unavailability.AT_NAMED_LIMIT
+    }
+
     /** Returns when and how fast this process may send to endpoints that get no request now because of [holds]. */
     fun budget(
         holds: Map<BalancedEndpoint, SendHold>,
--- a/decisions/src/main/kotlin/org/cicadaturn/decisions/gateway/ServingEndpoints.kt
+++ b/decisions/src/main/kotlin/org/cicadaturn/decisions/gateway/ServingEndpoints.kt
@@ -8,19 +8,21 @@
 ) {
     private var serving = emptyMap<ServiceId, List<BalancedEndpoint>>()
 
-    /** Services of which all listed endpoints leave. */
-    private var left = emptySet<ServiceId>()
+    private var listed = emptyMap<ServiceId, List<BalancedEndpoint>>()
 
     /** Replaces the endpoints by those of [members] that are in service. */
     fun update(members: Collection<BalancedEndpoint>) {
-        serving = members.filter(permits::isInService).groupBy { it.endpoint.service }
-        left = members.groupBy { it.endpoint.service }.filterValues { it.all(permits::isLeaving) }.keys
+        listed = members.groupBy { it.endpoint.service }
+        serving = listed.mapValues { (_, ofService) -> ofService.filter(permits::isInService) }
     }
 
     /** Returns the endpoints of [service] that are in service. */
     fun of(service: ServiceId): List<BalancedEndpoint> = serving[service].orEmpty()
 
-    /** Returns why no endpoint of [service] is left for a request. */
-    fun causeOfNone(service: ServiceId): Unavailability =
-        if (service in left) Unavailability.LEAVING else Unavailability.NO_ENDPOINT
+    /** Returns why no endpoint is left for [request]. */
+    fun causeOfNone(request: EndpointRequest): Unavailability {
+        val possible = listed[request.service].orEmpty().filter { request.mayGoTo(it.endpoint.id) }
+        val areLeaving = possible.isNotEmpty() && possible.all(permits::isLeaving)
+        return if (areLeaving) Unavailability.LEAVING else Unavailability.NO_ENDPOINT
+    }
 }
--- a/decisions/src/test/kotlin/org/cicadaturn/decisions/dispatch/WithheldEndpointsTest.kt
+++ b/decisions/src/test/kotlin/org/cicadaturn/decisions/dispatch/WithheldEndpointsTest.kt
@@ -2,6 +2,7 @@
 
 import org.cicadaturn.decisions.gateway.EndpointBalancer
 import org.cicadaturn.decisions.gateway.EndpointNotice
+import org.cicadaturn.decisions.gateway.EndpointRequest
 import org.cicadaturn.decisions.gateway.LeavingNotice
 import org.cicadaturn.decisions.gateway.PauseNotice
 import org.cicadaturn.decisions.gateway.Unavailability
@@ -32,8 +33,9 @@
         now: Instant = START,
         wait: Duration = 2.seconds,
         hasReturned: Boolean = false,
+        endpoint: EndpointRequest = limitedRequest(),
     ): DispatchDecision {
-        val request = DispatchRequest(limitedRequest(), null, 0, 100, now + wait, now + wait, hasReturned)
+        val request = DispatchRequest(endpoint, null, 0, 100, now + wait, now + wait, hasReturned)
         return dispatcher.submit(DispatchTicket(++lastTicket), request, now)
     }
 
@@ -60,6 +62,18 @@
         assertTrue(submit(hasReturned = true) is DispatchDecision.Wait)
     }
 
+    /** Guards against a retry that waits for the only endpoint to which it may go, although that leaves. */
+    @Test
+    fun `a retry is rejected at once if the endpoints to which it may go leave`() {
+        balancer.leaves(e0, START)
+        val retry = limitedRequest(isRetry = true)
+        val rejected = listOf(retry.copy(only = setOf(e0.id)), retry.copy(excluded = setOf(e1.id)))
+        rejected.forEach {
+            assertEquals(Unavailability.LEAVING, (submit(endpoint = it) as DispatchDecision.Reject).cause)
+        }
+        assertTrue(submit(endpoint = retry) is DispatchDecision.Place)
+    }
+
     /** Guards against requests that wait until their time is over, and callers that return within the pause. */
     @Test
     fun `a request is rejected at once with the end of the shortest pause if that is too late`() {
