Do not take the planned end of an endpoint for a crash

Cause: an endpoint that leaves by its answers while its entry is ready refuses connections after its end, and the quarantine would take the requests lost there as crashes by their prompts: it looked at the entry only. Change: the probe of a crash asks whether the endpoint is known to leave. Result: QuarantineTaskTest passes with the new case; it was not run without the change.

--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/CrashProbe.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/CrashProbe.kt
@@ -8,10 +8,10 @@
 
 /**
  * Returns true if [endpoint] refuses connections and another endpoint of its failure domain does not. If all of them
- * do, the domain is lost or cut off, whatever the endpoint was asked.
+ * do, the domain is lost or cut off, whatever the endpoint was asked. One that leaves has ended as planned.
  */
 internal suspend fun QuarantineDependencies.hasCrashedAlone(endpoint: LiveEndpoint): Boolean {
-    if (!refusesConnections(endpoint.address)) return false
+    if (!refusesConnections(endpoint.address) || isLeaving(endpoint)) return false
     val neighbours =
         fleet.state.value.view.endpoints
             .filter { it.failureDomain == endpoint.failureDomain && it.id != endpoint.id }
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/GatewayNode.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/GatewayNode.kt
@@ -142,7 +142,7 @@
     private val requestEnds =
         RequestEndLog(dependencies.journal, metrics, dependencies.dialect, dependencies.clock, shutdown, times)
     private val quarantineMetrics = QuarantineMetrics(registry)
-    private val quarantine = peerTasks.startQuarantine(quarantineMetrics)
+    private val quarantine = peerTasks.startQuarantine(balancer, quarantineMetrics)
     private val admin =
         GatewayAdmin(registry, ::isReady, { fleet.state.value }, quarantine::status, balancer, noticeMetrics)
     private val handler =
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/PeerTasks.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/PeerTasks.kt
@@ -39,8 +39,11 @@
             supervisor,
         )
 
-    /** Starts the quarantine of prompt segments that crash endpoints. */
-    fun startQuarantine(metrics: QuarantineMetrics): Quarantine =
+    /** Starts the quarantine of prompt segments that crash endpoints, apart from those that leave as [balancer] knows. */
+    fun startQuarantine(
+        balancer: Balancer,
+        metrics: QuarantineMetrics,
+    ): Quarantine =
         startQuarantine(
             scope,
             QuarantineDependencies(
@@ -56,6 +59,7 @@
                 random = dependencies.random,
                 clock = dependencies.clock,
                 wallClock = dependencies.wallClock,
+                isLeaving = { balancer.notices.isLeaving(it) },
             ),
             supervisor,
         )
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/Quarantine.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/Quarantine.kt
@@ -73,6 +73,7 @@
  *
  * @property refusesConnections returns true if nothing listens at an address any more, and false if that is not certain
  * @property exchange sends news to a process and returns its answer, or null if there is none
+ * @property isLeaving returns true if an endpoint is known to leave although its entry may not tell
  * @property clock monotonic clock
  * @property wallClock time of day, by which the age of entries in the store is known
  */
@@ -89,4 +90,5 @@
     val random: Random,
     val clock: Clock,
     val wallClock: Clock,
+    val isLeaving: suspend (LiveEndpoint) -> Boolean = { false },
 )
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/ReportedNotices.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/ReportedNotices.kt
@@ -34,6 +34,10 @@
     public suspend fun withheld(): List<WithheldEndpoint>
 }
 
+/** Returns true if [endpoint] is known to leave. */
+internal suspend fun ReportedNotices.isLeaving(endpoint: LiveEndpoint): Boolean =
+    departures().any { it.endpoint == endpoint.id && it.startedAt >= endpoint.startedAt }
+
 /** Notices that the owner of the endpoint balancer keeps, which gets messages by [send]. */
 internal class BalancerNotices(
     private val send: (BalancerMessage) -> Unit,
--- a/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/QuarantineTaskTest.kt
+++ b/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/QuarantineTaskTest.kt
@@ -76,6 +76,9 @@
         val cutOff = mutableSetOf<String>()
         var crashed = setOf("e1", "e2", "e3")
 
+        /** Endpoints that leave although their entries do not tell. */
+        var leavingByAnswer = emptySet<String>()
+
         /** Endpoints that were probed, in order. */
         val probed = mutableListOf<String>()
         var isStoreAvailable = true
@@ -155,6 +158,7 @@
                     random = Random(1),
                     clock = clock,
                     wallClock = clock,
+                    isLeaving = { it.id.text in leavingByAnswer },
                 ),
             )
         }
@@ -308,6 +312,17 @@
             assertEquals(Verdict.Clear, process.verdict("b own3"))
         }
 
+    /** Guards against segments that are suspected as an endpoint ends that only its answers said to leave. */
+    @Test
+    fun `requests lost at an endpoint that leaves by its answers make nothing suspicious`() =
+        runTest {
+            val fleet = TestFleet(this)
+            val process = fleet.start("g1")
+            fleet.leavingByAnswer = setOf("e1")
+            process.lose("e1", "a own1")
+            assertEquals(Verdict.Clear, process.verdict("a own3"))
+        }
+
     /** Guards against segments that are suspected as a failure domain is cut off in a way that refuses connections. */
     @Test
     fun `a failure domain that refuses connections makes nothing suspicious`() =
