--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/Shutdown.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/Shutdown.kt
@@ -24,6 +24,9 @@
     /** Returns true while answers ask the caller for a new connection, which leads to another process. */
     fun asksToReconnect(): Boolean
 
+    /** Completes when the process begins to stop. */
+    val stopStarted: Job
+
     /** Completes when idle connections have to be closed. */
     val drainStarted: Job
 
@@ -48,6 +51,7 @@
     RequestTracker {
     override var times: StopTimes? = null
         private set
+    override val stopStarted = Job()
     override val drainStarted = Job()
     override val lastCall = Job()
     private var inProgress = 0
@@ -71,7 +75,9 @@
         logger.info("gateway: stopping with {} requests in progress", inProgress)
         val start = clock.now()
         val end = start + stopTimeout - STOP_RESERVE
-        times = StopTimes(start, unreadyAt = start + READINESS_DELAY, endsAt = end)
+        val closedAt = start + UNREADY_TIME - SIGNAL_DELAY
+        times = StopTimes(start, unreadyAt = start + READINESS_DELAY, closedAt, endsAt = end)
+        stopStarted.complete()
         delay(UNREADY_TIME)
         closeListener()
         // The requests that have reached the sockets before are read meanwhile.
@@ -101,6 +107,9 @@
          * were opened just before the checks failed.
          */
         val UNREADY_TIME = READINESS_DELAY + 1.seconds
+
+        /** Longest time from the sending of the signal to the start of the stop, also on a busy machine. */
+        val SIGNAL_DELAY = 100.milliseconds
         val STOP_POLL = 20.milliseconds
 
         /** Time before the stop timeout at which requests are ended, as the platform kills the process at the timeout. */
--- a/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/RequestEndTest.kt
+++ b/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/RequestEndTest.kt
@@ -4,6 +4,7 @@
 import kotlinx.coroutines.async
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.runBlocking
+import org.apache.logging.log4j.Level
 import org.cicadaturn.schema.generated.RequestLine
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertFalse
@@ -121,6 +122,43 @@
         }
     }
 
+    /** Guards against a request that is in progress in a stop and leaves no line if its process is killed. */
+    @Test
+    fun `requests in progress in a stop have a line when it begins or when they arrive`() {
+        ScriptedEndpoint(pausesInStream).use { endpoint ->
+            TestGateway(listOf(endpoint), stopTimeout = 5.seconds, journal = { lines += it }).use { gateway ->
+                runBlocking(Dispatchers.IO) {
+                    val before = async { exchange(gateway.port, request("/stream-once/x", id = "before")) }
+                    delay(500.milliseconds)
+                    val stop = async { gateway.stop() }
+                    delay(500.milliseconds)
+                    val within = async { exchange(gateway.port, request("/stream-once/x", id = "within")) }
+                    stop.await()
+                    before.await()
+                    within.await()
+                }
+                val inStop = lines.filter { it.event == "stop" }
+                assertEquals(listOf("before", "within"), inStop.map { it.request })
+                assertEquals(listOf(2, null), inStop.map { it.sentEvents })
+                assertTrue(checkNotNull(inStop.first().ms) >= 400, "$inStop")
+            }
+        }
+    }
+
+    /** Guards against the line of a request that was cut and is dropped by the limit of the log. */
+    @Test
+    fun `the end of a request that was cut is a warning`() {
+        val levels = RequestOutcome.entries.associateWith { levelOf(RequestLine(event = "end", end = it.name)) }
+        assertEquals(
+            mapOf(
+                RequestOutcome.ANSWERED to Level.INFO,
+                RequestOutcome.CUT to Level.WARN,
+                RequestOutcome.LEFT to Level.INFO,
+            ),
+            levels,
+        )
+    }
+
     private companion object {
         const val CASES = 20
     }
