Wait between the end and the start of a gateway in a test

EndpointNoticeTest "a gateway that starts learns which endpoints leave" failed once of three runs with "Address already in use", as the test started the gateway at once after its end. It now waits a second, as EndpointLimitTest does.

--- a/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/EndpointNoticeTest.kt
+++ b/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/EndpointNoticeTest.kt
@@ -111,6 +111,8 @@
             site.send(0, 50, 1.seconds, "/patient/g0")
             pause(2.seconds)
             site.killGateway(1)
+            // The address is free a moment after the end of the gateway.
+            pause(1.seconds)
             site.startGateway(1)
             pause(1.seconds)
             site.send(1, 50, 2.seconds, "/patient/g1")
