--- a/decisions/src/main/kotlin/org/cicadaturn/decisions/dispatch/Dispatcher.kt
+++ b/decisions/src/main/kotlin/org/cicadaturn/decisions/dispatch/Dispatcher.kt
@@ -278,7 +278,7 @@
             val ahead = kept[endpoint.service] ?: 0
             when {
                 placed != null -> cancel(candidate.ticket)
-                isHopeless(candidate, ahead, now) -> cancel(candidate.ticket)
+                isHopeless(candidate, ahead) -> cancel(candidate.ticket)
                 else -> kept[endpoint.service] = ahead + 1
             }
             if (placed != null) decisions += placed
@@ -297,7 +297,6 @@
     private fun isHopeless(
         candidate: Waiting,
         ahead: Int,
-        now: Instant,
     ): Boolean {
         if (candidate.cause == Unavailability.LEAVING) return !candidate.request.hasReturned
         val budget = candidate.budget ?: return false
