--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/PeerTasks.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/PeerTasks.kt
@@ -19,16 +19,17 @@
     private val dependencies: GatewayDependencies,
     private val supervisor: Supervisor,
 ) {
-    /** Starts the exchange of the [limits] that endpoints name. */
+    /** Starts the exchange of the limits that endpoints name and of the endpoints that leave, as [balancer] knows them. */
     fun startLimitExchange(
-        limits: EndpointLimits,
+        balancer: Balancer,
         metrics: LimitMetrics,
     ): LimitExchange =
         startLimitExchange(
             scope,
             LimitExchangeDependencies(
                 self = self.id,
-                limits = limits,
+                limits = balancer.limits,
+                notices = balancer.notices,
                 fleet = fleet,
                 exchange = { other, news -> exchangeLimits(connector, other, news) },
                 metrics = metrics,
@@ -38,8 +39,11 @@
             supervisor,
         )
 
-    /** Starts the quarantine of prompt segments that crash endpoints. */
-    fun startQuarantine(metrics: QuarantineMetrics): Quarantine =
+    /** Starts the quarantine of prompt segments that crash endpoints, apart from those that leave as [balancer] knows. */
+    fun startQuarantine(
+        balancer: Balancer,
+        metrics: QuarantineMetrics,
+    ): Quarantine =
         startQuarantine(
             scope,
             QuarantineDependencies(
@@ -55,6 +59,7 @@
                 random = dependencies.random,
                 clock = dependencies.clock,
                 wallClock = dependencies.wallClock,
+                isLeaving = { balancer.notices.isLeaving(it) },
             ),
             supervisor,
         )
