--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/RequestExecution.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/RequestExecution.kt
@@ -66,6 +66,7 @@
             clock,
         )
     private val deadline = request.arrivedAt + timeLimit()
+    private val streamGap = maxStreamGap(route.latencyTarget, route.pauseTarget)
     private val holdUntil = request.arrivedAt + maxHoldTime(route.kind, timeLimit())
 
     /** Time from which the request may be sent to another endpoint while one is silent. */
@@ -262,9 +263,7 @@
     private fun holdTime(): Duration {
         val until =
             when {
-                answer.isBegun && isResumable ->
-                    answer.lastSentAt +
-                        maxStreamGap(route.latencyTarget, route.pauseTarget)
+                answer.isBegun && isResumable -> answer.lastSentAt + streamGap
                 answer.isBegun || attempts.mayHaveRun -> return Duration.ZERO
                 else -> holdUntil
             }
