Log how the connection to an endpoint ended

The lines of an attempt and of the end of a request named the framing of an answer, but not whether its connection was closed by the endpoint, reset by it or closed by this process. So a log could not tell the hypotheses on streams that are cut as only their connection ends them apart.

The field connection tells it. Connections to servers allow half-closure, as Netty then reports the end of the other side's output as an event of its own; the connection is closed on this event, as before. What is passed on is unchanged.

--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/AttemptExecution.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/AttemptExecution.kt
@@ -105,7 +105,7 @@
 
     private fun accepted() {
         balancer.accepted(attempt.endpoint.id)
-        attempt.onProgress(AnswerProgress.HEAD)
+        attempt.observer.onProgress(AnswerProgress.HEAD)
     }
 
     private fun expectedAnswer(): ExpectedAnswer =
@@ -201,7 +201,7 @@
         if (!goesOn()) return replaced()
         allowReuse(head)
         use = EndpointUse.Answered(clock.now() - start)
-        attempt.onProgress(AnswerProgress.RUNNING)
+        attempt.observer.onProgress(AnswerProgress.RUNNING)
         if (body.isPassedOn) sink.sendEnd(head) else sink.sendAnswer(head, body.rest())
         return AttemptResult.Delivered(summary)
     }
@@ -257,7 +257,7 @@
             if (!hasEvents) {
                 firstEventAt = clock.now()
                 use = EndpointUse.Answered(firstEventAt - start)
-                attempt.onProgress(AnswerProgress.BEGINNING)
+                attempt.observer.onProgress(AnswerProgress.BEGINNING)
             } else if (i == 0) {
                 recordPause(clock.now() - waitedSince)
             }
@@ -266,14 +266,18 @@
             if (!sink.sendEvent(head, event)) return false
         }
         if (complete.isNotEmpty()) lastEventAt = clock.now()
-        if (hasEvents && lastEventAt - firstEventAt >= BEGINNING_TIME) attempt.onProgress(AnswerProgress.RUNNING)
+        if (hasEvents &&
+            lastEventAt - firstEventAt >= BEGINNING_TIME
+        ) {
+            attempt.observer.onProgress(AnswerProgress.RUNNING)
+        }
         return true
     }
 
     private suspend fun endEvents(head: ResponseHead): AttemptResult {
         if (!goesOn()) return replaced()
         allowReuse(head)
-        attempt.onProgress(AnswerProgress.RUNNING)
+        attempt.observer.onProgress(AnswerProgress.RUNNING)
         sink.sendEnd(head)
         return AttemptResult.Delivered(summary)
     }
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/AttemptRequests.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/AttemptRequests.kt
@@ -2,7 +2,6 @@
 
 import org.cicadaturn.decisions.gateway.Admission
 import org.cicadaturn.decisions.gateway.ExpectedEvents
-import org.cicadaturn.schema.generated.AnswerProgress
 import org.cicadaturn.schema.generated.LiveEndpoint
 import org.cicadaturn.schema.generated.RouteKind
 import org.cicadaturn.tasks.http.RequestHead
@@ -31,8 +30,7 @@
         endpoint: LiveEndpoint,
         remaining: Duration,
         standby: Standby,
-        onConnected: (earlierRequests: Int) -> Unit,
-        onProgress: (AnswerProgress) -> Unit,
+        observer: AttemptObserver,
     ): AttemptRequest {
         val triesAnother = isRepeatable && route.attempts > 1
         val limit =
@@ -54,8 +52,7 @@
             events = expectedEvents(),
             pauseTarget = route.pauseTarget,
             remaining = remaining,
-            onConnected = onConnected,
-            onProgress = onProgress,
+            observer = observer,
         )
     }
 
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/Exchange.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/Exchange.kt
@@ -2,6 +2,7 @@
 
 import org.cicadaturn.decisions.gateway.AnswerSummary
 import org.cicadaturn.decisions.gateway.AttemptEnd
+import org.cicadaturn.decisions.gateway.ConnectionEnd
 import org.cicadaturn.decisions.gateway.EndpointUse
 import org.cicadaturn.decisions.gateway.ExpectedEvents
 import org.cicadaturn.decisions.gateway.StreamEvent
@@ -27,8 +28,7 @@
  * @property events what the events must be; null if the answer must be a body
  * @property pauseTarget pause between events up to which callers value a stream fully; null if there is none
  * @property remaining time left until the deadline
- * @property onConnected called with the number of requests that the connection to the endpoint has carried before
- * @property onProgress called each time that the answer has come further
+ * @property observer receives what happens in the attempt
  */
 internal class AttemptRequest(
     val endpoint: LiveEndpoint,
@@ -42,7 +42,19 @@
     val events: ExpectedEvents?,
     val pauseTarget: Duration?,
     val remaining: Duration,
+    val observer: AttemptObserver,
+)
+
+/**
+ * Receives what happens in an attempt.
+ *
+ * @property onConnected called with the number of requests that the connection to the endpoint has carried before
+ * @property onDisconnected called if the connection to the endpoint has ended before the attempt
+ * @property onProgress called each time that the answer has come further
+ */
+internal class AttemptObserver(
     val onConnected: (earlierRequests: Int) -> Unit,
+    val onDisconnected: (ConnectionEnd) -> Unit,
     val onProgress: (AnswerProgress) -> Unit,
 )
 
@@ -129,7 +141,7 @@
                 use = EndpointUse.Lost
                 return AttemptResult.Failed(AttemptEnd.NOT_SENT, "no connection after ${clock.now() - start}")
             }
-            attempt.onConnected(connection.requestIds.size)
+            attempt.observer.onConnected(connection.requestIds.size)
             val sent = connection.link.sendRequest(attempt.head, attempt.body)
             execution = AttemptExecution(attempt, connection, sink, sent, balancer, dialect, clock, reservation)
             val result = execution.run()
@@ -138,6 +150,7 @@
             return result
         } finally {
             reservation.close()
+            connection?.link?.end?.let(attempt.observer.onDisconnected)
             balancer.finished(id, use)
             if (execution?.hasSurplus == true) pool.surplusReceived(id)
             if (connection != null && keepAliveTime != null) {
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/RequestAttempts.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/RequestAttempts.kt
@@ -59,8 +59,11 @@
                 endpoint,
                 remaining,
                 standby,
-                onConnected = { if (isCurrent()) progress.earlierRequests = it },
-                onProgress = { recordProgress(observation, it, isCurrent()) },
+                AttemptObserver(
+                    onConnected = { if (isCurrent()) progress.earlierRequests = it },
+                    onDisconnected = { if (isCurrent()) progress.connectionEnd = it },
+                    onProgress = { recordProgress(observation, it, isCurrent()) },
+                ),
             )
         val result =
             try {
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/RequestEnd.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/RequestEnd.kt
@@ -1,6 +1,7 @@
 package org.cicadaturn.tasks.gateway
 
 import org.cicadaturn.decisions.gateway.AnswerSummary
+import org.cicadaturn.decisions.gateway.ConnectionEnd
 import org.cicadaturn.schema.generated.EndpointId
 import org.cicadaturn.schema.generated.RequestLine
 import org.cicadaturn.schema.generated.ServiceId
@@ -48,6 +49,7 @@
  * @property sends number of times that the request was sent to an endpoint
  * @property placedAt time at which the request was placed at [endpoint]
  * @property begunAt time at which the answer began
+ * @property connectionEnd how the connection to [endpoint] ended; null if it was open at the end of the attempt
  * @property earlierRequests number of requests that the connection to the endpoint had carried before
  */
 internal class RequestProgress(
@@ -58,6 +60,7 @@
     var sends = 0
     var placedAt: Instant? = null
     var begunAt: Instant? = null
+    var connectionEnd: ConnectionEnd? = null
     var earlierRequests: Int? = null
 }
 
@@ -113,6 +116,7 @@
             endpoint = progress.endpoint?.text,
             sends = progress.sends,
             earlierRequests = progress.earlierRequests,
+            connection = progress.connectionEnd?.name,
             sentEvents = sentEvents.takeIf { it > 0 },
             placedMs = progress.placedAt?.let { (it - progress.arrivedAt).inWholeMilliseconds },
             firstMs = progress.begunAt?.let { (it - progress.arrivedAt).inWholeMilliseconds },
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/RequestExecution.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/RequestExecution.kt
@@ -247,6 +247,7 @@
                 prompt = promptText(prompt),
                 events = result?.events,
                 earlierRequests = endpoint?.let { progress.earlierRequests },
+                connection = endpoint?.let { progress.connectionEnd?.name },
                 detail = detail,
                 step = step?.name,
             ).withAnswer(result?.summary).withStop(dependencies.shutdown.times, recentTimes(), clock.now()),
@@ -308,6 +309,7 @@
     ) {
         progress.endpoint = endpoint.id
         progress.placedAt = time
+        progress.connectionEnd = null
         progress.earlierRequests = null
     }
 
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/http/AnswerDecoder.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/http/AnswerDecoder.kt
@@ -2,6 +2,7 @@
 
 import io.netty.buffer.ByteBuf
 import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.socket.ChannelInputShutdownEvent
 import io.netty.handler.codec.DecoderResult
 import io.netty.handler.codec.http.HttpDecoderConfig
 import io.netty.handler.codec.http.HttpHeaderNames
@@ -33,6 +34,10 @@
     var hasSurplus = false
         private set
 
+    /** True once the server has closed its output, after which a reset cannot have taken away a part of an answer. */
+    var isInputClosed = false
+        private set
+
     /** True if a part of a head has arrived, but not its end. */
     val isWithinHead: Boolean get() = !isWithinBody && (head.isNotEmpty() || actualReadableBytes() > 0)
 
@@ -42,6 +47,15 @@
         isHeadRequest = method == "HEAD"
     }
 
+    override fun userEventTriggered(
+        context: ChannelHandlerContext,
+        event: Any,
+    ) {
+        // Set first, as the decoder ends a body without a length on this event.
+        if (event is ChannelInputShutdownEvent) isInputClosed = true
+        super.userEventTriggered(context, event)
+    }
+
     override fun decode(
         context: ChannelHandlerContext,
         buffer: ByteBuf,
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/http/HttpConnector.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/http/HttpConnector.kt
@@ -52,6 +52,8 @@
                 .channel(NioSocketChannel::class.java)
                 .option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.AUTO_READ, false)
+                // Tells a connection that the server closes from one that ends otherwise.
+                .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
                 .option(ChannelOption.RCVBUF_ALLOCATOR, oneBufferPerRead)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, timeout.inWholeMilliseconds.toInt().coerceAtLeast(1))
                 .handler(initializer)
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/http/HttpLink.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/http/HttpLink.kt
@@ -7,6 +7,7 @@
 import io.netty.channel.ChannelFuture
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
+import io.netty.channel.socket.ChannelInputShutdownEvent
 import io.netty.handler.codec.TooLongFrameException
 import io.netty.handler.codec.http.DefaultFullHttpRequest
 import io.netty.handler.codec.http.DefaultFullHttpResponse
@@ -26,9 +27,11 @@
 import io.netty.util.ReferenceCountUtil
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.Deferred
+import org.cicadaturn.decisions.gateway.ConnectionEnd
 import org.cicadaturn.schema.generated.Header
 import org.cicadaturn.tasks.FatalErrorHandler
 import org.cicadaturn.tasks.fatalErrorIn
+import java.net.SocketException
 import kotlinx.coroutines.channels.Channel as Inbox
 
 /**
@@ -41,6 +44,9 @@
     /** Completes when the connection has ended for any reason. */
     public val closed: Deferred<Unit>
 
+    /** How the connection to a server has ended; null while it is open, and for the connection of a client. */
+    public val end: ConnectionEnd? get() = null
+
     /**
      * True if the connection is open, all parts that have arrived were received and [hasSurplus] is false, so that the
      * next request can be sent.
@@ -109,10 +115,21 @@
     // A cancelled receive from a channel may lose its element, so a wait only takes a signal and never a part.
     private val arrivals = Inbox<Unit>(Inbox.CONFLATED)
     private val ended = CompletableDeferred<Unit>()
-    private var isReset = false
+    private var hasFailed = false
     private var pending = 0
 
+    /** How the connection has ended, if not by the other side closing it. */
+    private var otherEnd: ConnectionEnd? = null
+
     override val closed: Deferred<Unit> get() = ended
+    override val end: ConnectionEnd?
+        get() =
+            when {
+                decoder == null -> null
+                decoder.isInputClosed -> ConnectionEnd.CLOSED_BY_ENDPOINT
+                otherEnd != null -> otherEnd
+                else -> ConnectionEnd.FAILED.takeIf { ended.isCompleted }
+            }
     override val hasSurplus: Boolean get() = decoder?.hasSurplus == true
     override val isWithinHead: Boolean get() = decoder?.isWithinHead == true
     override val hasRequest: Boolean
@@ -165,7 +182,7 @@
     private fun handleContent(message: HttpContent) {
         if (message.content().isReadable) deliver(HttpPart.Data(ByteBufUtil.getBytes(message.content())))
         // The decoder also reports an end if a body without a length ends with a reset; such a body is incomplete.
-        if (message is LastHttpContent && !isReset) deliver(HttpPart.End)
+        if (message is LastHttpContent && !hasFailed) deliver(HttpPart.End)
     }
 
     private fun deliver(part: HttpPart) {
@@ -174,6 +191,14 @@
         arrivals.trySend(Unit)
     }
 
+    /** The other side has closed its output. Nothing more can arrive, so this side is closed as well. */
+    override fun userEventTriggered(
+        context: ChannelHandlerContext,
+        event: Any,
+    ) {
+        if (event is ChannelInputShutdownEvent) context.close()
+    }
+
     override fun channelInactive(context: ChannelHandlerContext) {
         inbox.close()
         arrivals.close()
@@ -186,7 +211,8 @@
         cause: Throwable,
     ) {
         fatalErrorIn(cause)?.let(onFatalError)
-        isReset = true
+        hasFailed = true
+        if (end == null) otherEnd = if (cause is SocketException) ConnectionEnd.RESET else ConnectionEnd.FAILED
         context.close()
     }
 
@@ -253,6 +279,7 @@
     override suspend fun sendEnd(): Boolean = awaitWrite(channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT))
 
     override fun close() {
+        if (end == null) otherEnd = ConnectionEnd.CLOSED_BY_GATEWAY
         channel.close()
     }
 
