End an answer without a length only if its server has closed the connection

The decoder ends a body that has neither a length nor chunks as soon as its connection ends for any reason. Only resets were told apart. So a body also counted as whole if this process closed the connection itself, or if the connection was closed after a write that failed: a silent endpoint's part of an answer could be passed on as a success.

Connections to servers read the end of the other side's output as an event of its own. A body with a length or chunks ends as before.

--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/AnswerParts.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/AnswerParts.kt
@@ -114,7 +114,7 @@
         while (canBuffer(body.size())) {
             when (val part = (awaitPart(attempt.silenceLimit) as? WaitResult.Part)?.part) {
                 is HttpPart.Data -> body.write(part.bytes)
-                HttpPart.End -> return body.toByteArray()
+                HttpPart.End, HttpPart.EndByClose -> return body.toByteArray()
                 else -> return null
             }
         }
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/AttemptExecution.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/AttemptExecution.kt
@@ -181,7 +181,7 @@
                     if (ready != null && !sink.sendPiece(head, ready)) return AttemptResult.Delivered(summary)
                     if (body.isPassedOn) memory.close()
                 }
-                part == HttpPart.End -> return endBody(head, body)
+                part == HttpPart.End || part == HttpPart.EndByClose -> return endBody(head, body)
                 received == WaitResult.Stalled -> return failed(
                     AttemptEnd.STALLED,
                     "answer paused for ${attempt.silenceLimit}",
@@ -224,7 +224,7 @@
                     val end = relayBatch(head, stream.accept(part.bytes), stream.pendingBytes, waitedSince)
                     if (end != null) return end
                 }
-                part == HttpPart.End -> break
+                part == HttpPart.End || part == HttpPart.EndByClose -> break
                 received == WaitResult.Stalled -> return lost(AttemptEnd.STALLED, "stream paused for $limit")
                 received == WaitResult.Ended -> return ended("stream was cut")
                 else -> return outOfStep("unreadable stream")
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/http/AnswerDecoder.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/http/AnswerDecoder.kt
@@ -38,6 +38,10 @@
     var isInputClosed = false
         private set
 
+    /** True once the connection has ended for any reason, which ends a body without a length. */
+    var hasEnded = false
+        private set
+
     /** True if a part of a head has arrived, but not its end. */
     val isWithinHead: Boolean get() = !isWithinBody && (head.isNotEmpty() || actualReadableBytes() > 0)
 
@@ -52,10 +56,18 @@
         event: Any,
     ) {
         // Set first, as the decoder ends a body without a length on this event.
-        if (event is ChannelInputShutdownEvent) isInputClosed = true
+        if (event is ChannelInputShutdownEvent) {
+            isInputClosed = true
+            hasEnded = true
+        }
         super.userEventTriggered(context, event)
     }
 
+    override fun channelInactive(context: ChannelHandlerContext) {
+        hasEnded = true
+        super.channelInactive(context)
+    }
+
     override fun decode(
         context: ChannelHandlerContext,
         buffer: ByteBuf,
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/http/HttpConnector.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/http/HttpConnector.kt
@@ -123,7 +123,7 @@
     while (true) {
         when (val part = receive()) {
             is HttpPart.Data -> body.write(part.bytes)
-            HttpPart.End -> return HttpAnswer(head, body.toByteArray())
+            HttpPart.End, HttpPart.EndByClose -> return HttpAnswer(head, body.toByteArray())
             else -> return null
         }
         if (body.size() > limit || !reserve(body.size())) return null
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/http/HttpLink.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/http/HttpLink.kt
@@ -62,7 +62,10 @@
     /** True if bytes of a request have arrived from a client that were not received yet. */
     public val hasRequest: Boolean get() = false
 
-    /** Returns the next part, or null if the connection has ended; a truncated message has no [HttpPart.End]. */
+    /**
+     * Returns the next part, or null if the connection has ended. A truncated message has neither [HttpPart.End] nor
+     * [HttpPart.EndByClose].
+     */
     public suspend fun receive(): HttpPart?
 
     /** Requests a read from the socket, so that the end of the connection is detected while no part is awaited. */
@@ -115,7 +118,6 @@
     // A cancelled receive from a channel may lose its element, so a wait only takes a signal and never a part.
     private val arrivals = Inbox<Unit>(Inbox.CONFLATED)
     private val ended = CompletableDeferred<Unit>()
-    private var hasFailed = false
     private var pending = 0
 
     /** How the connection has ended, if not by the other side closing it. */
@@ -181,8 +183,15 @@
 
     private fun handleContent(message: HttpContent) {
         if (message.content().isReadable) deliver(HttpPart.Data(ByteBufUtil.getBytes(message.content())))
-        // The decoder also reports an end if a body without a length ends with a reset; such a body is incomplete.
-        if (message is LastHttpContent && !hasFailed) deliver(HttpPart.End)
+        if (message is LastHttpContent) deliverEnd()
+    }
+
+    /** The decoder also reports an end if a body without a length is cut, by a reset or as this process ends it. */
+    private fun deliverEnd() {
+        when {
+            decoder == null || !decoder.hasEnded -> deliver(HttpPart.End)
+            end == ConnectionEnd.CLOSED_BY_ENDPOINT -> deliver(HttpPart.EndByClose)
+        }
     }
 
     private fun deliver(part: HttpPart) {
@@ -211,7 +220,6 @@
         cause: Throwable,
     ) {
         fatalErrorIn(cause)?.let(onFatalError)
-        hasFailed = true
         if (end == null) otherEnd = if (cause is SocketException) ConnectionEnd.RESET else ConnectionEnd.FAILED
         context.close()
     }
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/http/HttpMessages.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/http/HttpMessages.kt
@@ -74,6 +74,9 @@
     /** End of a complete message. */
     public data object End : HttpPart
 
+    /** End of an answer that has neither a length nor chunks, as the server has closed the connection after it. */
+    public data object EndByClose : HttpPart
+
     /** Input that is not a valid message, with the status to answer; the connection cannot be used any further. */
     public data class Malformed(
         val detail: String,
