Pass on answers that end as their endpoint closes the connection

Callers of streams got answers that were cut behind their last event, or asked for again past their end, where an endpoint sent a stream without a length and without chunks: made each such stream a defect, however its connection ended. HTTP/1.1 ends such a body as the connection is closed, and the platform allows it. The endpoint also counted as lost, and its prompt was probed.

An end by a closed connection is now an end, if it stands behind a whole event. A reset, a timeout, an end within an event and a stream without events are not. What remains is an endpoint that crashes within such an answer, as its system closes the connection too. So before the end is passed on, ClosedAnswerCheck verifies that an endpoint in service, which does not leave, still accepts a connection. One that refuses has crashed: its answer is not complete, so a resumable stream goes on elsewhere and a repeatable body is asked for again. The connection made for it replaces the closed one in the pool. Without an answer within 100 ms the end is trusted. defectOfClosedAnswer has the decision as a table. Callers get such streams in chunks, as before; the last chunk is sent only once the end is verified.

The framing is no longer an input of EventStream.

--- a/decisions/src/main/kotlin/org/cicadaturn/decisions/gateway/EventStream.kt
+++ b/decisions/src/main/kotlin/org/cicadaturn/decisions/gateway/EventStream.kt
@@ -8,8 +8,8 @@
     /** Returns which of the events that [bytes] complete can be passed on; takes linear time. */
     public fun accept(bytes: ByteArray): EventBatch
 
-    /** Returns why the stream, whose body has ended as [framing] says, is not complete, or null if it is. */
-    public fun defectAtEnd(framing: BodyFraming): String?
+    /** Returns why the stream, whose body has ended here, is not complete, or null if it is. */
+    public fun defectAtEnd(): String?
 }
 
 /** Returns the stream of an answer whose events must be as [expected]. */
@@ -31,11 +31,9 @@
         return batch.copy(defect = "line that ends with CR alone")
     }
 
-    override fun defectAtEnd(framing: BodyFraming): String? =
+    override fun defectAtEnd(): String? =
         when {
             splitter.isInsideEvent -> "stream ended inside an event"
-            // An endpoint that fails also ends its connection, so events may be missing.
-            framing == BodyFraming.CONNECTION -> "only the end of the connection ended the stream"
             !hasEvents && expected.after == null -> "stream ended without an event"
             else -> null
         }
--- a/decisions/src/main/kotlin/org/cicadaturn/decisions/gateway/ExpectedAnswer.kt
+++ b/decisions/src/main/kotlin/org/cicadaturn/decisions/gateway/ExpectedAnswer.kt
@@ -8,7 +8,7 @@
     /** A last chunk. */
     CHUNKED,
 
-    /** The end of the connection, which does not tell a whole body from one that was cut. */
+    /** The end of the connection, judged by [defectOfClosedAnswer]. */
     CONNECTION,
 
     /** A transfer encoding that is not supported. */
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/AnswerParts.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/AnswerParts.kt
@@ -35,6 +35,10 @@
     private val link = connection.link
     private val start = clock.now()
 
+    /** True if the body that was read was ended by its connection alone. */
+    var isEndedByClose = false
+        private set
+
     /** Number of surplus answers that were skipped. */
     var surplusAnswers = 0
         private set
@@ -101,9 +105,13 @@
         attempt.kind != RouteKind.STREAM || balancer.shouldAbandon(attempt.endpoint.id, hasBegun)
 
     /** Waits for the next part for [limit]. */
-    suspend fun awaitPart(limit: Duration): WaitResult =
-        withTimeoutOrNull(limit) { link.receive()?.let { WaitResult.Part(it) } ?: WaitResult.Ended }
-            ?: WaitResult.Stalled
+    suspend fun awaitPart(limit: Duration): WaitResult {
+        val received =
+            withTimeoutOrNull(limit) { link.receive()?.let { WaitResult.Part(it) } ?: WaitResult.Ended }
+                ?: WaitResult.Stalled
+        if ((received as? WaitResult.Part)?.part == HttpPart.EndByClose) isEndedByClose = true
+        return received
+    }
 
     /** Returns true if [bytes] of the answer may be kept until it is complete. */
     fun canBuffer(bytes: Int): Boolean = bytes <= BUFFER_LIMIT && memory.tryGrowTo(bytes)
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/AttemptExecution.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/AttemptExecution.kt
@@ -4,10 +4,10 @@
 import org.cicadaturn.decisions.gateway.AnswerSummary
 import org.cicadaturn.decisions.gateway.AnswerVerdict
 import org.cicadaturn.decisions.gateway.AttemptEnd
-import org.cicadaturn.decisions.gateway.BodyFraming
 import org.cicadaturn.decisions.gateway.EndpointNotice
 import org.cicadaturn.decisions.gateway.EndpointUse
 import org.cicadaturn.decisions.gateway.EventBatch
+import org.cicadaturn.decisions.gateway.EventStream
 import org.cicadaturn.decisions.gateway.ExpectedAnswer
 import org.cicadaturn.decisions.gateway.ExpectedEvents
 import org.cicadaturn.decisions.gateway.PauseNotice
@@ -34,6 +34,7 @@
     private val dialect: GatewayDialect,
     private val clock: Clock,
     private val memory: BodyMemory.Reservation,
+    private val closedAnswers: ClosedAnswerCheck,
 ) {
     private val link = connection.link
     private val parts = AnswerParts(attempt, connection, balancer, dialect, clock, memory)
@@ -127,6 +128,7 @@
             use = EndpointUse.Refused(hadFreePlaces = hasFreePlaces(head), isPause = asksForPause)
             return AttemptResult.Failed(AttemptEnd.NOT_EXECUTED, "refused with ${head.status}")
         }
+        closeDefect()?.let { return disconnected(it) }
         // The caller would take this status as proof that the request was not run, but the endpoint did not say so.
         if (head.status in NOT_EXECUTED_STATUSES) {
             val use =
@@ -198,6 +200,7 @@
     ): AttemptResult {
         // A body of which a part was left out has the beginning of what follows on the connection at its end.
         if (link.hasSurplus && body.hasStatusLine()) return outOfStep("a second answer within the body")
+        closeDefect()?.let { return ended(it) }
         if (!goesOn()) return replaced()
         allowReuse(head)
         use = EndpointUse.Answered(clock.now() - start)
@@ -224,14 +227,12 @@
                     val end = relayBatch(head, stream.accept(part.bytes), stream.pendingBytes, waitedSince)
                     if (end != null) return end
                 }
-                part == HttpPart.End || part == HttpPart.EndByClose -> break
+                part == HttpPart.End || part == HttpPart.EndByClose -> return endEvents(head, stream)
                 received == WaitResult.Stalled -> return lost(AttemptEnd.STALLED, "stream paused for $limit")
                 received == WaitResult.Ended -> return ended("stream was cut")
                 else -> return outOfStep("unreadable stream")
             }
         }
-        val defect = stream.defectAtEnd(head.framing) ?: return endEvents(head)
-        return if (head.framing == BodyFraming.CONNECTION) disconnected(defect) else failed(AttemptEnd.BROKEN, defect)
     }
 
     /** Passes on the sound events of [batch]; returns how the attempt ends, or null if it goes on. */
@@ -274,7 +275,13 @@
         return true
     }
 
-    private suspend fun endEvents(head: ResponseHead): AttemptResult {
+    private suspend fun endEvents(
+        head: ResponseHead,
+        stream: EventStream,
+    ): AttemptResult {
+        val defect = stream.defectAtEnd()
+        if (defect != null) return if (parts.isEndedByClose) ended(defect) else failed(AttemptEnd.BROKEN, defect)
+        closeDefect()?.let { return ended(it) }
         if (!goesOn()) return replaced()
         allowReuse(head)
         attempt.observer.onProgress(AnswerProgress.RUNNING)
@@ -282,6 +289,13 @@
         return AttemptResult.Delivered(summary)
     }
 
+    /** Returns why an answer that only the end of its connection has ended is not complete; null if it is, or ends otherwise. */
+    private suspend fun closeDefect(): String? {
+        val end = link.end
+        if (!parts.isEndedByClose || end == null) return null
+        return closedAnswers.defectOf(end, attempt.endpoint)
+    }
+
     private fun recordPause(pause: Duration) {
         attempt.pauseTarget?.let { balancer.paced(attempt.endpoint.id, pause / it) }
     }
--- /dev/null
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/ClosedAnswerCheck.kt
@@ -0,0 +1,66 @@
+package org.cicadaturn.tasks.gateway
+
+import kotlinx.coroutines.withTimeoutOrNull
+import org.cicadaturn.decisions.gateway.ConnectionEnd
+import org.cicadaturn.decisions.gateway.EndpointAccess
+import org.cicadaturn.decisions.gateway.defectOfClosedAnswer
+import org.cicadaturn.schema.generated.LiveEndpoint
+import org.cicadaturn.tasks.http.HttpConnector
+import kotlin.time.Clock
+import kotlin.time.Duration.Companion.milliseconds
+
+/**
+ * Verifies that an endpoint which has closed the connection of an answer has not crashed.
+ *
+ * The connection that is made for it replaces the closed one and goes into [pool], so no request pays for it.
+ *
+ * @param isInService returns true if an endpoint should be running
+ * @param isLeaving returns true if an endpoint is known to leave although its entry may not tell
+ */
+internal class ClosedAnswerCheck(
+    private val connector: HttpConnector,
+    private val pool: ConnectionPool,
+    private val clock: Clock,
+    private val isInService: (LiveEndpoint) -> Boolean,
+    private val isLeaving: suspend (LiveEndpoint) -> Boolean,
+) {
+    /** Returns why an answer of [endpoint] whose connection has ended with [end] is not complete, or null if it is. */
+    suspend fun defectOf(
+        end: ConnectionEnd,
+        endpoint: LiveEndpoint,
+    ): String? {
+        val leaves = !isInService(endpoint) || isLeaving(endpoint)
+        val isProbed = end == ConnectionEnd.CLOSED_BY_ENDPOINT && !leaves
+        return defectOfClosedAnswer(end, leaves, if (isProbed) accessTo(endpoint) else EndpointAccess.UNKNOWN)
+    }
+
+    private suspend fun accessTo(endpoint: LiveEndpoint): EndpointAccess {
+        val start = clock.now()
+        val link = connector.connect(endpoint.address, CONNECT_LIMIT)
+        if (link == null) {
+            return if (clock.now() - start < CONNECT_LIMIT) EndpointAccess.REFUSES else EndpointAccess.UNKNOWN
+        }
+        var isKept = false
+        try {
+            link.readAhead()
+            withTimeoutOrNull(CLOSING_TIME) { link.closed.await() }
+            if (link.end == ConnectionEnd.RESET) return EndpointAccess.REFUSES
+            isKept = true
+            pool.put(endpoint.id, EndpointConnection(link), DEFAULT_KEEP_ALIVE)
+            return EndpointAccess.ACCEPTS
+        } finally {
+            if (!isKept) link.close()
+        }
+    }
+
+    private companion object {
+        /** Above the round trip between two failure domains. The end of the answer waits for it at most. */
+        val CONNECT_LIMIT = 100.milliseconds
+
+        /**
+         * Longest time in which a system closes all sockets of a process that has ended. A connection made within it
+         * may have been taken by a socket that is closed next, which resets it.
+         */
+        val CLOSING_TIME = 5.milliseconds
+    }
+}
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/CrashProbe.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/CrashProbe.kt
@@ -22,7 +22,10 @@
 }
 
 /** Returns true if [endpoint] should be running; one that leaves may end connections, but has not crashed. */
-internal fun QuarantineDependencies.isInService(endpoint: LiveEndpoint): Boolean =
-    fleet.state.value.view.endpoints.any {
+internal fun QuarantineDependencies.isInService(endpoint: LiveEndpoint): Boolean = fleet.isInService(endpoint)
+
+/** Returns true if [endpoint] should be running, as far as its entry tells. */
+internal fun Fleet.isInService(endpoint: LiveEndpoint): Boolean =
+    state.value.view.endpoints.any {
         it.id == endpoint.id && it.startedAt == endpoint.startedAt && it.state == AdmissionState.IN_SERVICE
     }
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/Exchange.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/Exchange.kt
@@ -122,6 +122,7 @@
     private val dialect: GatewayDialect,
     private val clock: Clock,
     private val memory: BodyMemory,
+    private val closedAnswers: ClosedAnswerCheck,
 ) {
     /** Runs [attempt] to its end and reports to the balancer how the endpoint was used. */
     suspend fun run(
@@ -143,7 +144,18 @@
             }
             attempt.observer.onConnected(connection.requestIds.size)
             val sent = connection.link.sendRequest(attempt.head, attempt.body)
-            execution = AttemptExecution(attempt, connection, sink, sent, balancer, dialect, clock, reservation)
+            execution =
+                AttemptExecution(
+                    attempt,
+                    connection,
+                    sink,
+                    sent,
+                    balancer,
+                    dialect,
+                    clock,
+                    reservation,
+                    closedAnswers,
+                )
             val result = execution.run()
             use = execution.use
             keepAliveTime = execution.keepAliveTime
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/GatewayNode.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/GatewayNode.kt
@@ -141,7 +141,10 @@
     private val noticeMetrics = NoticeMetrics(registry)
     private val balancer = startRequestBalancer()
     private val limitExchange = peerTasks.startLimitExchange(balancer, limitMetrics)
-    private val exchange = Exchange(connector, pool, balancer, dependencies.dialect, dependencies.clock, memory)
+    private val closedAnswers =
+        ClosedAnswerCheck(connector, pool, dependencies.clock, fleet::isInService, balancer.notices::isLeaving)
+    private val exchange =
+        Exchange(connector, pool, balancer, dependencies.dialect, dependencies.clock, memory, closedAnswers)
     private val lease = leaseOfPlacement()
     private val shutdown = StopSequence(file.process.stopTimeout, dependencies.clock) { balancer.isIsolated.value }
     private val times = startRequestTimeRecord(scope, dependencies.clock, supervisor)
--- a/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/ScriptedEndpoint.kt
+++ b/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/ScriptedEndpoint.kt
@@ -21,6 +21,9 @@
 /** Thrown by a script to end its connection with a reset. */
 internal class ResetConnection : RuntimeException()
 
+/** Thrown by a script to close its output and go on reading until the other side closes the connection too. */
+internal class CloseOutput : RuntimeException()
+
 /** Endpoint that listens on [port] of the loopback address. */
 internal interface TestEndpoint {
     val port: Int
@@ -66,8 +69,11 @@
                     } catch (e: ResetConnection) {
                         it.setSoLinger(true, 0)
                         false
+                    } catch (e: CloseOutput) {
+                        it.shutdownOutput()
+                        true
                     }
-                out.flush()
+                if (!it.isOutputShutdown) out.flush()
                 if (!keepsConnection) return
             }
         }
