--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/AttemptExecution.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/AttemptExecution.kt
@@ -4,10 +4,10 @@
 import org.cicadaturn.decisions.gateway.AnswerSummary
 import org.cicadaturn.decisions.gateway.AnswerVerdict
 import org.cicadaturn.decisions.gateway.AttemptEnd
-import org.cicadaturn.decisions.gateway.BodyFraming
 import org.cicadaturn.decisions.gateway.EndpointNotice
 import org.cicadaturn.decisions.gateway.EndpointUse
 import org.cicadaturn.decisions.gateway.EventBatch
+import org.cicadaturn.decisions.gateway.EventStream
 import org.cicadaturn.decisions.gateway.ExpectedAnswer
 import org.cicadaturn.decisions.gateway.ExpectedEvents
 import org.cicadaturn.decisions.gateway.PauseNotice
@@ -34,6 +34,7 @@
     private val dialect: GatewayDialect,
     private val clock: Clock,
     private val memory: BodyMemory.Reservation,
+    private val closedAnswers: ClosedAnswerCheck,
 ) {
     private val link = connection.link
     private val parts = AnswerParts(attempt, connection, balancer, dialect, clock, memory)
@@ -105,7 +106,7 @@
 
     private fun accepted() {
         balancer.accepted(attempt.endpoint.id)
-        attempt.onProgress(AnswerProgress.HEAD)
+        attempt.observer.onProgress(AnswerProgress.HEAD)
     }
 
     private fun expectedAnswer(): ExpectedAnswer =
@@ -127,6 +128,7 @@
             use = EndpointUse.Refused(hadFreePlaces = hasFreePlaces(head), isPause = asksForPause)
             return AttemptResult.Failed(AttemptEnd.NOT_EXECUTED, "refused with ${head.status}")
         }
+        closeDefect()?.let { return disconnected(it) }
         // The caller would take this status as proof that the request was not run, but the endpoint did not say so.
         if (head.status in NOT_EXECUTED_STATUSES) {
             val use =
@@ -181,7 +183,7 @@
                     if (ready != null && !sink.sendPiece(head, ready)) return AttemptResult.Delivered(summary)
                     if (body.isPassedOn) memory.close()
                 }
-                part == HttpPart.End -> return endBody(head, body)
+                part == HttpPart.End || part == HttpPart.EndByClose -> return endBody(head, body)
                 received == WaitResult.Stalled -> return failed(
                     AttemptEnd.STALLED,
                     "answer paused for ${attempt.silenceLimit}",
@@ -198,10 +200,11 @@
     ): AttemptResult {
         // A body of which a part was left out has the beginning of what follows on the connection at its end.
         if (link.hasSurplus && body.hasStatusLine()) return outOfStep("a second answer within the body")
+        closeDefect()?.let { return ended(it) }
         if (!goesOn()) return replaced()
         allowReuse(head)
         use = EndpointUse.Answered(clock.now() - start)
-        attempt.onProgress(AnswerProgress.RUNNING)
+        attempt.observer.onProgress(AnswerProgress.RUNNING)
         if (body.isPassedOn) sink.sendEnd(head) else sink.sendAnswer(head, body.rest())
         return AttemptResult.Delivered(summary)
     }
@@ -224,14 +227,12 @@
                     val end = relayBatch(head, stream.accept(part.bytes), stream.pendingBytes, waitedSince)
                     if (end != null) return end
                 }
-                part == HttpPart.End -> break
+                part == HttpPart.End || part == HttpPart.EndByClose -> return endEvents(head, stream)
                 received == WaitResult.Stalled -> return lost(AttemptEnd.STALLED, "stream paused for $limit")
                 received == WaitResult.Ended -> return ended("stream was cut")
                 else -> return outOfStep("unreadable stream")
             }
         }
-        val defect = stream.defectAtEnd(head.framing) ?: return endEvents(head)
-        return if (head.framing == BodyFraming.CONNECTION) disconnected(defect) else failed(AttemptEnd.BROKEN, defect)
     }
 
     /** Passes on the sound events of [batch]; returns how the attempt ends, or null if it goes on. */
@@ -257,7 +258,7 @@
             if (!hasEvents) {
                 firstEventAt = clock.now()
                 use = EndpointUse.Answered(firstEventAt - start)
-                attempt.onProgress(AnswerProgress.BEGINNING)
+                attempt.observer.onProgress(AnswerProgress.BEGINNING)
             } else if (i == 0) {
                 recordPause(clock.now() - waitedSince)
             }
@@ -266,18 +267,35 @@
             if (!sink.sendEvent(head, event)) return false
         }
         if (complete.isNotEmpty()) lastEventAt = clock.now()
-        if (hasEvents && lastEventAt - firstEventAt >= BEGINNING_TIME) attempt.onProgress(AnswerProgress.RUNNING)
+        if (hasEvents &&
+            lastEventAt - firstEventAt >= BEGINNING_TIME
+        ) {
+            attempt.observer.onProgress(AnswerProgress.RUNNING)
+        }
         return true
     }
 
-    private suspend fun endEvents(head: ResponseHead): AttemptResult {
+    private suspend fun endEvents(
+        head: ResponseHead,
+        stream: EventStream,
+    ): AttemptResult {
+        val defect = stream.defectAtEnd()
+        if (defect != null) return if (parts.isEndedByClose) ended(defect) else failed(AttemptEnd.BROKEN, defect)
+        closeDefect()?.let { return ended(it) }
         if (!goesOn()) return replaced()
         allowReuse(head)
-        attempt.onProgress(AnswerProgress.RUNNING)
+        attempt.observer.onProgress(AnswerProgress.RUNNING)
         sink.sendEnd(head)
         return AttemptResult.Delivered(summary)
     }
 
+    /** Returns why an answer that only the end of its connection has ended is not complete; null if it is, or ends otherwise. */
+    private suspend fun closeDefect(): String? {
+        val end = link.end
+        if (!parts.isEndedByClose || end == null) return null
+        return closedAnswers.defectOf(end, attempt.endpoint)
+    }
+
     private fun recordPause(pause: Duration) {
         attempt.pauseTarget?.let { balancer.paced(attempt.endpoint.id, pause / it) }
     }
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/http/HttpConnector.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/http/HttpConnector.kt
@@ -52,6 +52,8 @@
                 .channel(NioSocketChannel::class.java)
                 .option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.AUTO_READ, false)
+                // Tells a connection that the server closes from one that ends otherwise.
+                .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
                 .option(ChannelOption.RCVBUF_ALLOCATOR, oneBufferPerRead)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, timeout.inWholeMilliseconds.toInt().coerceAtLeast(1))
                 .handler(initializer)
@@ -121,7 +123,7 @@
     while (true) {
         when (val part = receive()) {
             is HttpPart.Data -> body.write(part.bytes)
-            HttpPart.End -> return HttpAnswer(head, body.toByteArray())
+            HttpPart.End, HttpPart.EndByClose -> return HttpAnswer(head, body.toByteArray())
             else -> return null
         }
         if (body.size() > limit || !reserve(body.size())) return null
