--- a/daemons/src/main/kotlin/org/cicadaturn/daemons/Quarantine.kt
+++ b/daemons/src/main/kotlin/org/cicadaturn/daemons/Quarantine.kt
@@ -13,9 +13,9 @@
 import org.cicadaturn.daemons.control.table
 import org.cicadaturn.decisions.gateway.FleetChange
 import org.cicadaturn.decisions.gateway.FleetPart
-import org.cicadaturn.decisions.quarantine.ServiceSegment
+import org.cicadaturn.decisions.quarantine.serviceSegment
+import org.cicadaturn.decisions.quarantine.suspect
 import org.cicadaturn.platform.platformStore
-import org.cicadaturn.schema.generated.PromptSegmentId
 import org.cicadaturn.schema.generated.QuarantinedSegment
 import org.cicadaturn.schema.generated.ServiceId
 import org.cicadaturn.tasks.gateway.FleetStore
@@ -25,7 +25,7 @@
 import java.util.Locale
 import kotlin.time.Instant
 
-/** Prints the prompt segments that the store at [connection] lists as held back; returns the exit code. */
+/** Prints the prompt segments and requests that the store at [connection] lists as held back; returns the exit code. */
 internal fun listQuarantine(
     connection: StoreConnection,
     format: OutputFormat,
@@ -36,15 +36,15 @@
         SUCCESS
     }
 
-/** Ends the quarantine of [segment] at [service] in the store at [connection]; returns the exit code. */
+/** Ends the quarantine of the segment or request with the name [segment] at [service] in the store at [connection]; returns the exit code. */
 internal fun releaseSegment(
     connection: StoreConnection,
     service: String,
     segment: String,
 ): Int =
-    withStore(connection) { it.release(ServiceSegment(ServiceId(service), PromptSegmentId(segment))) }
+    withStore(connection) { it.release(serviceSegment(ServiceId(service), segment)) }
         .fold(::reportFailure) {
-            println("segment $segment of $service is released; gateways follow within seconds")
+            println("$segment of $service is released; gateways follow within seconds")
             SUCCESS
         }
 
@@ -74,12 +74,13 @@
         entries.map {
             listOf(
                 it.service.text,
-                it.segment.text,
+                it.kind.name.lowercase(),
+                it.suspect.name,
                 String.format(Locale.ROOT, "%.3f", it.confidence),
                 "${it.crashes}",
                 "${Instant.fromEpochMilliseconds(it.since)}",
                 it.endpoints.joinToString(" ") { e -> e.text },
             )
         }
-    return table(listOf("SERVICE", "SEGMENT", "CONFIDENCE", "CRASHES", "SINCE", "ENDPOINTS"), rows)
+    return table(listOf("SERVICE", "KIND", "SEGMENT", "CONFIDENCE", "CRASHES", "SINCE", "ENDPOINTS"), rows)
 }
--- a/daemons/src/main/kotlin/org/cicadaturn/daemons/command/QuarantineCommands.kt
+++ b/daemons/src/main/kotlin/org/cicadaturn/daemons/command/QuarantineCommands.kt
@@ -19,10 +19,10 @@
 import kotlin.time.Duration.Companion.seconds
 
 /**
- * Handlers of the commands about prompt segments that gateways hold back.
+ * Handlers of the commands about prompt segments and requests that gateways hold back.
  *
- * @property list prints the segments
- * @property release ends the quarantine of a segment, given its service and identifier
+ * @property list prints them
+ * @property release ends the quarantine of one, given its service and identifier
  */
 internal data class QuarantineHandlers(
     val list: ((StoreConnection, OutputFormat) -> Int)? = null,
@@ -50,7 +50,8 @@
             handlers.release?.let { ReleaseSegmentCommand(it, setUpLogs) },
         )
     if (commands.isEmpty()) return null
-    val group = GroupCommand("quarantine", "Shows and releases the prompt segments that gateways hold back.")
+    val group =
+        GroupCommand("quarantine", "Shows and releases the prompt segments and requests that gateways hold back.")
     return group.subcommands(commands)
 }
 
@@ -77,7 +78,8 @@
     private val logs by LogOptions("warn")
 
     override fun help(context: Context): String =
-        "Prints the segments with their confidence, the crashes that they explain and since when they are held back."
+        "Prints the segments and requests with their confidence, the crashes that they explain and since when they " +
+            "are held back. A request stands for all that have its method, path, organisation and body."
 
     override fun run() {
         setUpLogs(logs.level, logs.format)
@@ -91,11 +93,16 @@
 ) : CliktCommand("release") {
     private val store by StoreOptions()
     private val logs by LogOptions("warn")
-    private val service by argument("SERVICE").help("Service of the segment, as printed by 'quarantine list'.")
-    private val segment by argument("SEGMENT").help("Identifier of the segment.")
+    private val service by argument(
+        "SERVICE",
+    ).help("Service of the segment or request, as printed by 'quarantine list'.")
+    private val segment by argument(
+        "SEGMENT",
+    ).help("Identifier of the segment or request, as printed by 'quarantine list'.")
 
     override fun help(context: Context): String =
-        "Ends the quarantine of a segment at all gateways. They hold it back again if it explains further crashes."
+        "Ends the quarantine of a segment or request at all gateways. They hold it back again if it explains further " +
+            "crashes."
 
     override fun run() {
         setUpLogs(logs.level, logs.format)
--- a/decisions/src/main/kotlin/org/cicadaturn/decisions/gateway/FleetParts.kt
+++ b/decisions/src/main/kotlin/org/cicadaturn/decisions/gateway/FleetParts.kt
@@ -1,6 +1,7 @@
 package org.cicadaturn.decisions.gateway
 
 import org.cicadaturn.decisions.quarantine.ServiceSegment
+import org.cicadaturn.decisions.quarantine.suspect
 import org.cicadaturn.schema.generated.FailureDomainId
 import org.cicadaturn.schema.generated.FleetView
 import org.cicadaturn.schema.generated.GatewayPeer
@@ -94,8 +95,8 @@
         }
     }
 
-/** Returns the segment of [entry]. */
-internal fun segmentOf(entry: QuarantinedSegment): ServiceSegment = ServiceSegment(entry.service, entry.segment)
+/** Returns the segment or request of [entry]. */
+internal fun segmentOf(entry: QuarantinedSegment): ServiceSegment = entry.suspect
 
 /** Entry of a list; a null [value] means that it was removed. */
 private class ListedEntry<K : Any, V : Any>(
--- a/decisions/src/main/kotlin/org/cicadaturn/decisions/quarantine/CrashEvidence.kt
+++ b/decisions/src/main/kotlin/org/cicadaturn/decisions/quarantine/CrashEvidence.kt
@@ -13,7 +13,7 @@
 import kotlin.time.Instant
 
 /**
- * Suspicion that a segment crashes endpoints.
+ * Suspicion that a segment or a request crashes endpoints.
  *
  * @property confidence probability that it does, from 0 to 1
  * @property crashes number of outages that it explains
@@ -30,7 +30,7 @@
     val lastCrash: Instant,
 ) {
     /** What is done with requests that contain the segment and no other suspected one; null if nothing. */
-    val state: SegmentState? get() = stateAt(confidence)
+    val state: SegmentState? get() = stateAt(confidence, segment.kind)
 
     /**
      * Earliest time of the next trial. The service recovers in between, and a segment that goes on to crash endpoints
@@ -74,7 +74,7 @@
     /** Returns all reports that are still used, with their age. */
     public fun reports(now: Instant): List<CrashReport>
 
-    /** Returns the segments of lost prompts. */
+    /** Returns the segments of lost prompts, and the lost requests. */
     public fun candidates(): Set<ServiceSegment>
 
     /** Returns the segments whose confidence is not negligible, the most likely first. */
@@ -114,8 +114,8 @@
         val crash = crashes.getOrPut(run) { Crash(report.service, at) }
         crash.at = minOf(crash.at, at)
         val known = crash.lost[report.reporter].orEmpty()
-        val lost = report.lost.take(MAX_PROMPTS)
-        if (lost.size <= known.size) return false
+        val lost = report.lost.sortedByDescending { it.likelihoodRatio }.take(MAX_PROMPTS)
+        if (lost.size < known.size || lost == known) return false
         crash.lost[report.reporter] = lost
         expire(now)
         return true
@@ -145,9 +145,7 @@
         }
 
     override fun candidates(): Set<ServiceSegment> =
-        crashes.values.flatMapTo(HashSet()) { crash ->
-            crash.prompts().flatMap { it.segments }.map { ServiceSegment(crash.service, it) }
-        }
+        crashes.values.flatMapTo(HashSet()) { crash -> crash.prompts().flatMap { it.suspects(crash.service) } }
 
     override fun suspicions(now: Instant): List<Suspicion> {
         expire(now)
@@ -165,11 +163,9 @@
     ): List<Suspicion> {
         val explained =
             entries.sortedBy { it.value.at }.map { (run, crash) ->
-                ExplainedCrash(run.endpoint, crash.at, crash.prompts()) { segment ->
-                    historyOf(ServiceSegment(service, segment), crash.at)
-                }
+                ExplainedCrash(service, run.endpoint, crash.at, crash.prompts()) { historyOf(it, crash.at) }
             }
-        return explain(service, explained, now)
+        return explain(explained, now)
     }
 
     private fun historyOf(
--- a/decisions/src/main/kotlin/org/cicadaturn/decisions/quarantine/Explanations.kt
+++ b/decisions/src/main/kotlin/org/cicadaturn/decisions/quarantine/Explanations.kt
@@ -2,12 +2,13 @@
 
 import org.cicadaturn.schema.generated.EndpointId
 import org.cicadaturn.schema.generated.LostPrompt
-import org.cicadaturn.schema.generated.PromptSegmentId
 import org.cicadaturn.schema.generated.ServiceId
+import org.cicadaturn.schema.generated.SuspectKind
 import kotlin.math.exp
 import kotlin.math.ln
 import kotlin.math.pow
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.hours
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.minutes
 import kotlin.time.Instant
@@ -24,38 +25,51 @@
     CLEARED,
 }
 
-/** Crash of [endpoint] with the segments that may explain it; [history] tells what is known of a segment. */
+/** Crash of [endpoint] with the segments and requests that may explain it; [history] tells what is known of one. */
 internal class ExplainedCrash(
+    service: ServiceId,
     val endpoint: EndpointId,
     val at: Instant,
     lost: List<LostPrompt>,
-    history: (PromptSegmentId) -> SegmentHistory,
+    history: (ServiceSegment) -> SegmentHistory,
 ) {
-    /** Histories of the segments that nothing clears of this crash. */
-    val open: Map<PromptSegmentId, SegmentHistory> =
+    /** Histories of the suspects that nothing clears of this crash. */
+    val open: Map<ServiceSegment, SegmentHistory> =
         lost
-            .flatMapTo(LinkedHashSet()) { it.segments }
+            .flatMapTo(LinkedHashSet()) { it.suspects(service) }
             .associateWith(history)
             .filterValues { it != SegmentHistory.CLEARED }
 
-    private val ratios = HashMap<PromptSegmentId, Double>()
-    private val unknown = HashMap<PromptSegmentId, Int>()
+    private val ratios = HashMap<ServiceSegment, Double>()
+    private val shares = HashMap<ServiceSegment, Double>()
 
     init {
         for (prompt in lost) {
-            val count = prompt.segments.count { open[it] == SegmentHistory.NEVER_ANSWERED }.coerceAtLeast(1)
-            for (segment in prompt.segments) {
-                ratios.merge(segment, prompt.likelihoodRatio, ::maxOf)
-                unknown.merge(segment, count, ::minOf)
+            val suspects = prompt.suspects(service)
+            val unknown =
+                suspects.count { it.kind == SuspectKind.SEGMENT && open[it] == SegmentHistory.NEVER_ANSWERED }
+            for (suspect in suspects) {
+                ratios.merge(suspect, prompt.likelihoodRatio, ::maxOf)
+                shares.merge(suspect, shareOfPrior(suspect.kind, unknown), ::maxOf)
             }
         }
     }
 
-    /** Returns how many times more likely the crash is if [segment] causes crashes; null if no request had it. */
-    fun ratioOf(segment: PromptSegmentId): Double? = ratios[segment]
+    private fun shareOfPrior(
+        kind: SuspectKind,
+        unknownSegments: Int,
+    ): Double =
+        when {
+            kind == SuspectKind.SEGMENT -> 1.0 / unknownSegments.coerceAtLeast(1)
+            unknownSegments == 0 -> REQUEST_SHARE
+            else -> REQUEST_SHARE_BESIDE_SEGMENTS
+        }
+
+    /** Returns how many times more likely the crash is if [suspect] causes crashes; null if it was not lost. */
+    fun ratioOf(suspect: ServiceSegment): Double? = ratios[suspect]
 
-    /** Returns the smallest number of segments without an answer in a lost prompt with [segment]; at least 1. */
-    fun unknownBeside(segment: PromptSegmentId): Int = unknown.getValue(segment)
+    /** Returns the largest share of the prior odds that [suspect] has in one of the lost requests. */
+    fun shareOf(suspect: ServiceSegment): Double = shares.getValue(suspect)
 }
 
 /** Crashes at about the same time, which may have one cause. */
@@ -69,7 +83,7 @@
      *
      * Crashes that it does not explain need another cause, which might explain all of them.
      */
-    fun likelihoodRatio(segment: PromptSegmentId): Double {
+    fun likelihoodRatio(segment: ServiceSegment): Double {
         val ratios = crashes.mapNotNull { it.ratioOf(segment) }
         if (ratios.size == crashes.size) return ratios.min()
         return (ratios.max() * PARTIAL_EXPLANATION).coerceAtLeast(1.0)
@@ -77,17 +91,16 @@
 }
 
 /**
- * Returns the suspicion against each segment that may explain some of [crashes] of [service], which are in the order of
- * time.
+ * Returns the suspicion against each segment and request that may explain some of [crashes] of one service, which are in
+ * the order of time.
  *
- * By Bayes' rule, with the hypotheses that one of the segments, or none, explains a crash.
+ * By Bayes' rule, with the hypotheses that one of them, or none, explains a crash.
  */
 internal fun explain(
-    service: ServiceId,
     crashes: List<ExplainedCrash>,
     now: Instant,
 ): List<Suspicion> {
-    val outages = HashMap<PromptSegmentId, MutableList<Outage>>()
+    val outages = HashMap<ServiceSegment, MutableList<Outage>>()
     for (outage in outagesOf(crashes)) {
         val segments = outage.crashes.flatMapTo(HashSet()) { it.open.keys }
         segments.forEach { outages.getOrPut(it) { mutableListOf() } += outage }
@@ -101,7 +114,7 @@
             list.singleOrNull()?.let { totals.getValue(it) }
                 ?: list.flatMapTo(HashSet()) { it.open.keys }.sumOf { odds.getValue(it) }
         Suspicion(
-            segment = ServiceSegment(service, segment),
+            segment = segment,
             confidence = odds.getValue(segment) / (1 + rivals),
             crashes = outages.getValue(segment).size,
             endpoints = list.map { it.endpoint },
@@ -120,8 +133,8 @@
     return groups.map { Outage(it) }
 }
 
-private fun crashesBySegment(crashes: List<ExplainedCrash>): Map<PromptSegmentId, List<ExplainedCrash>> {
-    val bySegment = LinkedHashMap<PromptSegmentId, MutableList<ExplainedCrash>>()
+private fun crashesBySegment(crashes: List<ExplainedCrash>): Map<ServiceSegment, List<ExplainedCrash>> {
+    val bySegment = LinkedHashMap<ServiceSegment, MutableList<ExplainedCrash>>()
     for (crash in crashes) {
         crash.open.keys.forEach { bySegment.getOrPut(it) { mutableListOf() } += crash }
     }
@@ -130,20 +143,27 @@
 
 /** Returns the odds that [segment] causes crashes against no segment doing so. */
 private fun oddsOf(
-    segment: PromptSegmentId,
+    segment: ServiceSegment,
     crashes: List<ExplainedCrash>,
     outages: List<Outage>,
     now: Instant,
 ): Double {
-    val prior = PRIOR_ODDS / crashes.minOf { it.unknownBeside(segment) }
+    val prior = PRIOR_ODDS * crashes.maxOf { it.shareOf(segment) }
     val wasAnswered = crashes.any { it.open[segment] == SegmentHistory.ANSWERED_BEFORE }
-    val halfLife = halfLife(outages.size)
+    val halfLife = halfLife(segment.kind, outages.size)
     val evidence = outages.sumOf { ln(it.likelihoodRatio(segment)) * 0.5.pow((now - it.at) / halfLife) }
     return prior * (if (wasAnswered) ANSWERED_FACTOR else 1.0) * exp(evidence)
 }
 
-/** Returns the time in which evidence against a segment that explains [crashes] crashes loses half of its weight. */
-internal fun halfLife(crashes: Int): Duration = FIRST_HALF_LIFE * HALF_LIFE_GROWTH.pow(crashes - 1)
+/** Returns the time in which evidence against a suspect that explains [crashes] crashes loses half of its weight. */
+internal fun halfLife(
+    kind: SuspectKind,
+    crashes: Int,
+): Duration =
+    when {
+        kind == SuspectKind.REQUEST && crashes > 1 -> REQUEST_HALF_LIFE
+        else -> FIRST_HALF_LIFE * HALF_LIFE_GROWTH.pow(crashes - 1)
+    }
 
 /** Holds a segment back for about a minute after one crash for which it is the only explanation. */
 private val FIRST_HALF_LIFE = 2.minutes
@@ -151,9 +171,24 @@
 /** Two crashes hold a segment back for a quarter of an hour, three for hours, four for most of a day. */
 private const val HALF_LIFE_GROWTH = 6.0
 
+/** Two crashes hold a request back for most of a day, as a wrong verdict concerns no other request. */
+private val REQUEST_HALF_LIFE = 24.hours
+
 /** Odds that a prompt that was never answered contains a segment that crashes endpoints, before any crash. */
 private const val PRIOR_ODDS = 0.05
 
+/**
+ * Share of the prior odds of a request whose segments have all been answered before. Low enough that the ten or so
+ * requests that are lost beside a segment that crashes endpoints do not cast doubt on its verdict.
+ */
+private const val REQUEST_SHARE = 0.2
+
+/**
+ * The same beside a segment without an answer. A tenth, so that such a segment is held back after its first crash, which
+ * protects endpoints from the other requests with it.
+ */
+private const val REQUEST_SHARE_BESIDE_SEGMENTS = 0.02
+
 /** Factor on the odds of a segment that endpoints have answered before. */
 private const val ANSWERED_FACTOR = 0.0001
 
--- a/decisions/src/main/kotlin/org/cicadaturn/decisions/quarantine/LossWeights.kt
+++ b/decisions/src/main/kotlin/org/cicadaturn/decisions/quarantine/LossWeights.kt
@@ -21,12 +21,15 @@
     )
 
     /**
-     * Returns how many times more likely the loss of a request with [progress] is if its prompt caused the crash; 1 or
+     * Returns how many times more likely the loss of a request with [progress] is if the request caused the crash; 1 or
      * more.
+     *
+     * @param isStream true if the answer is a stream, whose head is sent as the request begins to run
      */
     public fun likelihoodRatio(
         service: ServiceId,
         progress: AnswerProgress,
+        isStream: Boolean = true,
     ): Double
 }
 
@@ -56,11 +59,13 @@
     override fun likelihoodRatio(
         service: ServiceId,
         progress: AnswerProgress,
+        isStream: Boolean,
     ): Double {
         val known = services[service]
         if (known == null || known.answers < MIN_ANSWERS) return COINCIDENCE_RATIO
         val share = ((known.times[progress] ?: Duration.ZERO) / known.total()).coerceAtLeast(MIN_SHARE)
-        return (COINCIDENCE_RATIO * EXPECTED_SHARES.getValue(progress) / share).coerceAtLeast(1.0)
+        val expected = if (isStream) EXPECTED_SHARES else EXPECTED_WHOLE_SHARES
+        return (COINCIDENCE_RATIO * expected.getValue(progress) / share).coerceAtLeast(1.0)
     }
 
     private companion object {
@@ -82,6 +87,15 @@
                 AnswerProgress.RUNNING to 0.01,
             )
 
+        /** The same for answers that are sent whole, of which nothing is sent before the end of the run. */
+        val EXPECTED_WHOLE_SHARES =
+            mapOf(
+                AnswerProgress.NONE to 0.97,
+                AnswerProgress.HEAD to 0.01,
+                AnswerProgress.BEGINNING to 0.01,
+                AnswerProgress.RUNNING to 0.01,
+            )
+
         /** Shortest share of the time that is assumed for a state; estimates of shorter ones are imprecise. */
         const val MIN_SHARE = 0.005
 
--- a/decisions/src/main/kotlin/org/cicadaturn/decisions/quarantine/SegmentMemory.kt
+++ b/decisions/src/main/kotlin/org/cicadaturn/decisions/quarantine/SegmentMemory.kt
@@ -5,12 +5,6 @@
 import org.cicadaturn.schema.generated.ServiceId
 import kotlin.time.Instant
 
-/** Prompt segment at a service; another service may run another model, which the segment does not harm. */
-public data class ServiceSegment(
-    val service: ServiceId,
-    val segment: PromptSegmentId,
-)
-
 /**
  * Remembers when a service last answered prompts with a segment. Has one owner and is not safe for concurrent use.
  *
--- a/decisions/src/main/kotlin/org/cicadaturn/decisions/quarantine/SegmentQuarantine.kt
+++ b/decisions/src/main/kotlin/org/cicadaturn/decisions/quarantine/SegmentQuarantine.kt
@@ -2,6 +2,7 @@
 
 import org.cicadaturn.schema.generated.AnsweredSegment
 import org.cicadaturn.schema.generated.CrashReport
+import org.cicadaturn.schema.generated.Digest
 import org.cicadaturn.schema.generated.OrganisationId
 import org.cicadaturn.schema.generated.PromptSegmentId
 import org.cicadaturn.schema.generated.QuarantineNews
@@ -26,12 +27,8 @@
     val isEmpty: Boolean get() = added.isEmpty() && removed.isEmpty()
 }
 
-/** Segments of the prompts in this report. */
-public val CrashReport.segments: Set<ServiceSegment>
-    get() = lost.flatMap { it.segments }.mapTo(LinkedHashSet()) { ServiceSegment(service, it) }
-
 /**
- * Decides which prompt segments are suspected or held back, from the crashes and answers that this process and the
+ * Decides which prompt segments and requests are suspected or held back, from the crashes and answers that this process and the
  * other gateways have seen, and from the list in the store. Has one owner and is not safe for concurrent use.
  */
 public interface SegmentQuarantine {
@@ -51,12 +48,17 @@
         now: Instant,
     )
 
-    /** Records an answer to a prompt with [segments] of [organisation]; null if the route is public. */
+    /**
+     * Records an answer to a prompt with [segments] of [organisation]; null if the route is public.
+     *
+     * @param request digest of the request, which is only kept while the request is a suspect
+     */
     public fun answered(
         service: ServiceId,
         organisation: OrganisationId?,
         segments: List<PromptSegmentId>,
         now: Instant,
+        request: Digest? = null,
     )
 
     /** Adds what another gateway knows; returns true if that changes anything. */
@@ -98,7 +100,7 @@
         val since: Instant,
     )
 
-    /** Latest answers that other gateways reported; only for segments of lost prompts, which bounds their number. */
+    /** Latest answers to requests, and those to segments that other gateways reported; only for [relevant] ones. */
     private val reported = HashMap<ServiceSegment, Instant>()
     private val evidence = crashEvidence(::lastAnswer)
     private var listed = emptyMap<ServiceSegment, Listed>()
@@ -114,7 +116,7 @@
         val entries =
             listed.associate { entry ->
                 val age = (wallClock.toEpochMilliseconds() - entry.since).coerceAtLeast(0L).milliseconds
-                ServiceSegment(entry.service, entry.segment) to Listed(entry, now - age)
+                entry.suspect to Listed(entry, now - age)
             }
         (this.listed.keys - entries.keys).forEach { evidence.release(it, now) }
         this.listed = entries
@@ -132,18 +134,24 @@
         organisation: OrganisationId?,
         segments: List<PromptSegmentId>,
         now: Instant,
+        request: Digest?,
     ) {
         memory.answered(service, organisation, segments, now)
+        val suspect = request?.let { requestSegment(service, it) } ?: return
+        if (suspect in relevant()) reported[suspect] = now
     }
 
+    /** Returns what answers of are kept; their number is bounded by the crashes and the list in the store. */
+    private fun relevant(): Set<ServiceSegment> = evidence.candidates() + listed.keys
+
     override fun merge(
         news: QuarantineNews,
         now: Instant,
     ): Boolean {
         val newCrashes = news.crashes.count { evidence.add(it, now) }
-        val candidates = evidence.candidates()
-        reported.keys.retainAll(candidates)
-        val useful = news.answered.filter { ServiceSegment(it.service, it.segment) in candidates }
+        val relevant = relevant()
+        reported.keys.retainAll(relevant)
+        val useful = news.answered.filter { ServiceSegment(it.service, it.segment, it.kind) in relevant }
         val newAnswers = useful.count { addAnswer(it, now) }
         return newCrashes + newAnswers > 0
     }
@@ -152,7 +160,7 @@
         answer: AnsweredSegment,
         now: Instant,
     ): Boolean {
-        val segment = ServiceSegment(answer.service, answer.segment)
+        val segment = ServiceSegment(answer.service, answer.segment, answer.kind)
         val at = now - answer.age
         val known = lastAnswer(segment)
         if (known != null && known >= at) return false
@@ -165,7 +173,7 @@
         now: Instant,
     ): List<AnsweredSegment> =
         segments.mapNotNull { segment ->
-            lastAnswer(segment)?.let { AnsweredSegment(segment.service, segment.segment, now - it) }
+            lastAnswer(segment)?.let { AnsweredSegment(segment.service, segment.segment, now - it, segment.kind) }
         }
 
     override fun news(now: Instant): QuarantineNews {
@@ -193,7 +201,7 @@
         now: Instant,
     ): Suspicion? {
         val entry = listed.entry
-        val segment = ServiceSegment(entry.service, entry.segment)
+        val segment = entry.suspect
         val isCleared = (lastAnswer(segment) ?: listed.since) > listed.since
         if (isCleared || ageInHalfLives(listed, now) >= EXPIRY) return null
         val isDue = ageInHalfLives(listed, now) >= REVIEW
@@ -216,6 +224,7 @@
                     crashes = suspicion.crashes,
                     endpoints = suspicion.endpoints.take(MAX_LISTED_ENDPOINTS),
                     since = wallClock.toEpochMilliseconds(),
+                    kind = suspicion.segment.kind,
                 )
             },
             removed,
@@ -233,7 +242,7 @@
     private fun ageInHalfLives(
         listed: Listed,
         now: Instant,
-    ): Double = (now - listed.since) / halfLife(listed.entry.crashes.coerceAtLeast(1))
+    ): Double = (now - listed.since) / halfLife(listed.entry.kind, listed.entry.crashes.coerceAtLeast(1))
 
     override fun status(now: Instant): List<SegmentStatus> =
         view(now).suspicions.mapNotNull { suspicion ->
@@ -246,6 +255,7 @@
                 endpoints = suspicion.endpoints,
                 ageMs = (now - suspicion.since).inWholeMilliseconds,
                 isStored = suspicion.segment in listed,
+                kind = suspicion.segment.kind,
             )
         }
 
@@ -256,8 +266,8 @@
         /** Half-lives after which the entry of a segment that no request has had since is removed. */
         const val EXPIRY = 4.0
 
-        /** Confidence of a listed segment that is tried again. */
-        const val REVIEWED_CONFIDENCE = 0.5
+        /** Confidence of a listed segment or request that is tried again; below those at which it is held back. */
+        const val REVIEWED_CONFIDENCE = 0.3
         const val MAX_LISTED_ENDPOINTS = 16
     }
 }
--- a/decisions/src/main/kotlin/org/cicadaturn/decisions/quarantine/Verdict.kt
+++ b/decisions/src/main/kotlin/org/cicadaturn/decisions/quarantine/Verdict.kt
@@ -1,25 +1,27 @@
 package org.cicadaturn.decisions.quarantine
 
+import org.cicadaturn.schema.generated.Digest
 import org.cicadaturn.schema.generated.PromptSegmentId
 import org.cicadaturn.schema.generated.SegmentState
 import org.cicadaturn.schema.generated.ServiceId
+import org.cicadaturn.schema.generated.SuspectKind
 import kotlin.time.Instant
 
-/** What may be done with a request, as far as its prompt is concerned. */
+/** What may be done with a request, as far as the crashes are concerned that it may cause. */
 public sealed interface Verdict {
     /** The request may be sent. */
     public data object Clear : Verdict
 
     /**
-     * The request may be sent if no other request with suspected segments is on its way to the service.
+     * The request may be sent if no other suspected request is on its way to the service.
      *
      * @property confidence probability that the request crashes its endpoint
-     * @property segments suspected segments
+     * @property suspects names of its suspected segments, and of the request itself if it is suspected
      * @property notBefore earliest time at which it may be sent
      */
     public data class Suspected(
         val confidence: Double,
-        val segments: List<PromptSegmentId>,
+        val suspects: List<String>,
         val notBefore: Instant,
     ) : Verdict
 
@@ -27,11 +29,13 @@
      * The request must not be sent, as it probably crashes its endpoint.
      *
      * @property confidence probability that it does
-     * @property segments suspected segments
+     * @property suspects names of its suspected segments, and of the request itself if it is suspected
+     * @property isForRequest true if the evidence against the request itself suffices, so that no other is concerned
      */
     public data class Quarantined(
         val confidence: Double,
-        val segments: List<PromptSegmentId>,
+        val suspects: List<String>,
+        val isForRequest: Boolean = false,
     ) : Verdict
 }
 
@@ -46,6 +50,11 @@
     val blocked: Set<ServiceId> = emptySet(),
 ) {
     private val bySegment: Map<ServiceSegment, Suspicion> = suspicions.associateBy { it.segment }
+    private val withRequests: Set<ServiceId> =
+        bySegment.keys.filter { it.kind == SuspectKind.REQUEST }.mapTo(HashSet()) { it.service }
+
+    /** Returns true if some request to [service] is suspected itself, so that digests of requests are of use. */
+    public fun hasRequests(service: ServiceId): Boolean = service in withRequests
 
     /** Returns true if [segment] is suspected, even if that has no effect. */
     public operator fun contains(segment: ServiceSegment): Boolean = segment in bySegment
@@ -53,34 +62,69 @@
     /**
      * Returns the verdict on a request to [service] whose prompt has [segments].
      *
-     * The last segment is not considered, as it belongs to one request or session. The confidences of the others add
-     * up, as they are the probabilities of explanations that exclude each other: of two segments that were only seen
-     * together neither is held back alone.
+     * The last segment is not considered, as it belongs to one request or session; the request itself takes its place.
+     * The confidences add up, as they are the probabilities of explanations that exclude each other: of two segments
+     * that were only seen together neither is held back alone.
+     *
+     * @param request returns the digest of the request; called if a request to the service is suspected
      */
     public fun verdict(
         service: ServiceId,
         segments: List<PromptSegmentId>,
+        request: () -> Digest? = { null },
     ): Verdict {
         if (bySegment.isEmpty()) return Verdict.Clear
-        val suspected = segments.dropLast(1).distinct().mapNotNull { bySegment[ServiceSegment(service, it)] }
+        val shared = segments.dropLast(1).distinct().mapNotNull { bySegment[ServiceSegment(service, it)] }
+        val own = if (hasRequests(service)) request()?.let { bySegment[requestSegment(service, it)] } else null
+        val suspected = shared + listOfNotNull(own)
+        val names = suspected.map { it.segment.name }
         val confidence = suspected.sumOf { it.confidence }.coerceAtMost(1.0)
-        val state = stateAt(confidence) ?: return Verdict.Clear
-        val names = suspected.map { it.segment.segment }
-        if (state == SegmentState.QUARANTINED && service !in blocked) return Verdict.Quarantined(confidence, names)
-        return Verdict.Suspected(confidence, names, suspected.maxOf { it.nextTrial })
+        if (own?.state == SegmentState.QUARANTINED) return Verdict.Quarantined(confidence, names, isForRequest = true)
+        // Several reasons for a suspicion, none of which suffices alone, are compared with the higher threshold.
+        val state =
+            stateAt(shared.sumOf { it.confidence }) ?: own?.state ?: stateAt(confidence, SuspectKind.REQUEST)
+        val isQuarantined = confidence >= QUARANTINE_CONFIDENCE && service !in blocked
+        return when {
+            state == null -> Verdict.Clear
+            isQuarantined -> Verdict.Quarantined(confidence, names)
+            else -> Verdict.Suspected(confidence, names, suspected.maxOf { it.nextTrial })
+        }
     }
 }
 
-/** Returns what is done with a request that crashes its endpoint with probability [confidence]; null if nothing. */
-internal fun stateAt(confidence: Double): SegmentState? =
-    when {
-        confidence >= QUARANTINE_CONFIDENCE -> SegmentState.QUARANTINED
-        confidence >= SUSPICION_CONFIDENCE -> SegmentState.SUSPECTED
+/**
+ * Returns what is done with requests that crash their endpoints with probability [confidence]; null if nothing.
+ *
+ * @param kind what the evidence is against; that against a request concerns no other
+ */
+internal fun stateAt(
+    confidence: Double,
+    kind: SuspectKind = SuspectKind.SEGMENT,
+): SegmentState? {
+    val isRequest = kind == SuspectKind.REQUEST
+    return when {
+        confidence >= (if (isRequest) REQUEST_QUARANTINE_CONFIDENCE else QUARANTINE_CONFIDENCE) ->
+            SegmentState.QUARANTINED
+        confidence >= (if (isRequest) REQUEST_SUSPICION_CONFIDENCE else SUSPICION_CONFIDENCE) ->
+            SegmentState.SUSPECTED
         else -> null
     }
+}
 
 /** Confidence from which requests are held back. */
 private const val QUARANTINE_CONFIDENCE = 0.9
 
+/**
+ * Confidence from which a request is held back for itself. A wrong verdict costs this one request, a crash the requests
+ * that are in progress at the endpoint, and with some engines a whole group for seconds.
+ */
+private const val REQUEST_QUARANTINE_CONFIDENCE = 0.5
+
+/**
+ * Confidence from which a request is sent as the only suspect for itself. Above that of segments, as each of the requests
+ * that are lost in an ordinary crash has a few hundredths.
+ */
+private const val REQUEST_SUSPICION_CONFIDENCE = 0.1
+
 /** Confidence from which requests are sent one at a time; below it, the delay costs more than a rare crash. */
 private const val SUSPICION_CONFIDENCE = 0.05
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/PromptGate.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/PromptGate.kt
@@ -5,6 +5,7 @@
 import org.cicadaturn.decisions.quarantine.SuspicionView
 import org.cicadaturn.decisions.quarantine.Verdict
 import org.cicadaturn.schema.generated.AnswerProgress
+import org.cicadaturn.schema.generated.Digest
 import org.cicadaturn.schema.generated.LiveEndpoint
 import org.cicadaturn.schema.generated.OrganisationId
 import org.cicadaturn.schema.generated.PromptSegmentId
@@ -14,8 +15,11 @@
 import kotlin.time.Duration.Companion.milliseconds
 
 /**
- * Keeps one request back while its prompt is quarantined, and sends it only as the one trial of its service while the
- * prompt is suspected. Used by the coroutine of the request only.
+ * Keeps one request back while it or its prompt is quarantined, and sends it only as the one trial of its service while
+ * one of them is suspected. Used by the coroutine of the request only.
+ *
+ * @param isStream true if the answer is a stream
+ * @param digestOf returns the digest that all copies of the request have; called at most once, as it reads the body
  */
 internal class PromptGate(
     private val quarantine: Quarantine,
@@ -23,14 +27,18 @@
     private val organisation: OrganisationId?,
     private val prompt: List<PromptSegmentId>,
     private val clock: Clock,
+    private val isStream: Boolean,
+    digestOf: () -> Digest,
 ) {
+    private val digest = lazy(LazyThreadSafetyMode.NONE, digestOf)
+
+    /** Digest of the request for the log, or null if it was not needed. */
+    val knownDigest: Digest? get() = if (digest.isInitialized()) digest.value else null
+
     /** True if the request is the one trial of its service, which only one endpoint may have at a time. */
     var hasTrial = false
         private set
 
-    /** True if the prompt has segments that other prompts may share; the last one is the request's own. */
-    val hasSharedSegments: Boolean get() = prompt.size > 1
-
     /**
      * Returns [Verdict.Clear] once the request may be sent, or the verdict that forbids it; waits up to [limit] for a
      * trial.
@@ -39,8 +47,8 @@
         val until = clock.now() + limit
         while (true) {
             val view = quarantine.view.value
-            val verdict = view.verdict(service, prompt)
-            if (verdict is Verdict.Quarantined) quarantine.heldBack(service)
+            val verdict = view.verdict(service, prompt) { digest.value }
+            if (verdict is Verdict.Quarantined && !verdict.isForRequest) quarantine.heldBack(service)
             if (verdict !is Verdict.Suspected) return verdict
             if (verdict.notBefore <= clock.now()) {
                 hasTrial = hasTrial || quarantine.claimTrial(service)
@@ -61,7 +69,7 @@
 
     /** Returns true if the request may still be sent. */
     fun isOpen(): Boolean =
-        when (quarantine.view.value.verdict(service, prompt)) {
+        when (quarantine.view.value.verdict(service, prompt) { digest.value }) {
             Verdict.Clear -> true
             is Verdict.Suspected -> hasTrial
             is Verdict.Quarantined -> false
@@ -69,7 +77,7 @@
 
     /** Starts to observe an attempt at [endpoint]. */
     fun observe(endpoint: LiveEndpoint): PromptObservation =
-        PromptObservation(quarantine, endpoint, organisation, prompt, clock)
+        PromptObservation(quarantine, endpoint, organisation, prompt, clock, isStream, digest)
 
     /** Ends the trial of this request, if it has one. */
     fun close() {
@@ -90,6 +98,8 @@
     private val organisation: OrganisationId?,
     private val prompt: List<PromptSegmentId>,
     private val clock: Clock,
+    private val isStream: Boolean,
+    private val digest: Lazy<Digest>,
 ) {
     private var progress = AnswerProgress.NONE
     private var since = clock.now()
@@ -100,7 +110,13 @@
         if (reached <= progress) return
         addTime()
         progress = reached
-        if (reached == AnswerProgress.RUNNING) quarantine.answered(endpoint.service, organisation, prompt)
+        if (reached == AnswerProgress.RUNNING) recordAnswer()
+    }
+
+    private fun recordAnswer() {
+        // Digests of ordinary requests are of no use; they would only take time and memory.
+        val isOfUse = quarantine.view.value.hasRequests(endpoint.service)
+        quarantine.answered(endpoint.service, organisation, prompt, if (isOfUse) digest.value else null)
     }
 
     private fun addTime() {
@@ -118,6 +134,6 @@
     /** Records that the endpoint has ended the connection; returns once it is known whether it has crashed. */
     suspend fun lost() {
         if (progress == AnswerProgress.RUNNING) return
-        quarantine.lost(LostRequest(endpoint, prompt, progress))
+        quarantine.lost(LostRequest(endpoint, prompt, progress, digest.value, isStream))
     }
 }
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/Quarantine.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/Quarantine.kt
@@ -6,6 +6,7 @@
 import org.cicadaturn.decisions.quarantine.SuspicionView
 import org.cicadaturn.decisions.quarantine.TrialRegistry
 import org.cicadaturn.schema.generated.AnswerProgress
+import org.cicadaturn.schema.generated.Digest
 import org.cicadaturn.schema.generated.GatewayPeer
 import org.cicadaturn.schema.generated.LiveEndpoint
 import org.cicadaturn.schema.generated.NetworkAddress
@@ -24,14 +25,18 @@
  *
  * @property segments segments of its prompt
  * @property progress how far its answer had come
+ * @property request digest that all copies of the request have
+ * @property isStream true if its answer is a stream
  */
 internal data class LostRequest(
     val endpoint: LiveEndpoint,
     val segments: List<PromptSegmentId>,
     val progress: AnswerProgress,
+    val request: Digest? = null,
+    val isStream: Boolean = true,
 )
 
-/** Task that owns what this process knows about prompt segments that crash endpoints. */
+/** Task that owns what this process knows about prompt segments and requests that crash endpoints. */
 internal interface Quarantine {
     /** Current suspicions, by which requests are judged. */
     val view: StateFlow<SuspicionView>
@@ -39,11 +44,16 @@
     /** Records a lost request and returns once it is known whether its endpoint has crashed. */
     suspend fun lost(request: LostRequest)
 
-    /** Records an answer to a prompt with [segments]; never suspends. */
+    /**
+     * Records an answer to a prompt with [segments]; never suspends.
+     *
+     * @param request digest of the request, or null if none is suspected
+     */
     fun answered(
         service: ServiceId,
         organisation: OrganisationId?,
         segments: List<PromptSegmentId>,
+        request: Digest? = null,
     )
 
     /** Records how long an answer of [service] was in each state of progress; never suspends. */
@@ -52,10 +62,10 @@
         times: Map<AnswerProgress, Duration>,
     )
 
-    /** Counts a request to [service] that is held back; never suspends. */
+    /** Counts a request to [service] that is held back because of what it shares with others; never suspends. */
     fun heldBack(service: ServiceId)
 
-    /** Returns true if this process may now send one request with suspected segments to [service]. */
+    /** Returns true if this process may now send one suspected request to [service]. */
     suspend fun claimTrial(service: ServiceId): Boolean
 
     /** Ends the trial that was claimed; never suspends, so that it can be called on cancellation. */
@@ -64,7 +74,7 @@
     /** Adds the [news] of another process and returns what it should know. */
     suspend fun receive(news: QuarantineNews): QuarantineNews
 
-    /** Returns the suspected and quarantined segments for the state dump. */
+    /** Returns what is suspected and quarantined for the state dump. */
     suspend fun status(): List<SegmentStatus>
 }
 
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/QuarantineLog.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/QuarantineLog.kt
@@ -3,8 +3,9 @@
 import org.apache.logging.log4j.Logger
 import org.cicadaturn.decisions.quarantine.SuspicionView
 import org.cicadaturn.schema.generated.LostPrompt
+import org.cicadaturn.schema.generated.SuspectKind
 
-/** Logs each segment whose state differs between [before] and [after], with the evidence that decides it. */
+/** Logs each segment and request whose state differs between [before] and [after], with the evidence that decides it. */
 internal fun Logger.logChanges(
     before: SuspicionView,
     after: SuspicionView,
@@ -12,7 +13,8 @@
     val earlier = before.suspicions.associateBy { it.segment }
     after.suspicions.filter { it.state != earlier[it.segment]?.state }.forEach { suspicion ->
         warn(
-            "quarantine: segment {} at {} is {}, confidence {}, {} crashes, endpoints {}",
+            "quarantine: {} {} at {} is {}, confidence {}, {} crashes, endpoints {}",
+            textOf(suspicion.segment.kind),
             suspicion.segment.segment,
             suspicion.segment.service,
             suspicion.state?.name?.lowercase() ?: "clear",
@@ -23,10 +25,15 @@
     }
     val remaining = after.suspicions.mapTo(HashSet()) { it.segment }
     before.suspicions.filter { it.state != null && it.segment !in remaining }.forEach {
-        warn("quarantine: segment {} at {} is clear", it.segment.segment, it.segment.service)
+        warn("quarantine: {} {} at {} is clear", textOf(it.segment.kind), it.segment.segment, it.segment.service)
     }
 }
 
-/** Returns the prompts of a crash report for a log line, each with its likelihood ratio. */
+private fun textOf(kind: SuspectKind): String = kind.name.lowercase()
+
+/** Returns the requests of a crash report for a log line, each with its segments, digest and likelihood ratio. */
 internal fun textOf(lost: List<LostPrompt>): String =
-    lost.joinToString { prompt -> "${promptText(prompt.segments)} (${prompt.likelihoodRatio.toInt()}:1)" }
+    lost.joinToString { prompt ->
+        val names = listOfNotNull(promptText(prompt.segments), prompt.request?.text)
+        "${names.joinToString(" ")} (${prompt.likelihoodRatio.toInt()}:1)"
+    }
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/QuarantineMessage.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/QuarantineMessage.kt
@@ -3,6 +3,7 @@
 import kotlinx.coroutines.CompletableDeferred
 import org.cicadaturn.schema.generated.AnswerProgress
 import org.cicadaturn.schema.generated.CrashReport
+import org.cicadaturn.schema.generated.Digest
 import org.cicadaturn.schema.generated.EndpointId
 import org.cicadaturn.schema.generated.OrganisationId
 import org.cicadaturn.schema.generated.PromptSegmentId
@@ -29,6 +30,7 @@
         val service: ServiceId,
         val organisation: OrganisationId?,
         val segments: List<PromptSegmentId>,
+        val request: Digest?,
     ) : QuarantineMessage
 
     class Observed(
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/QuarantineTask.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/QuarantineTask.kt
@@ -17,9 +17,11 @@
 import org.apache.logging.log4j.LogManager
 import org.cicadaturn.decisions.quarantine.ServiceSegment
 import org.cicadaturn.decisions.quarantine.SuspicionView
-import org.cicadaturn.decisions.quarantine.segments
+import org.cicadaturn.decisions.quarantine.requestSegment
+import org.cicadaturn.decisions.quarantine.suspects
 import org.cicadaturn.schema.generated.AnswerProgress
 import org.cicadaturn.schema.generated.CrashReport
+import org.cicadaturn.schema.generated.Digest
 import org.cicadaturn.schema.generated.EndpointId
 import org.cicadaturn.schema.generated.LiveEndpoint
 import org.cicadaturn.schema.generated.LostPrompt
@@ -169,10 +171,11 @@
     /** Collects the requests that are lost at an endpoint at about the same time, and finds out whether it has crashed. */
     private fun collect(message: QuarantineMessage.Lost) {
         val endpoint = message.request.endpoint
-        val ratio = dependencies.weights.likelihoodRatio(endpoint.service, message.request.progress)
+        val request = message.request
+        val ratio = dependencies.weights.likelihoodRatio(endpoint.service, request.progress, request.isStream)
         val known = losses[endpoint.id]
         val collected = known ?: Losses(endpoint).also { losses[endpoint.id] = it }
-        collected.prompts += LostPrompt(message.request.segments.dropLast(1), ratio)
+        collected.prompts += LostPrompt(request.segments.dropLast(1), ratio, request.request)
         collected.replies += message.reply
         if (known != null) return
         launchCall(QuarantineMessage.Probed(endpoint.id, hasCrashed = false)) {
@@ -209,11 +212,11 @@
             CrashReport(self, endpoint.service, endpoint.id, endpoint.startedAt, Duration.ZERO, known + prompts)
         reported[endpoint.id] = report
         if (reported.size > MAX_REPORTED) reported.remove(reported.keys.first())
-        logger.warn("quarantine: {} crashed, lost prompts: {}", endpoint.id, textOf(report.lost))
+        logger.warn("quarantine: {} crashed, lost requests: {}", endpoint.id, textOf(report.lost))
         if (known.isEmpty()) dependencies.metrics.crashed(endpoint.service)
         quarantine.crashed(report, now)
         publish()
-        val news = QuarantineNews(crashes = listOf(report), answered = quarantine.answersTo(report.segments, now))
+        val news = QuarantineNews(crashes = listOf(report), answered = quarantine.answersTo(report.suspects, now))
         scope.launch { send(QuarantineMessage.PeersAnswered(dependencies.broadcast(news), report)) }
     }
 
@@ -227,7 +230,7 @@
         if (!isNew) return
         publish()
         val report = message.report ?: return
-        val news = QuarantineNews(answered = quarantine.answersTo(report.segments, now))
+        val news = QuarantineNews(answered = quarantine.answersTo(report.suspects, now))
         scope.launch { dependencies.broadcast(news) }
     }
 
@@ -236,18 +239,18 @@
         news.trials.forEach { trials.seen(it, now) }
         if (quarantine.merge(news, now)) publish()
         if (news.isQuery) return quarantine.news(now).copy(trials = trials.own())
-        val segments = news.crashes.flatMapTo(HashSet()) { it.segments }
+        val segments = news.crashes.flatMapTo(HashSet()) { it.suspects }
         return QuarantineNews(answered = quarantine.answersTo(segments, now), trials = trials.own())
     }
 
     private fun recordAnswer(message: QuarantineMessage.Answered) {
         val now = clock.now()
         heldBackSinceAnswer.remove(message.service)
-        val doubtful =
-            message.segments
-                .map { ServiceSegment(message.service, it) }
-                .filter { it in published.value }
-        quarantine.answered(message.service, message.organisation, message.segments, now)
+        val answered =
+            message.segments.map { ServiceSegment(message.service, it) } +
+                listOfNotNull(message.request?.let { requestSegment(message.service, it) })
+        val doubtful = answered.filter { it in published.value }
+        quarantine.answered(message.service, message.organisation, message.segments, now, message.request)
         if (doubtful.isEmpty()) return
         publish()
         val answers = quarantine.answersTo(doubtful, now)
@@ -337,7 +340,8 @@
         service: ServiceId,
         organisation: OrganisationId?,
         segments: List<PromptSegmentId>,
-    ) = send(QuarantineMessage.Answered(service, organisation, segments))
+        request: Digest?,
+    ) = send(QuarantineMessage.Answered(service, organisation, segments, request))
 
     override fun observed(
         service: ServiceId,
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/RequestAttempts.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/RequestAttempts.kt
@@ -71,7 +71,7 @@
             }
         observation.ended()
         if (result !is AttemptResult.Failed) return result
-        if (result.isDisconnected && gate.hasSharedSegments) observation.lost()
+        if (result.isDisconnected) observation.lost()
         if (result.end == AttemptEnd.NOT_SENT) {
             // One that had the request before still counts.
             if (isFirst) tried -= endpoint.id
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/RequestExecution.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/RequestExecution.kt
@@ -54,7 +54,16 @@
     private val isRepeatable = route.kind == RouteKind.IDEMPOTENT || route.resumable
     private val id = request.head.headers.valueOf(dialect.requestId)
     private val prompt = dialect.promptOf(request.head.headers)
-    private val gate = PromptGate(dependencies.quarantine, service, admission.organisation, prompt, clock)
+    private val gate =
+        PromptGate(
+            dependencies.quarantine,
+            service,
+            admission.organisation,
+            prompt,
+            clock,
+            isStream = route.kind == RouteKind.STREAM,
+            digestOf = { request.digestFor(admission.organisation) },
+        )
     private val attempts =
         RequestAttempts(
             service,
@@ -196,10 +205,15 @@
         record("quarantine", null, "$verdict", step)
         if (verdict is Verdict.Quarantined) {
             dependencies.metrics.judged(service, QuarantineAction.HELD_BACK)
-            return finish(step, "a segment of the prompt crashes endpoints", QUARANTINE_RETRY_DELAY)
+            val cause = if (verdict.isForRequest) "the request" else "a segment of the prompt"
+            return finish(step, "$cause crashes endpoints", QUARANTINE_RETRY_DELAY)
         }
         dependencies.metrics.judged(service, QuarantineAction.WAITED)
-        return finish(step, "a segment of the prompt is on trial", retryDelay(remaining(), TRIAL_RETRY_DELAY))
+        return finish(
+            step,
+            "a request that may crash endpoints is on trial",
+            retryDelay(remaining(), TRIAL_RETRY_DELAY),
+        )
     }
 
     private suspend fun place(): Placement {
@@ -245,6 +259,7 @@
                 sends = progress.sends,
                 remainingMs = remaining().inWholeMilliseconds,
                 prompt = promptText(prompt),
+                digest = gate.knownDigest?.text,
                 events = result?.events,
                 earlierRequests = endpoint?.let { progress.earlierRequests },
                 detail = detail,
--- a/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/LimitSite.kt
+++ b/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/LimitSite.kt
@@ -119,10 +119,11 @@
         const val SILENT_BACKLOG = 4_096
         const val MILLIS_PER_SECOND = 1_000
         const val NANOS_PER_SECOND = 1_000_000_000L
-
-        fun freePorts(count: Int): List<Int> {
-            val sockets = List(count) { ServerSocket(0) }
-            return sockets.map { it.localPort }.also { sockets.forEach { socket -> socket.close() } }
-        }
     }
 }
+
+/** Returns [count] ports of this host that were free a moment ago. */
+internal fun freePorts(count: Int): List<Int> {
+    val sockets = List(count) { ServerSocket(0) }
+    return sockets.map { it.localPort }.also { sockets.forEach { socket -> socket.close() } }
+}
--- /dev/null
+++ b/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/ReturningRequestTest.kt
@@ -0,0 +1,156 @@
+package org.cicadaturn.tasks.gateway
+
+import org.cicadaturn.schema.generated.FailureDomainId
+import org.cicadaturn.schema.generated.GatewayPeer
+import org.cicadaturn.schema.generated.NetworkAddress
+import org.cicadaturn.schema.generated.ProcessId
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+import java.io.OutputStream
+import java.util.concurrent.ConcurrentLinkedQueue
+import java.util.concurrent.CopyOnWriteArraySet
+import kotlin.random.Random
+
+/**
+ * Tests which endpoints survive a request that crashes each endpoint that begins to run it, and comes again with the same
+ * path, caller and body at any gateway, and whether sound requests are served beside it.
+ */
+class ReturningRequestTest {
+    /** Endpoints that end, with all of their connections, as they begin to run a request with the body [DEADLY]. */
+    private class FragileFleet : AutoCloseable {
+        val endpoints: List<ScriptedEndpoint> =
+            List(ENDPOINTS) { i -> ScriptedEndpoint { r, out -> answer(i, r, out) } }
+        private val crashed = CopyOnWriteArraySet<Int>()
+        val crashes: Int get() = crashed.size
+
+        private fun answer(
+            index: Int,
+            request: RawRequest,
+            out: OutputStream,
+        ): Boolean {
+            val isStream = "/stream" in request.head.lines().first()
+            val form =
+                if (isStream) "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked" else "Content-Length: 2"
+            val head = "HTTP/1.1 200 OK\r\nX-Id: ${request.id}\r\nX-Signature: s\r\n$form\r\n\r\n"
+            if (isStream) {
+                out.write(head.encodeToByteArray())
+                out.flush()
+            }
+            if (request.body == DEADLY) {
+                crashed += index
+                endpoints[index].close()
+                return false
+            }
+            out.write((if (isStream) "f\r\nid: 1\ndata: d\n\n\r\n0\r\n\r\n" else head + "ok").encodeToByteArray())
+            return true
+        }
+
+        override fun close() = endpoints.forEach { it.close() }
+    }
+
+    /** Gateways that know each other as peers. */
+    private class Site(
+        fleet: FragileFleet,
+    ) : AutoCloseable {
+        private val ports = freePorts(GATEWAYS)
+        private val peers =
+            ports.mapIndexed { i, port ->
+                GatewayPeer(ProcessId("g$i"), NetworkAddress("127.0.0.1", port), FailureDomainId("a"))
+            }
+
+        /** Identifiers of requests that were held back or delayed as suspects. */
+        val heldBack = ConcurrentLinkedQueue<String>()
+        val gateways =
+            ports.mapIndexed { i, port ->
+                TestGateway(
+                    fleet.endpoints,
+                    random = Random(i),
+                    id = "g$i",
+                    peerPort = port,
+                    peers = peers,
+                    journal = { line -> if (line.event == "quarantine") heldBack += line.request.orEmpty() },
+                )
+            }
+
+        override fun close() = gateways.forEach { it.close() }
+    }
+
+    /** Form in which a request comes. */
+    private data class Form(
+        val path: String,
+        val prompt: String? = null,
+        val isChunked: Boolean = false,
+    )
+
+    private fun send(
+        gateway: TestGateway,
+        form: Form,
+        id: String,
+        own: String,
+        body: String,
+    ): RawAnswer {
+        val prompt = form.prompt?.let { "X-Prompt: $it $own\r\n" }.orEmpty()
+        val sent =
+            if (form.isChunked) {
+                val pieces = body.chunked(1 + id.length % 2).joinToString("") { "${it.length}\r\n$it\r\n" }
+                "Transfer-Encoding: chunked\r\n\r\n${pieces}0\r\n\r\n"
+            } else {
+                "Content-Length: ${body.length}\r\n\r\n$body"
+            }
+        return exchange(
+            gateway.port,
+            "POST ${form.path} HTTP/1.1\r\nHost: shop.example\r\nX-Id: $id\r\nAuthorization: Bearer key\r\n$prompt$sent",
+        )
+    }
+
+    private fun assertHeldBack(form: Form) {
+        FragileFleet().use { fleet ->
+            Site(fleet).use { site ->
+                repeat(SENDS) { i ->
+                    val gateway = site.gateways[i % GATEWAYS]
+                    val sound = send(gateway, form, "sound$i", "own$i", "sound$i")
+                    assertEquals(200, sound.status, "$form: sound request $i")
+                    assertTrue(sound.isComplete, "$form: sound request $i")
+                    val bad = send(gateway, form, "bad$i", "ownbad", DEADLY)
+                    assertTrue(bad.status != 200 || !bad.isComplete, "$form: answer ${bad.status} to the request")
+                }
+                assertTrue(fleet.crashes <= MAX_CRASHES, "$form: ${fleet.crashes} of $ENDPOINTS endpoints crashed")
+                assertEquals(emptyList<String>(), site.heldBack.filter { it.startsWith("sound") }, "$form: held back")
+            }
+        }
+    }
+
+    /** Guards against a request whose shared segment is blamed, which frees the request and holds others back. */
+    @Test
+    fun `a stream with a shared prompt crashes two endpoints at most`() =
+        assertHeldBack(Form("/stream/x", prompt = "shared"))
+
+    /** Guards against requests that are not considered, as they name no prompt or no part that others share. */
+    @Test
+    fun `a stream without a shared prompt crashes two endpoints at most`() {
+        assertHeldBack(Form("/stream/x"))
+        assertHeldBack(Form("/stream-once/x", prompt = ""))
+    }
+
+    /** Guards against an identity that depends on how the body was sent. */
+    @Test
+    fun `a request with a chunked body crashes two endpoints at most`() =
+        assertHeldBack(Form("/stream/x?q=1", isChunked = true))
+
+    /** Guards against a gateway that repeats a request before it is known that the request crashed its endpoint. */
+    @Test
+    fun `a repeatable request crashes two endpoints at most`() = assertHeldBack(Form("/safe/x"))
+
+    /** Guards against a caller that sends a request again which no gateway may repeat. */
+    @Test
+    fun `a request that runs at most once crashes two endpoints at most`() = assertHeldBack(Form("/once/x"))
+
+    private companion object {
+        const val DEADLY = "deadly"
+        const val ENDPOINTS = 10
+        const val GATEWAYS = 3
+        const val SENDS = 8
+        const val MAX_CRASHES = 2
+    }
+}
--- a/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/TaskFailureTest.kt
+++ b/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/TaskFailureTest.kt
@@ -327,9 +327,10 @@
                     override fun likelihoodRatio(
                         service: ServiceId,
                         progress: AnswerProgress,
+                        isStream: Boolean,
                     ): Double {
                         failure()
-                        return real.likelihoodRatio(service, progress)
+                        return real.likelihoodRatio(service, progress, isStream)
                     }
                 }
             val quarantine = quarantineWith(weights = failing)
