Recognise first attempts of callers that wait less than the route allows

Callers saw streams begin 0.4 to 1.0 s late for more than 10 s after a group of ranks had come back from an outage.

Cause: the time that a caller had spent on earlier attempts was computed as the route's timeout less the time limit that it stated. Most of them therefore counted as late callers that had come back, so the dispatcher had hardly any request that it placed first, and they were held during an outage although they could have come back.

A time limit of at least 0.8 of the timeout now counts as a first attempt.

The test in AttemptPolicyTest failed before: 1.15 s spent instead of none.

--- a/decisions/src/main/kotlin/org/cicadaturn/decisions/gateway/AttemptPolicy.kt
+++ b/decisions/src/main/kotlin/org/cicadaturn/decisions/gateway/AttemptPolicy.kt
@@ -138,6 +138,21 @@
 
 private val MIN_STREAM_GAP = 2.seconds
 
+/**
+ * Returns the time that a caller has probably spent on earlier attempts, if it allows [timeLimit] for this one and the
+ * route allows [timeout] for a request.
+ *
+ * Callers differ in the time that they allow for a request, and only state what is left of it. A limit a little below
+ * the [timeout] is therefore that of a first attempt; a caller that was told to come back has lost more than that.
+ */
+public fun timeSpent(
+    timeout: Duration,
+    timeLimit: Duration,
+): Duration = if (timeLimit >= timeout * FIRST_ATTEMPT_SHARE) Duration.ZERO else timeout - timeLimit
+
+/** Callers allow at least this share of the route's timeout for a request. */
+private const val FIRST_ATTEMPT_SHARE = 0.8
+
 /**
  * Returns the delay after which a caller whose request was refused with [remaining] time left should retry: the
  * [expected] time until it can be served, but at most the part of its time that leaves room for the retry.
--- a/decisions/src/test/kotlin/org/cicadaturn/decisions/gateway/AttemptPolicyTest.kt
+++ b/decisions/src/test/kotlin/org/cicadaturn/decisions/gateway/AttemptPolicyTest.kt
@@ -103,4 +103,12 @@
         val late = history(idempotent).copy(remaining = 5.milliseconds)
         assertEquals(NextStep.REFUSE, nextStep(AttemptEnd.NOT_EXECUTED, late))
     }
+
+    /** Guards against first attempts that count as late, which leaves no request that can be in time in an overload. */
+    @Test
+    fun `a caller that allows a little less than the route has spent no time yet`() {
+        assertEquals(Duration.ZERO, timeSpent(timeout = 8.seconds, timeLimit = 6_850.milliseconds))
+        assertEquals(Duration.ZERO, timeSpent(timeout = 8.seconds, timeLimit = 9.seconds))
+        assertEquals(2_500.milliseconds, timeSpent(timeout = 8.seconds, timeLimit = 5_500.milliseconds))
+    }
 }
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/RequestExecution.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/RequestExecution.kt
@@ -25,6 +25,7 @@
 import org.cicadaturn.decisions.gateway.maxStreamGap
 import org.cicadaturn.decisions.gateway.nextStep
 import org.cicadaturn.decisions.gateway.retryDelay
+import org.cicadaturn.decisions.gateway.timeSpent
 import org.cicadaturn.decisions.quarantine.Verdict
 import org.cicadaturn.schema.generated.LiveEndpoint
 import org.cicadaturn.schema.generated.RequestLine
@@ -221,7 +222,7 @@
         )
 
     /** Time that the caller had spent on earlier attempts, as far as its deadline tells. */
-    private fun timeSpent(): Duration = (route.timeout - timeLimit()).coerceAtLeast(Duration.ZERO)
+    private fun timeSpent(): Duration = timeSpent(route.timeout, timeLimit())
 
     private fun record(
         event: String,
