Take an endpoint that resets further connections for a running one

A whole answer that only its connection ends was cut, or asked for again, if its endpoint had too many connections to take another one: the check for a crash took the reset of its connection for a refusal. Endpoints reset connections beyond a limit, which is lower while their queue is long, so this came under load.

After a reset, a second connection tells: the system refuses it if the process has ended.

--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/ClosedAnswerCheck.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/ClosedAnswerCheck.kt
@@ -6,6 +6,8 @@
 import org.cicadaturn.decisions.gateway.defectOfClosedAnswer
 import org.cicadaturn.schema.generated.LiveEndpoint
 import org.cicadaturn.tasks.http.HttpConnector
+import org.cicadaturn.tasks.http.HttpLink
+import org.cicadaturn.tasks.http.isRefusedAt
 import kotlin.time.Clock
 import kotlin.time.Duration.Companion.milliseconds
 
@@ -40,14 +42,27 @@
         if (link == null) {
             return if (clock.now() - start < CONNECT_LIMIT) EndpointAccess.REFUSES else EndpointAccess.UNKNOWN
         }
+        if (keep(endpoint, link)) return EndpointAccess.ACCEPTS
+        // An endpoint that has too many connections resets further ones at once, but goes on to accept them.
+        return if (connector.isRefusedAt(endpoint.address, CONNECT_LIMIT, clock)) {
+            EndpointAccess.REFUSES
+        } else {
+            EndpointAccess.ACCEPTS
+        }
+    }
+
+    /** Puts [link] into the pool, unless it is reset within [CLOSING_TIME]; returns false then. */
+    private suspend fun keep(
+        endpoint: LiveEndpoint,
+        link: HttpLink,
+    ): Boolean {
         var isKept = false
         try {
             link.readAhead()
             withTimeoutOrNull(CLOSING_TIME) { link.closed.await() }
-            if (link.end == ConnectionEnd.RESET) return EndpointAccess.REFUSES
-            isKept = true
-            pool.put(endpoint.id, EndpointConnection(link), DEFAULT_KEEP_ALIVE)
-            return EndpointAccess.ACCEPTS
+            isKept = link.end != ConnectionEnd.RESET
+            if (isKept) pool.put(endpoint.id, EndpointConnection(link), DEFAULT_KEEP_ALIVE)
+            return isKept
         } finally {
             if (!isKept) link.close()
         }
--- a/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/ConnectionEndedAnswerTest.kt
+++ b/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/ConnectionEndedAnswerTest.kt
@@ -120,6 +120,21 @@
             closes.map { (name, end) -> dynamicTest("$path, $name") { assertPassedOn(after(::body, end), path, "ok") } }
         }
 
+    /** Guards against a whole answer that is cut as its endpoint has too many connections to take another one. */
+    @ParameterizedTest
+    @ValueSource(strings = ["/stream/x", "/stream-once/x", "/safe/x", "/once/x"])
+    fun `an answer without a length whose endpoint resets further connections is complete`(path: String) {
+        val script = after(if ("stream" in path) ::twoEvents else ::body) { _, _ -> false }
+        beside(script) { gateway, one, other ->
+            one.maxConnections = 1
+            val answer = exchange(gateway.port, request(path))
+            val expected = if ("stream" in path) event(1) + event(2) else "ok"
+            assertEquals(200 to expected, answer.status to answer.body, "$lines")
+            assertTrue(answer.isComplete, "$lines")
+            assertEquals(0, other.requests.size, "$lines")
+        }
+    }
+
     /** Guards against an answer that looks complete although its connection was reset. */
     @TestFactory
     fun `an answer without a length whose connection is reset is not complete`() =
--- a/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/ScriptedEndpoint.kt
+++ b/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/ScriptedEndpoint.kt
@@ -40,6 +40,10 @@
     private val server = ServerSocket(0, 50, InetAddress.getLoopbackAddress())
     private val sockets = CopyOnWriteArrayList<Socket>()
     val requests = CopyOnWriteArrayList<RawRequest>()
+
+    /** Number of connections beyond which it resets each further one. */
+    @Volatile
+    var maxConnections = Int.MAX_VALUE
     override val port: Int get() = server.localPort
 
     /** Number of connections that were made to it. */
@@ -52,6 +56,11 @@
                 // Each write of a script is to arrive by itself.
                 socket.tcpNoDelay = true
                 sockets += socket
+                if (sockets.size > maxConnections) {
+                    socket.setSoLinger(true, 0)
+                    socket.close()
+                    continue
+                }
                 thread(isDaemon = true) { runCatching { serve(socket) } }
             }
         }
