Let a lost request wait for its trial before it is repeated

Callers got 502 at once for a sound request that was lost in a crash and may be repeated, as it is a suspect of the crash itself now and had no time to wait for its trial once an endpoint may have run it. It waits as long as it would wait for an endpoint. The new case of ReturningRequestTest failed before: 502 instead of 200 for a repeatable request whose endpoint ended once.

--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/PromptGate.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/PromptGate.kt
@@ -2,17 +2,21 @@
 
 import kotlinx.coroutines.flow.first
 import kotlinx.coroutines.withTimeoutOrNull
+import org.cicadaturn.decisions.gateway.Admission
 import org.cicadaturn.decisions.quarantine.SuspicionView
 import org.cicadaturn.decisions.quarantine.Verdict
+import org.cicadaturn.decisions.quarantine.requestDigest
 import org.cicadaturn.schema.generated.AnswerProgress
 import org.cicadaturn.schema.generated.Digest
 import org.cicadaturn.schema.generated.LiveEndpoint
 import org.cicadaturn.schema.generated.OrganisationId
 import org.cicadaturn.schema.generated.PromptSegmentId
+import org.cicadaturn.schema.generated.RouteKind
 import org.cicadaturn.schema.generated.ServiceId
 import kotlin.time.Clock
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 
 /**
  * Keeps one request back while it or its prompt is quarantined, and sends it only as the one trial of its service while
@@ -91,6 +95,48 @@
     }
 }
 
+/** Returns the gate of [request] to [service], whose prompt has the segments [prompt]. */
+internal fun promptGate(
+    request: CallerRequest,
+    admission: Admission.Admitted,
+    service: ServiceId,
+    prompt: List<PromptSegmentId>,
+    dependencies: RequestDependencies,
+): PromptGate =
+    PromptGate(
+        dependencies.quarantine,
+        service,
+        admission.organisation,
+        prompt,
+        dependencies.clock,
+        isStream = admission.route.kind == RouteKind.STREAM,
+        digestOf = { requestDigest(request.head.method, request.head.target, admission.organisation, request.body) },
+    )
+
+/** Returns the count in the metrics to which a request with [verdict] belongs that is not sent. */
+internal fun actionFor(verdict: Verdict): QuarantineAction =
+    if (verdict is Verdict.Quarantined) QuarantineAction.HELD_BACK else QuarantineAction.WAITED
+
+/** Returns the reason for the caller and the log why a request with [verdict] is not sent. */
+internal fun reasonFor(verdict: Verdict): String =
+    when {
+        verdict !is Verdict.Quarantined -> "a request that may crash endpoints is on trial"
+        verdict.isForRequest -> "the request crashes endpoints"
+        else -> "a segment of the prompt crashes endpoints"
+    }
+
+/** Returns when a caller may return whose request with [verdict] is not sent; [bounded] adapts it to the caller's time. */
+internal fun retryDelayFor(
+    verdict: Verdict,
+    bounded: (Duration) -> Duration,
+): Duration = if (verdict is Verdict.Quarantined) QUARANTINE_RETRY_DELAY else bounded(TRIAL_RETRY_DELAY)
+
+/** Delay stated to callers whose request is quarantined, which lasts for minutes. */
+private val QUARANTINE_RETRY_DELAY = 60.seconds
+
+/** Delay stated to callers whose request is suspected; a few trials take place in this time. */
+private val TRIAL_RETRY_DELAY = 1.seconds
+
 /** Observes how far the answer of one attempt comes, and tells the quarantine. */
 internal class PromptObservation(
     private val quarantine: Quarantine,
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/QuarantineLog.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/QuarantineLog.kt
@@ -4,6 +4,7 @@
 import org.cicadaturn.decisions.quarantine.SuspicionView
 import org.cicadaturn.schema.generated.LostPrompt
 import org.cicadaturn.schema.generated.SuspectKind
+import org.cicadaturn.tasks.store.StoreError
 
 /** Logs each segment and request whose state differs between [before] and [after], with the evidence that decides it. */
 internal fun Logger.logChanges(
@@ -29,6 +30,14 @@
     }
 }
 
+/** Logs that the store could not [action] an entry because of [error], if there is one. */
+internal fun Logger.logFailure(
+    action: String,
+    error: StoreError?,
+) {
+    if (error != null) warn("quarantine: could not {} an entry in the store: {}", action, error.message)
+}
+
 private fun textOf(kind: SuspectKind): String = kind.name.lowercase()
 
 /** Returns the requests of a crash report for a log line, each with its segments, digest and likelihood ratio. */
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/QuarantineTask.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/QuarantineTask.kt
@@ -34,7 +34,6 @@
 import org.cicadaturn.tasks.Supervisor
 import org.cicadaturn.tasks.applyLatest
 import org.cicadaturn.tasks.sendAndAwait
-import org.cicadaturn.tasks.store.StoreError
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -315,21 +314,16 @@
     private fun updateStore() {
         val due = changes()
         launchCall(QuarantineMessage.StoreUpdated) {
-            due.added.forEach { entry -> logFailure("add", dependencies.store.quarantine(entry).leftOrNull()) }
-            due.removed.forEach { segment -> logFailure("remove", dependencies.store.release(segment).leftOrNull()) }
+            due.added.forEach { entry -> logger.logFailure("add", dependencies.store.quarantine(entry).leftOrNull()) }
+            due.removed.forEach { segment ->
+                logger.logFailure("remove", dependencies.store.release(segment).leftOrNull())
+            }
             QuarantineMessage.StoreUpdated
         }
     }
 
     private fun changes() = quarantine.changes(clock.now(), dependencies.wallClock.now())
 
-    private fun logFailure(
-        action: String,
-        error: StoreError?,
-    ) {
-        if (error != null) logger.warn("quarantine: could not {} an entry in the store: {}", action, error.message)
-    }
-
     override suspend fun lost(request: LostRequest) {
         val reply = CompletableDeferred<Unit>()
         send(QuarantineMessage.Lost(request, reply))
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/RequestExecution.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/RequestExecution.kt
@@ -34,7 +34,6 @@
 import org.cicadaturn.tasks.http.valueOf
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
-import kotlin.time.Duration.Companion.seconds
 import kotlin.time.Instant
 
 /** Handling of one admitted [request] from its arrival to its end. */
@@ -54,16 +53,7 @@
     private val isRepeatable = route.kind == RouteKind.IDEMPOTENT || route.resumable
     private val id = request.head.headers.valueOf(dialect.requestId)
     private val prompt = dialect.promptOf(request.head.headers)
-    private val gate =
-        PromptGate(
-            dependencies.quarantine,
-            service,
-            admission.organisation,
-            prompt,
-            clock,
-            isStream = route.kind == RouteKind.STREAM,
-            digestOf = { request.digestFor(admission.organisation) },
-        )
+    private val gate = promptGate(request, admission, service, prompt, dependencies)
     private val attempts =
         RequestAttempts(
             service,
@@ -153,7 +143,7 @@
         var last = AttemptEnd.NOT_SENT
         while (true) {
             if (!canEndBeforeShutdown()) return refuseForShutdown(last)
-            val verdict = gate.pass(holdTime())
+            val verdict = gate.pass(trialTime())
             if (verdict != Verdict.Clear) return holdBack(verdict, last)
             when (val placement = place()) {
                 is Placement.Placed -> {
@@ -203,17 +193,8 @@
     ): RequestEnd {
         val step = finalStep(last, history())
         record("quarantine", null, "$verdict", step)
-        if (verdict is Verdict.Quarantined) {
-            dependencies.metrics.judged(service, QuarantineAction.HELD_BACK)
-            val cause = if (verdict.isForRequest) "the request" else "a segment of the prompt"
-            return finish(step, "$cause crashes endpoints", QUARANTINE_RETRY_DELAY)
-        }
-        dependencies.metrics.judged(service, QuarantineAction.WAITED)
-        return finish(
-            step,
-            "a request that may crash endpoints is on trial",
-            retryDelay(remaining(), TRIAL_RETRY_DELAY),
-        )
+        dependencies.metrics.judged(service, actionFor(verdict))
+        return finish(step, reasonFor(verdict), retryDelayFor(verdict) { retryDelay(remaining(), it) })
     }
 
     private suspend fun place(): Placement {
@@ -285,6 +266,13 @@
         return minOf(until - clock.now(), remaining()).coerceAtLeast(Duration.ZERO)
     }
 
+    /**
+     * Returns how long the request may wait for a trial. One that was lost may be repeated here, and may be a suspect
+     * only because it was lost beside another.
+     */
+    private fun trialTime(): Duration =
+        if (answer.isBegun) holdTime() else minOf(holdUntil - clock.now(), remaining()).coerceAtLeast(Duration.ZERO)
+
     /** Returns true if an answer that has begun waits for a place, as a cut is worse for its caller than the wait. */
     private fun canAwaitPlace(cause: Unavailability): Boolean =
         answer.isBegun && cause.mayPass && holdTime() > Duration.ZERO
@@ -402,11 +390,5 @@
         val MIN_RETURN_TIME = 300.milliseconds
 
         const val GATEWAY_TIMEOUT = 504
-
-        /** Delay stated to callers whose prompt is quarantined, which lasts for minutes. */
-        val QUARANTINE_RETRY_DELAY = 60.seconds
-
-        /** Delay stated to callers whose prompt is suspected; a few trials take place in this time. */
-        val TRIAL_RETRY_DELAY = 1.seconds
     }
 }
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/RequestHandler.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/RequestHandler.kt
@@ -7,10 +7,7 @@
 import org.cicadaturn.decisions.gateway.EventNumbering
 import org.cicadaturn.decisions.gateway.FleetState
 import org.cicadaturn.decisions.gateway.RouteTable
-import org.cicadaturn.decisions.quarantine.requestDigest
-import org.cicadaturn.schema.generated.Digest
 import org.cicadaturn.schema.generated.Header
-import org.cicadaturn.schema.generated.OrganisationId
 import org.cicadaturn.schema.generated.Route
 import org.cicadaturn.schema.generated.ServiceId
 import org.cicadaturn.tasks.http.RequestHead
@@ -29,10 +26,7 @@
     val head: RequestHead,
     val body: ByteArray,
     val arrivedAt: Instant,
-) {
-    /** Returns the digest that all copies of this request of [organisation] have. */
-    fun digestFor(organisation: OrganisationId?): Digest = requestDigest(head.method, head.target, organisation, body)
-}
+)
 
 /**
  * Dependencies of the handling of requests.
--- a/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/ReturningRequestTest.kt
+++ b/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/ReturningRequestTest.kt
@@ -37,7 +37,8 @@
                 out.write(head.encodeToByteArray())
                 out.flush()
             }
-            if (request.body == DEADLY) {
+            val isUnlucky = request.body == UNLUCKY && crashed.isEmpty()
+            if (request.body == DEADLY || isUnlucky) {
                 crashed += index
                 endpoints[index].close()
                 return false
@@ -146,8 +147,26 @@
     @Test
     fun `a request that runs at most once crashes two endpoints at most`() = assertHeldBack(Form("/once/x"))
 
+    /** Guards against a sound request that fails as it is a suspect of a crash with another cause. */
+    @Test
+    fun `a request that may be repeated is served after a crash with another cause`() {
+        for (form in listOf(Form("/safe/x"), Form("/stream/x"))) {
+            FragileFleet().use { fleet ->
+                Site(fleet).use { site ->
+                    val answer = send(site.gateways[0], form, "unlucky", "own", UNLUCKY)
+                    assertEquals(1, fleet.crashes, "$form")
+                    assertEquals(200, answer.status, "$form")
+                    assertTrue(answer.isComplete, "$form")
+                }
+            }
+        }
+    }
+
     private companion object {
         const val DEADLY = "deadly"
+
+        /** Body of a request beside which an endpoint ends for another reason, once. */
+        const val UNLUCKY = "unlucky"
         const val ENDPOINTS = 10
         const val GATEWAYS = 3
         const val SENDS = 8
