Tell a refused connection from one that failed otherwise

Whether an endpoint has crashed was judged by the time that a failed connection took: shorter than the limit meant refused. Where processor time is short, a refusal came later than the limit and a crashed endpoint counted as running; a connection that was reset as it was made counted as refused, and its endpoint as crashed. Both tell whole answers from cut ones and requests that crash endpoints from others.

The connector now reports what the system says: opened, refused or failed.

--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/ClosedAnswerCheck.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/ClosedAnswerCheck.kt
@@ -7,8 +7,8 @@
 import org.cicadaturn.schema.generated.LiveEndpoint
 import org.cicadaturn.tasks.http.HttpConnector
 import org.cicadaturn.tasks.http.HttpLink
+import org.cicadaturn.tasks.http.Opening
 import org.cicadaturn.tasks.http.isRefusedAt
-import kotlin.time.Clock
 import kotlin.time.Duration.Companion.milliseconds
 
 /**
@@ -22,7 +22,6 @@
 internal class ClosedAnswerCheck(
     private val connector: HttpConnector,
     private val pool: ConnectionPool,
-    private val clock: Clock,
     private val isInService: (LiveEndpoint) -> Boolean,
     private val isLeaving: suspend (LiveEndpoint) -> Boolean,
 ) {
@@ -36,19 +35,26 @@
         return defectOfClosedAnswer(end, leaves, if (isProbed) accessTo(endpoint) else EndpointAccess.UNKNOWN)
     }
 
-    private suspend fun accessTo(endpoint: LiveEndpoint): EndpointAccess {
-        val start = clock.now()
-        val link = connector.connect(endpoint.address, CONNECT_LIMIT)
-        if (link == null) {
-            return if (clock.now() - start < CONNECT_LIMIT) EndpointAccess.REFUSES else EndpointAccess.UNKNOWN
-        }
-        if (keep(endpoint, link)) return EndpointAccess.ACCEPTS
-        // An endpoint that has too many connections resets further ones at once, but goes on to accept them.
-        return if (connector.isRefusedAt(endpoint.address, CONNECT_LIMIT, clock)) {
-            EndpointAccess.REFUSES
-        } else {
-            EndpointAccess.ACCEPTS
+    private suspend fun accessTo(endpoint: LiveEndpoint): EndpointAccess =
+        when (val opening = connector.open(endpoint.address, CONNECT_LIMIT)) {
+            is Opening.Opened ->
+                if (keep(
+                        endpoint,
+                        opening.link,
+                    )
+                ) {
+                    EndpointAccess.ACCEPTS
+                } else {
+                    accessAfterReset(endpoint)
+                }
+            Opening.Refused -> EndpointAccess.REFUSES
+            Opening.Failed -> EndpointAccess.UNKNOWN
         }
+
+    /** An endpoint that has too many connections resets further ones at once, but goes on to accept them. */
+    private suspend fun accessAfterReset(endpoint: LiveEndpoint): EndpointAccess {
+        val isRefused = connector.isRefusedAt(endpoint.address, CONNECT_LIMIT)
+        return if (isRefused) EndpointAccess.REFUSES else EndpointAccess.ACCEPTS
     }
 
     /** Puts [link] into the pool, unless it is reset within [CLOSING_TIME]; returns false then. */
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/Exchange.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/Exchange.kt
@@ -12,6 +12,7 @@
 import org.cicadaturn.tasks.http.HttpConnector
 import org.cicadaturn.tasks.http.RequestHead
 import org.cicadaturn.tasks.http.ResponseHead
+import org.cicadaturn.tasks.http.connect
 import kotlin.time.Clock
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/PeerTasks.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/PeerTasks.kt
@@ -53,7 +53,7 @@
                 trials = trialRegistry(self.id),
                 fleet = fleet,
                 store = dependencies.store,
-                refusesConnections = { connector.isRefusedAt(it, CRASH_PROBE_TIMEOUT, dependencies.clock) },
+                refusesConnections = { connector.isRefusedAt(it, CRASH_PROBE_TIMEOUT) },
                 exchange = { other, news -> exchangeNews(connector, other, news) },
                 metrics = metrics,
                 random = dependencies.random,
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/http/HttpConnector.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/http/HttpConnector.kt
@@ -3,6 +3,7 @@
 import io.netty.bootstrap.Bootstrap
 import io.netty.channel.ChannelInitializer
 import io.netty.channel.ChannelOption
+import io.netty.channel.ConnectTimeoutException
 import io.netty.channel.socket.SocketChannel
 import io.netty.channel.socket.nio.NioSocketChannel
 import io.netty.handler.codec.http.HttpDecoderConfig
@@ -14,32 +15,50 @@
 import org.cicadaturn.tasks.FatalErrorHandler
 import java.io.ByteArrayOutputStream
 import java.io.IOException
+import java.net.ConnectException
 import java.net.InetSocketAddress
-import kotlin.time.Clock
 import kotlin.time.Duration
 
+/** Result of opening a connection. */
+public sealed interface Opening {
+    /** The connection is open. */
+    public class Opened(
+        public val link: HttpLink,
+    ) : Opening
+
+    /** The host has refused the connection, as nothing listens at the address. */
+    public data object Refused : Opening
+
+    /** The connection was not established in time, or was reset as it was. */
+    public data object Failed : Opening
+}
+
 /** Opens connections to servers. */
 public fun interface HttpConnector {
-    /** Returns a connection to [address], or null if none could be established within [timeout]. */
-    public suspend fun connect(
+    /** Opens a connection to [address], which must be established within [timeout]. */
+    public suspend fun open(
         address: NetworkAddress,
         timeout: Duration,
-    ): HttpLink?
+    ): Opening
 }
 
+/** Returns a connection to [address], or null if none could be established within [timeout]. */
+public suspend fun HttpConnector.connect(
+    address: NetworkAddress,
+    timeout: Duration,
+): HttpLink? = (open(address, timeout) as? Opening.Opened)?.link
+
 /**
- * Returns true if connections to [address] are refused at once, as nothing listens there any more, and false if one
- * could be made or if that takes longer than [timeout].
+ * Returns true if connections to [address] are refused, as nothing listens there any more, and false if one could be made
+ * or if that takes longer than [timeout].
  */
 public suspend fun HttpConnector.isRefusedAt(
     address: NetworkAddress,
     timeout: Duration,
-    clock: Clock,
 ): Boolean {
-    val start = clock.now()
-    val link = connect(address, timeout)
-    link?.close()
-    return link == null && clock.now() - start < timeout
+    val opening = open(address, timeout)
+    if (opening is Opening.Opened) opening.link.close()
+    return opening == Opening.Refused
 }
 
 /** Returns a connector whose connections run on [runtime]. */
@@ -64,9 +83,13 @@
         val connecting = client.connect(InetSocketAddress(address.ip, address.port))
         try {
             connecting.awaitDone()
-            connecting.channel().pipeline().last() as NettyLink
+            Opening.Opened(connecting.channel().pipeline().last() as NettyLink)
+        } catch (e: ConnectTimeoutException) {
+            Opening.Failed
+        } catch (e: ConnectException) {
+            Opening.Refused
         } catch (e: IOException) {
-            null
+            Opening.Failed
         } finally {
             // Closes a connection that a cancelled caller will not receive.
             if (!currentCoroutineContext().isActiveNow()) connecting.channel().close()
--- a/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/ConnectionEndedAnswerTest.kt
+++ b/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/ConnectionEndedAnswerTest.kt
@@ -322,6 +322,13 @@
                 assertTrue(answer.isComplete && answer.status == 200, "${answer.status} $lines")
             }
             assertEquals(CASES to 0, one.requests.size to other.requests.size, "$lines")
+            // The line of a request is written after its answer.
+            val start = TimeSource.Monotonic.markNow()
+            while (lines.size < CASES &&
+                start.elapsedNow() < 2.seconds
+            ) {
+                CountDownLatch(1).await(10, TimeUnit.MILLISECONDS)
+            }
             assertEquals(List(CASES) { "end" }, lines.map { it.event }, "$lines")
         }
 
