Do not take a busy endpoint or a near deadline for a crash

ClosedAnswerCheck took a connection that is reset at once for a crash, but endpoints with a long queue reset connections as well, so a whole answer could be cut. It also waited up to 105 ms whatever time the request had left, so an answer that came just before its deadline could be cut there.

A reset connection is made once more: the system of a crashed endpoint refuses it by then. The check takes no longer than the time that is left, in whole milliseconds, as a connector waits no longer than that.

ClosedAnswerCheckTest covers both. It was not run against the code before. The test of many answers in a row waits for the last log line, which is written after its answer (it failed once so in a run of all gateway tests: 23 of 24 lines, all of whole answers), and also asserts that the check costs no more than one connection in all.

--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/AttemptExecution.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/AttemptExecution.kt
@@ -293,7 +293,7 @@
     private suspend fun closeDefect(): String? {
         val end = link.end
         if (!parts.isEndedByClose || end == null) return null
-        return closedAnswers.defectOf(end, attempt.endpoint)
+        return closedAnswers.defectOf(end, attempt.endpoint, start + attempt.timeLimit - clock.now())
     }
 
     private fun recordPause(pause: Duration) {
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/ClosedAnswerCheck.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/ClosedAnswerCheck.kt
@@ -7,6 +7,7 @@
 import org.cicadaturn.schema.generated.LiveEndpoint
 import org.cicadaturn.tasks.http.HttpConnector
 import kotlin.time.Clock
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
 /**
@@ -24,27 +25,41 @@
     private val isInService: (LiveEndpoint) -> Boolean,
     private val isLeaving: suspend (LiveEndpoint) -> Boolean,
 ) {
-    /** Returns why an answer of [endpoint] whose connection has ended with [end] is not complete, or null if it is. */
+    /**
+     * Returns why an answer of [endpoint] whose connection has ended with [end] is not complete, or null if it is. Takes
+     * at most [timeLeft], as the answer would be late after it.
+     */
     suspend fun defectOf(
         end: ConnectionEnd,
         endpoint: LiveEndpoint,
+        timeLeft: Duration,
     ): String? {
         val leaves = !isInService(endpoint) || isLeaving(endpoint)
-        val isProbed = end == ConnectionEnd.CLOSED_BY_ENDPOINT && !leaves
-        return defectOfClosedAnswer(end, leaves, if (isProbed) accessTo(endpoint) else EndpointAccess.UNKNOWN)
+        // Whole milliseconds, as a connector waits no longer than that and a refusal is told by the time that it takes.
+        val limit = minOf(CONNECT_LIMIT, timeLeft / 2 - CLOSING_TIME).inWholeMilliseconds.milliseconds
+        val isAsked = end == ConnectionEnd.CLOSED_BY_ENDPOINT && !leaves && limit.isPositive()
+        return defectOfClosedAnswer(end, leaves, if (isAsked) accessTo(endpoint, limit) else EndpointAccess.UNKNOWN)
     }
 
-    private suspend fun accessTo(endpoint: LiveEndpoint): EndpointAccess {
+    /** Asks again after a reset, by which an endpoint may also turn a connection down while it is busy. */
+    private suspend fun accessTo(
+        endpoint: LiveEndpoint,
+        limit: Duration,
+    ): EndpointAccess = connect(endpoint, limit) ?: connect(endpoint, limit) ?: EndpointAccess.ACCEPTS
+
+    /** Returns whether [endpoint] accepts a connection, or null if it is reset at once. */
+    private suspend fun connect(
+        endpoint: LiveEndpoint,
+        limit: Duration,
+    ): EndpointAccess? {
         val start = clock.now()
-        val link = connector.connect(endpoint.address, CONNECT_LIMIT)
-        if (link == null) {
-            return if (clock.now() - start < CONNECT_LIMIT) EndpointAccess.REFUSES else EndpointAccess.UNKNOWN
-        }
+        val link = connector.connect(endpoint.address, limit)
+        if (link == null) return if (clock.now() - start < limit) EndpointAccess.REFUSES else EndpointAccess.UNKNOWN
         var isKept = false
         try {
             link.readAhead()
             withTimeoutOrNull(CLOSING_TIME) { link.closed.await() }
-            if (link.end == ConnectionEnd.RESET) return EndpointAccess.REFUSES
+            if (link.end == ConnectionEnd.RESET) return null
             isKept = true
             pool.put(endpoint.id, EndpointConnection(link), DEFAULT_KEEP_ALIVE)
             return EndpointAccess.ACCEPTS
@@ -59,7 +74,7 @@
 
         /**
          * Longest time in which a system closes all sockets of a process that has ended. A connection made within it
-         * may have been taken by a socket that is closed next, which resets it.
+         * may have been taken by a socket that is closed next, which resets it; one made later is refused.
          */
         val CLOSING_TIME = 5.milliseconds
     }
--- /dev/null
+++ b/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/ClosedAnswerCheckTest.kt
@@ -0,0 +1,171 @@
+package org.cicadaturn.tasks.gateway
+
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.Deferred
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.runBlocking
+import kotlinx.coroutines.withContext
+import org.cicadaturn.decisions.gateway.ConnectionEnd
+import org.cicadaturn.schema.generated.AdmissionState
+import org.cicadaturn.schema.generated.EndpointId
+import org.cicadaturn.schema.generated.FailureDomainId
+import org.cicadaturn.schema.generated.LiveEndpoint
+import org.cicadaturn.schema.generated.NetworkAddress
+import org.cicadaturn.schema.generated.ServiceId
+import org.cicadaturn.tasks.http.HttpConnector
+import org.cicadaturn.tasks.http.HttpLink
+import org.cicadaturn.tasks.http.httpConnector
+import org.cicadaturn.tasks.http.httpRuntime
+import org.junit.jupiter.api.AfterEach
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertFalse
+import org.junit.jupiter.api.Assertions.assertNotNull
+import org.junit.jupiter.api.Assertions.assertNull
+import org.junit.jupiter.api.Test
+import java.net.InetAddress
+import java.net.ServerSocket
+import kotlin.time.Clock
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** Tests what is asked of an endpoint that has closed the connection of an answer without a length. */
+class ClosedAnswerCheckTest {
+    private val runtime = httpRuntime {}
+    private val server = ServerSocket(0, 50, InetAddress.getLoopbackAddress())
+    private val connector = httpConnector(runtime)
+    private val asked = mutableListOf<Duration>()
+    private val kept = mutableListOf<EndpointConnection>()
+    private val endpoint =
+        LiveEndpoint(
+            id = EndpointId("e1"),
+            service = ServiceId("s"),
+            address = NetworkAddress("127.0.0.1", server.localPort),
+            failureDomain = FailureDomainId("a"),
+            state = AdmissionState.IN_SERVICE,
+            slots = 1,
+            coldFor = Duration.ZERO,
+        )
+
+    private val pool =
+        object : ConnectionPool {
+            override suspend fun take(
+                endpoint: EndpointId,
+                maxIdleTime: Duration,
+                requestId: String?,
+            ): EndpointConnection? = null
+
+            override fun put(
+                endpoint: EndpointId,
+                connection: EndpointConnection,
+                keepAliveTime: Duration,
+            ) {
+                kept += connection
+            }
+
+            override fun surplusReceived(endpoint: EndpointId) = Unit
+        }
+
+    @AfterEach
+    fun close() {
+        server.close()
+        runtime.close()
+    }
+
+    private fun defectOf(
+        end: ConnectionEnd = ConnectionEnd.CLOSED_BY_ENDPOINT,
+        isInService: Boolean = true,
+        isLeaving: Boolean = false,
+        timeLeft: Duration = 1.seconds,
+        connector: HttpConnector = this.connector,
+    ): String? {
+        val counting =
+            HttpConnector { address, timeout ->
+                asked += timeout
+                connector.connect(address, timeout)
+            }
+        val check = ClosedAnswerCheck(counting, pool, Clock.System, { isInService }, { isLeaving })
+        return runBlocking { withContext(runtime.dispatcher) { check.defectOf(end, endpoint, timeLeft) } }
+    }
+
+    /** Guards against a connection for each answer beside those that requests use. */
+    @Test
+    fun `the connection that an endpoint accepts is kept for the next request`() {
+        assertNull(defectOf())
+        assertEquals(1 to 1, asked.size to kept.size)
+        assertFalse(
+            kept
+                .single()
+                .link.closed.isCompleted,
+        )
+    }
+
+    /** Guards against the answer of a crashed endpoint that counts as complete. */
+    @Test
+    fun `an endpoint that refuses connections has crashed`() {
+        server.close()
+        assertNotNull(defectOf())
+        assertEquals(0, kept.size)
+    }
+
+    /** Connects and finds the connection reset at once. */
+    private val resetting =
+        HttpConnector { address, timeout ->
+            val link = checkNotNull(connector.connect(address, timeout))
+            object : HttpLink by link {
+                override val closed: Deferred<Unit> = CompletableDeferred(Unit)
+                override val end = ConnectionEnd.RESET
+            }
+        }
+
+    /** Guards against a connection that the system of a crashed endpoint has taken before it closed all sockets. */
+    @Test
+    fun `an endpoint that resets a connection and then refuses others has crashed`() {
+        val closing =
+            HttpConnector { address, timeout ->
+                val link = if (asked.size == 1) resetting.connect(address, timeout) else null
+                link.also { server.close() }
+            }
+        assertNotNull(defectOf(connector = closing))
+        assertEquals(0, kept.size)
+    }
+
+    /** Guards against a whole answer that is cut as its endpoint, whose queue is long, turns connections down. */
+    @Test
+    fun `an endpoint that resets connections again and again has not crashed`() {
+        assertNull(defectOf(connector = resetting))
+        assertEquals(2 to 0, asked.size to kept.size)
+    }
+
+    /** Guards against a whole answer that is cut as its endpoint, which is busy, accepts connections late. */
+    @Test
+    fun `an endpoint that accepts no connection in time has not crashed`() {
+        val slow =
+            HttpConnector { _, timeout ->
+                delay(timeout)
+                null
+            }
+        assertNull(defectOf(connector = slow))
+    }
+
+    /** Guards against an answer that is cut at its deadline, as its endpoint is asked for longer. */
+    @Test
+    fun `an endpoint is not asked for longer than the time that is left`() {
+        assertNull(defectOf(timeLeft = 10.milliseconds))
+        assertNull(defectOf(timeLeft = (-1).seconds))
+        assertEquals(0, asked.size)
+        assertNull(defectOf(timeLeft = 60.milliseconds))
+        assertEquals(listOf(25.milliseconds), asked)
+    }
+
+    /** Guards against connections that are made although their answer decides nothing. */
+    @Test
+    fun `an endpoint that leaves or has cut its answer is not asked`() {
+        assertNull(defectOf(isLeaving = true))
+        assertNull(defectOf(isInService = false))
+        assertNotNull(defectOf(ConnectionEnd.RESET))
+        assertNotNull(defectOf(ConnectionEnd.FAILED))
+        assertNotNull(defectOf(ConnectionEnd.CLOSED_BY_GATEWAY))
+        assertEquals(0, asked.size)
+    }
+}
--- a/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/ConnectionEndedAnswerTest.kt
+++ b/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/ConnectionEndedAnswerTest.kt
@@ -307,7 +307,12 @@
                 assertTrue(answer.isComplete && answer.status == 200, "${answer.status} $lines")
             }
             assertEquals(CASES to 0, one.requests.size to other.requests.size, "$lines")
+            // The line of a request is written after its answer.
+            val start = TimeSource.Monotonic.markNow()
+            while (lines.size < CASES && start.elapsedNow() < 5.seconds) Thread.sleep(10)
             assertEquals(List(CASES) { "end" }, lines.map { it.event }, "$lines")
+            // The connection that verifies the end of an answer serves the next request.
+            assertTrue(one.connections <= CASES + 1, "${one.connections} connections")
         }
 
     /** Guards against a planned stop that cuts a stream as only its connection ends it, and knows no time of it. */
