Let another endpoint stand by for a body that comes bit by bit

A request whose endpoint sends a body a few bytes at a time ended with 504 at its deadline, as each byte counted as progress and no other endpoint was asked. Its caller gets nothing of a body that is kept until it is complete.

The silence limit of such a body is counted from its head. Bodies that are passed on as they arrive are as before.

--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/AttemptExecution.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/AttemptExecution.kt
@@ -173,8 +173,11 @@
         isIncremental: Boolean,
     ): AttemptResult {
         val body = AnswerBody(isIncremental, parts::canBuffer)
+        val since = clock.now()
         while (true) {
-            val received = parts.awaitPartOrStall(attempt.silenceLimit, hasBegun = true)
+            // The caller gets nothing of a body that is kept, so its parts do not count as progress.
+            val waited = if (body.isPassedOn) Duration.ZERO else clock.now() - since
+            val received = parts.awaitPartOrStall(attempt.silenceLimit - waited, hasBegun = true)
             val part = (received as? WaitResult.Part)?.part
             when {
                 part is HttpPart.Data -> {
