--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/ClosedAnswerCheck.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/ClosedAnswerCheck.kt
@@ -8,7 +8,7 @@
 import org.cicadaturn.tasks.http.HttpConnector
 import org.cicadaturn.tasks.http.HttpLink
 import org.cicadaturn.tasks.http.Opening
-import org.cicadaturn.tasks.http.isRefusedAt
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
 /**
@@ -25,38 +25,38 @@
     private val isInService: (LiveEndpoint) -> Boolean,
     private val isLeaving: suspend (LiveEndpoint) -> Boolean,
 ) {
-    /** Returns why an answer of [endpoint] whose connection has ended with [end] is not complete, or null if it is. */
+    /**
+     * Returns why an answer of [endpoint] whose connection has ended with [end] is not complete, or null if it is. Takes
+     * at most [timeLeft], as the answer would be late after it.
+     */
     suspend fun defectOf(
         end: ConnectionEnd,
         endpoint: LiveEndpoint,
+        timeLeft: Duration,
     ): String? {
         val leaves = !isInService(endpoint) || isLeaving(endpoint)
-        val isProbed = end == ConnectionEnd.CLOSED_BY_ENDPOINT && !leaves
-        return defectOfClosedAnswer(end, leaves, if (isProbed) accessTo(endpoint) else EndpointAccess.UNKNOWN)
+        val limit = minOf(CONNECT_LIMIT, timeLeft / 2 - CLOSING_TIME)
+        val isAsked = end == ConnectionEnd.CLOSED_BY_ENDPOINT && !leaves && limit.isPositive()
+        return defectOfClosedAnswer(end, leaves, if (isAsked) accessTo(endpoint, limit) else EndpointAccess.UNKNOWN)
     }
 
-    private suspend fun accessTo(endpoint: LiveEndpoint): EndpointAccess =
-        when (val opening = connector.open(endpoint.address, CONNECT_LIMIT)) {
-            is Opening.Opened ->
-                if (keep(
-                        endpoint,
-                        opening.link,
-                    )
-                ) {
-                    EndpointAccess.ACCEPTS
-                } else {
-                    accessAfterReset(endpoint)
-                }
+    /** Asks again after a reset, by which an endpoint may also turn a connection down while it is busy. */
+    private suspend fun accessTo(
+        endpoint: LiveEndpoint,
+        limit: Duration,
+    ): EndpointAccess = connect(endpoint, limit) ?: connect(endpoint, limit) ?: EndpointAccess.ACCEPTS
+
+    /** Returns whether [endpoint] accepts a connection, or null if it is reset at once. */
+    private suspend fun connect(
+        endpoint: LiveEndpoint,
+        limit: Duration,
+    ): EndpointAccess? =
+        when (val opening = connector.open(endpoint.address, limit)) {
+            is Opening.Opened -> EndpointAccess.ACCEPTS.takeIf { keep(endpoint, opening.link) }
             Opening.Refused -> EndpointAccess.REFUSES
             Opening.Failed -> EndpointAccess.UNKNOWN
         }
 
-    /** An endpoint that has too many connections resets further ones at once, but goes on to accept them. */
-    private suspend fun accessAfterReset(endpoint: LiveEndpoint): EndpointAccess {
-        val isRefused = connector.isRefusedAt(endpoint.address, CONNECT_LIMIT)
-        return if (isRefused) EndpointAccess.REFUSES else EndpointAccess.ACCEPTS
-    }
-
     /** Puts [link] into the pool, unless it is reset within [CLOSING_TIME]; returns false then. */
     private suspend fun keep(
         endpoint: LiveEndpoint,
@@ -80,7 +80,7 @@
 
         /**
          * Longest time in which a system closes all sockets of a process that has ended. A connection made within it
-         * may have been taken by a socket that is closed next, which resets it.
+         * may have been taken by a socket that is closed next, which resets it; one made later is refused.
          */
         val CLOSING_TIME = 5.milliseconds
     }
--- a/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/ConnectionEndedAnswerTest.kt
+++ b/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/ConnectionEndedAnswerTest.kt
@@ -330,6 +330,8 @@
                 CountDownLatch(1).await(10, TimeUnit.MILLISECONDS)
             }
             assertEquals(List(CASES) { "end" }, lines.map { it.event }, "$lines")
+            // The connection that verifies the end of an answer serves the next request.
+            assertTrue(one.connections <= CASES + 1, "${one.connections} connections")
         }
 
     /** Guards against a planned stop that cuts a stream as only its connection ends it, and knows no time of it. */
