Pass on whole event streams with the statuses 201 to 203

A stream with another status than 200 was refused: its caller got 502 or an answer of another endpoint, though the endpoint had run the request.

Such a stream is verified like any other.

--- a/decisions/src/main/kotlin/org/cicadaturn/decisions/gateway/ExpectedAnswer.kt
+++ b/decisions/src/main/kotlin/org/cicadaturn/decisions/gateway/ExpectedAnswer.kt
@@ -113,7 +113,7 @@
     events: ExpectedEvents,
 ): AnswerVerdict =
     when {
-        head.status != WHOLE_ANSWER -> AnswerVerdict.Unsound("status ${head.status} where an event stream is due")
+        head.status !in WHOLE_ANSWERS -> AnswerVerdict.Unsound("status ${head.status} where an event stream is due")
         !head.isEventStream ->
             AnswerVerdict.Unsound("content type ${head.contentTypes} where an event stream is due")
         else -> AnswerVerdict.Events(events)
@@ -129,5 +129,10 @@
 
 private val FINAL_STATUSES = 200..599
 private val SUCCESS_STATUSES = 200..299
-private const val WHOLE_ANSWER = 200
+
+/**
+ * Statuses of a success with a whole answer: 200 and the two that differ from it in what they say of the request, and
+ * 203, which a server may send for it. 204 and 205 have no body and 206 has a part; others do not tell.
+ */
+private val WHOLE_ANSWERS = 200..203
 private const val EVENT_STREAM = "text/event-stream"
