Learn whether a service numbers its events with gaps

PROTOCOL.md says that the ids of a stream's events increase, and no more.

Increasing now takes 0 as a first number. EventNumberTask owns the evidence, EventNumberEvidence decides.

Accepting gaps until whole streams have shown consecutive numbers would lose none of the first streams, but would pass an event that is left out in the first seconds of each process.

--- a/decisions/src/main/kotlin/org/cicadaturn/decisions/gateway/EventSequence.kt
+++ b/decisions/src/main/kotlin/org/cicadaturn/decisions/gateway/EventSequence.kt
@@ -5,7 +5,7 @@
     /** 1, 2, 3 and so on, so that an event that is left out is noticed. */
     CONSECUTIVE,
 
-    /** Each number is above the one before it; an event that is left out is not noticed. */
+    /** Each number, the first from 0 on, is above the one before it; an event that is left out is not noticed. */
     INCREASING,
 }
 
@@ -25,11 +25,13 @@
  * @property sound events before the first one that cannot be part of the stream
  * @property defect what is wrong with the event that follows them, after which nothing can be trusted; null if none is
  * @property canContinue false if the last sound event may be the wrong one, so that no run can go on behind it
+ * @property hasGap true if the only defect is a number that leaves numbers out, or a first number of 0
  */
 public data class EventBatch(
     val sound: List<StreamEvent>,
     val defect: String? = null,
     val canContinue: Boolean = true,
+    val hasGap: Boolean = false,
 )
 
 /** Verifies that the events of one answer are those of one run. Has one owner and is not safe for concurrent use. */
@@ -61,7 +63,8 @@
                 lastEvent = event
                 continue
             }
-            defectOf(event)?.let { return EventBatch(sound, it, canContinueBefore(event)) }
+            val defect = defectOf(event)
+            if (defect != null) return EventBatch(sound, defect, canContinueBefore(event), hasGapBefore(event))
             beforeLast = last
             last = event.id
             lastEvent = event
@@ -81,7 +84,13 @@
         return id !in ((beforeLast ?: Long.MIN_VALUE) + 1)..<end
     }
 
-    private fun defectOf(event: StreamEvent): String? {
+    /** Returns true if [event] is sound where numbers are not consecutive. */
+    private fun hasGapBefore(event: StreamEvent): Boolean =
+        formDefectOf(event) == null && (event.id ?: BEFORE_FIRST) > (last ?: BEFORE_FIRST)
+
+    private fun defectOf(event: StreamEvent): String? = formDefectOf(event) ?: event.id?.let(::numberDefectOf)
+
+    private fun formDefectOf(event: StreamEvent): String? {
         val lines = event.lines ?: return "event that is not UTF-8"
         val unknown = lines.firstOrNull { !it.startsWith(':') && fieldNameIn(it) == null }
         return when {
@@ -91,12 +100,13 @@
             event.id == null -> "event without a numeric id"
             // A reader of the standard does not see such an event, so its number would be missing.
             lines.none { fieldNameIn(it) == DATA } -> "event ${event.id} without data"
-            else -> numberDefectOf(event.id)
+            else -> null
         }
     }
 
     private fun numberDefectOf(id: Long): String? {
-        val before = last ?: 0
+        val isFirstInGaps = last == null && expected.numbering == EventNumbering.INCREASING
+        val before = last ?: if (isFirstInGaps) BEFORE_FIRST else 0
         return when {
             id <= before -> "event $id after $before"
             expected.numbering == EventNumbering.CONSECUTIVE && id != before + 1 ->
@@ -126,6 +136,9 @@
 
 private fun isNameCharacter(c: Char): Boolean = c in 'a'..'z' || c in 'A'..'Z' || c in '0'..'9' || c in "-_"
 
+/** Below all numbers of events. */
+private const val BEFORE_FIRST = -1L
+
 private const val ID = "id"
 private const val DATA = "data"
 private const val RETRY = "retry"
--- a/decisions/src/test/kotlin/org/cicadaturn/decisions/gateway/EventSequenceTest.kt
+++ b/decisions/src/test/kotlin/org/cicadaturn/decisions/gateway/EventSequenceTest.kt
@@ -89,6 +89,38 @@
         val batch = accept("id: 3\ndata: a\n\nid: 9\ndata: b\n\n", increasing())
         assertEquals(listOf<Long?>(3, 9), idsIn(batch))
         assertNull(batch.defect)
+        assertEquals(listOf<Long?>(0, 4), idsIn(accept("id: 0\ndata: a\n\nid: 4\ndata: b\n\n", increasing())))
+        assertEquals("event 0 after 0", accept("id: 0\ndata: a\n\nid: 0\ndata: b\n\n", increasing()).defect)
+        assertEquals(
+            "event 4 after 4",
+            accept(
+                "id: 4\ndata: a\n\n",
+                increasing(after = 4).also {
+                    it.accept(splitOf(4))
+                },
+            ).defect,
+        )
+    }
+
+    private fun splitOf(id: Int): List<StreamEvent> = eventSplitter().add("id: $id\ndata: x\n\n".encodeToByteArray())
+
+    /** Guards against garbage, an event twice or one of another run that counts as a gap in the numbers of a service. */
+    @Test
+    fun `only a number that is too high, or a first one of 0, is a gap`() {
+        assertTrue(accept("id: 2\ndata: b\n\n").hasGap)
+        assertTrue(accept("id: 0\ndata: b\n\n").hasGap)
+        assertTrue(accept("id: 1\ndata: a\n\nid: 3\ndata: c\n\n").hasGap)
+        assertTrue(accept("id: 9\ndata: a\n\n", eventSequence(ExpectedEvents(after = 4))).hasGap)
+        assertFalse(accept("id: 1\ndata: a\n\nid: 2\ndata: b\n\n").hasGap)
+        for (piece in listOf(
+            "id: 1\ndata: a\n\n",
+            "id: 0\ndata: a\n\n",
+            "data: a\n\n",
+            "id: 3\n\n",
+            "x\nid: 3\ndata: a\n\n",
+        )) {
+            assertFalse(accept("id: 1\ndata: a\n\n$piece").hasGap, piece)
+        }
     }
 
     /** Guards against a run that begins anew, or elsewhere, in the middle of a stream. */
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/AttemptExecution.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/AttemptExecution.kt
@@ -244,7 +244,7 @@
         if (batch.sound.isNotEmpty() && !goesOn()) return replaced()
         if (!sendEvents(head, batch.sound, waitedSince)) return AttemptResult.Delivered(summary)
         val defect = batch.defect ?: "event without end".takeIf { !parts.canBuffer(pendingBytes) }
-        return defect?.let { failed(AttemptEnd.BROKEN, it, canContinue = batch.canContinue) }
+        return defect?.let { failed(AttemptEnd.BROKEN, it, canContinue = batch.canContinue, hasGap = batch.hasGap) }
     }
 
     /** Passes on [complete], which arrived together; returns false if the caller has left. */
@@ -316,6 +316,7 @@
         use: EndpointUse = EndpointUse.Failed,
         isDisconnected: Boolean = false,
         canContinue: Boolean = true,
+        hasGap: Boolean = false,
     ): AttemptResult {
         this.use = use
         keepAliveTime = null
@@ -326,6 +327,7 @@
             summary = summary,
             isDisconnected = isDisconnected,
             canContinue = canContinue,
+            hasGap = hasGap,
         )
     }
 
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/AttemptRequests.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/AttemptRequests.kt
@@ -2,9 +2,11 @@
 
 import org.cicadaturn.decisions.gateway.Admission
 import org.cicadaturn.decisions.gateway.ExpectedEvents
+import org.cicadaturn.decisions.gateway.numberSightingIn
 import org.cicadaturn.schema.generated.AnswerProgress
 import org.cicadaturn.schema.generated.LiveEndpoint
 import org.cicadaturn.schema.generated.RouteKind
+import org.cicadaturn.schema.generated.ServiceId
 import org.cicadaturn.tasks.http.RequestHead
 import org.cicadaturn.tasks.http.valueOf
 import kotlin.time.Duration
@@ -51,7 +53,7 @@
             silenceLimit = minOf(limit, end).coerceAtLeast(1.milliseconds),
             standby = standby.takeIf { triesAnother },
             timeLimit = end,
-            events = expectedEvents(),
+            events = expectedEvents(endpoint.service),
             pauseTarget = route.pauseTarget,
             remaining = remaining,
             onConnected = onConnected,
@@ -73,9 +75,20 @@
         )
 
     /** Returns what the events of the next answer must be, or null if it must be a body. */
-    private fun expectedEvents(): ExpectedEvents? {
+    private fun expectedEvents(service: ServiceId): ExpectedEvents? {
         if (route.kind != RouteKind.STREAM || request.head.method == "HEAD") return null
-        return ExpectedEvents(dependencies.eventNumbering, lastReceivedEvent())
+        return ExpectedEvents(dependencies.eventNumbers.numberingOf(service), lastReceivedEvent())
+    }
+
+    /** Records what [result], the end of [attempt], shows about the numbers of events. */
+    fun ended(
+        attempt: AttemptRequest,
+        result: AttemptResult,
+    ) {
+        val events = attempt.events ?: return
+        val hasGap = (result as? AttemptResult.Failed)?.hasGap == true
+        val sighting = numberSightingIn(result.summary, hasGap, events.after) ?: return
+        dependencies.eventNumbers.seen(attempt.endpoint.service, attempt.endpoint.id, sighting)
     }
 
     /** Returns the number of the last event that the caller has, from this request or from an earlier one. */
--- /dev/null
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/EventNumberRecord.kt
@@ -0,0 +1,85 @@
+package org.cicadaturn.tasks.gateway
+
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.flow.MutableStateFlow
+import org.cicadaturn.decisions.gateway.EventNumberEvidence
+import org.cicadaturn.decisions.gateway.EventNumbering
+import org.cicadaturn.decisions.gateway.NumberSighting
+import org.cicadaturn.schema.generated.EndpointId
+import org.cicadaturn.schema.generated.ServiceId
+import org.cicadaturn.tasks.Supervisor
+
+/** Knows how the endpoints of each service number the events of streams. */
+internal interface EventNumberRecord {
+    /** Returns how the events of the next answer of [service] must be numbered. */
+    fun numberingOf(service: ServiceId): EventNumbering
+
+    /** Records what an answer of [endpoint] has shown. */
+    fun seen(
+        service: ServiceId,
+        endpoint: EndpointId,
+        sighting: NumberSighting,
+    )
+}
+
+/** Returns the record for the setting [choice]: a numbering, or "learned" for one that a task in [scope] learns. */
+internal fun startEventNumberRecord(
+    choice: String,
+    scope: CoroutineScope,
+    supervisor: Supervisor,
+): EventNumberRecord {
+    if (choice != LEARNED) return FixedEventNumbers(EventNumbering.valueOf(choice.uppercase()))
+    return EventNumberTask().also { task -> supervisor.start(scope, "event numbers") { task.processMessages() } }
+}
+
+private class FixedEventNumbers(
+    private val numbering: EventNumbering,
+) : EventNumberRecord {
+    override fun numberingOf(service: ServiceId): EventNumbering = numbering
+
+    override fun seen(
+        service: ServiceId,
+        endpoint: EndpointId,
+        sighting: NumberSighting,
+    ): Unit = Unit
+}
+
+private class EventNumberTask : EventNumberRecord {
+    private class Seen(
+        val service: ServiceId,
+        val endpoint: EndpointId,
+        val sighting: NumberSighting,
+    )
+
+    // Bounded; while it is full, sightings are dropped, as later answers show the same.
+    private val messages = Channel<Seen>(QUEUED_SIGHTINGS)
+    private val published = MutableStateFlow(emptyMap<ServiceId, EventNumberEvidence>())
+
+    override fun numberingOf(service: ServiceId): EventNumbering =
+        (published.value[service] ?: EventNumberEvidence()).numbering
+
+    override fun seen(
+        service: ServiceId,
+        endpoint: EndpointId,
+        sighting: NumberSighting,
+    ) {
+        // Nothing more can be learned of such a service.
+        if (published.value[service]?.isConsecutive == true) return
+        messages.trySend(Seen(service, endpoint, sighting))
+    }
+
+    suspend fun processMessages() {
+        for (message in messages) {
+            val evidence = published.value
+            val known = evidence[message.service] ?: EventNumberEvidence()
+            published.value = evidence + (message.service to known.plus(message.endpoint, message.sighting))
+        }
+    }
+
+    private companion object {
+        const val QUEUED_SIGHTINGS = 256
+    }
+}
+
+private const val LEARNED = "learned"
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/Exchange.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/Exchange.kt
@@ -90,6 +90,7 @@
      * @property events number of events that the endpoint sent; null if it sent no head of a stream
      * @property isDisconnected true if the endpoint ended the connection before the answer was complete
      * @property canContinue false if the caller may have got a wrong event, so that no endpoint can continue the stream
+     * @property hasGap true if the only defect is that the numbers of the events leave some out
      */
     class Failed(
         val end: AttemptEnd,
@@ -99,6 +100,7 @@
         override val summary: AnswerSummary? = null,
         val isDisconnected: Boolean = false,
         val canContinue: Boolean = true,
+        val hasGap: Boolean = false,
     ) : AttemptResult
 }
 
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/GatewayNode.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/GatewayNode.kt
@@ -14,7 +14,6 @@
 import org.cicadaturn.decisions.dispatch.dispatcher
 import org.cicadaturn.decisions.experts.placementLease
 import org.cicadaturn.decisions.gateway.BalancerOptions
-import org.cicadaturn.decisions.gateway.EventNumbering
 import org.cicadaturn.decisions.gateway.FleetPart
 import org.cicadaturn.decisions.gateway.RouteTable
 import org.cicadaturn.decisions.gateway.Unavailability
@@ -166,7 +165,7 @@
                 journal = dependencies.journal,
                 shutdown = shutdown,
                 times = times,
-                eventNumbering = EventNumbering.valueOf(settings.eventNumbers.uppercase()),
+                eventNumbers = startEventNumberRecord(settings.eventNumbers, scope, supervisor),
             ),
         )
     private var routes: RouteTable? = null
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/RequestAttempts.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/RequestAttempts.kt
@@ -70,6 +70,7 @@
                 throw e
             }
         observation.ended()
+        requests.ended(attempt, result)
         if (result !is AttemptResult.Failed) return result
         if (result.isDisconnected && gate.hasSharedSegments) observation.lost()
         if (result.end == AttemptEnd.NOT_SENT) {
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/RequestHandler.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/RequestHandler.kt
@@ -4,7 +4,6 @@
 import kotlinx.coroutines.flow.first
 import kotlinx.coroutines.withTimeoutOrNull
 import org.cicadaturn.decisions.gateway.Admission
-import org.cicadaturn.decisions.gateway.EventNumbering
 import org.cicadaturn.decisions.gateway.FleetState
 import org.cicadaturn.decisions.gateway.RouteTable
 import org.cicadaturn.schema.generated.Header
@@ -33,7 +32,7 @@
  *
  * @property routes returns the route table of the current configuration, or null if none is known
  * @property times times of earlier requests, which tell how long the next ones may take
- * @property eventNumbering how endpoints number the events of streams
+ * @property eventNumbers how endpoints number the events of streams
  */
 internal class RequestDependencies(
     val fleet: StateFlow<FleetState>,
@@ -48,7 +47,7 @@
     val journal: RequestJournal,
     val shutdown: Shutdown,
     val times: RequestTimeRecord,
-    val eventNumbering: EventNumbering,
+    val eventNumbers: EventNumberRecord,
 )
 
 /** Handles requests: admission, choice of endpoints, attempts and the answer. */
--- /dev/null
+++ b/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/LearnedNumbersTest.kt
@@ -0,0 +1,143 @@
+package org.cicadaturn.tasks.gateway
+
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertFalse
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.CsvSource
+
+/** Tests the streams of services that number events otherwise than 1, 2, 3, without a setting that says so. */
+class LearnedNumbersTest {
+    private fun endpointWith(numbers: () -> List<Int>) =
+        ScriptedEndpoint { r, out ->
+            val after = r.header("Last-Event-Id")?.toInt() ?: -1
+            out.text(streamAnswer(r, "s", numbers().filter { it > after }.joinToString("") { event(it) }))
+        }
+
+    private fun isWhole(
+        gateway: TestGateway,
+        route: String,
+        numbers: List<Int>,
+    ): Boolean {
+        val answer = exchange(gateway.port, request("/$route/x"))
+        return answer.isComplete && answer.body == numbers.joinToString("") { event(it) }
+    }
+
+    /** Guards against a deployment whose streams are all lost. PROTOCOL.md: "a series of events with increasing ids". */
+    @ParameterizedTest
+    @CsvSource("0, 1", "0, 4", "1, 2", "4, 4", "1000, 7")
+    fun `streams with increasing numbers come whole after the first three`(
+        first: Int,
+        step: Int,
+    ) {
+        val numbers = List(5) { first + it * step }
+        endpointWith { numbers }.use { one ->
+            endpointWith { numbers }.use { other ->
+                TestGateway(listOf(one, other)).use { gateway ->
+                    val lost =
+                        List(20) {
+                            if (it % 2 ==
+                                0
+                            ) {
+                                "stream"
+                            } else {
+                                "stream-once"
+                            }
+                        }.count { !isWhole(gateway, it, numbers) }
+                    assertTrue(lost <= 3, "$lost of 20 streams were not whole")
+                }
+            }
+        }
+    }
+
+    /** Guards against a stream that goes on at another endpoint with an event that the caller has, or before it. */
+    @Test
+    fun `a stream with gaps is resumed behind its last event`() {
+        val numbers = listOf(0, 4, 8, 12)
+        var breaks = false
+        val breaking =
+            ScriptedEndpoint { r, out ->
+                if (!breaks) {
+                    return@ScriptedEndpoint out.text(
+                        streamAnswer(r, "s", numbers.joinToString("") { event(it) }),
+                    )
+                }
+                out.text(
+                    streamHead(r, "s").replace("\r\n\r\n", "\r\nContent-Length: 999\r\n\r\n") + event(0) + event(4),
+                )
+                false
+            }
+        breaking.use { one ->
+            endpointWith { numbers }.use { other ->
+                TestGateway(listOf(one, other)).use { gateway ->
+                    repeat(5) { isWhole(gateway, "stream", numbers) }
+                    assertTrue(isWhole(gateway, "stream", numbers))
+                    breaks = true
+                    assertTrue(isWhole(gateway, "stream", numbers))
+                    assertEquals("4", other.requests.last().header("Last-Event-Id"))
+                }
+            }
+        }
+    }
+
+    /** Guards against a left-out event that passes as complete because it looks like a gap of the service. */
+    @Test
+    fun `an event that is left out is noticed after the first stream with consecutive numbers`() {
+        var numbers = (1..5).toList()
+        endpointWith { numbers }.use { one ->
+            endpointWith { numbers }.use { other ->
+                TestGateway(listOf(one, other)).use { gateway ->
+                    assertTrue(isWhole(gateway, "stream", numbers))
+                    for (left in 1..4) {
+                        numbers = (1..5) - left
+                        repeat(5) {
+                            val answer = exchange(gateway.port, request("/stream-once/x"))
+                            assertFalse(answer.status == 200 && answer.isComplete, "without event $left")
+                            assertEquals(
+                                (1..<left).joinToString("") { event(it) },
+                                answer.body
+                                    .takeIf {
+                                        answer.status ==
+                                            200
+                                    }.orEmpty(),
+                            )
+                        }
+                    }
+                }
+            }
+        }
+    }
+
+    /** Guards against a service whose streams are judged by those of one faulty endpoint from before the first sound one. */
+    @Test
+    fun `one endpoint that leaves events out changes nothing`() {
+        endpointWith { listOf(1, 3, 4) }.use { faulty ->
+            endpointWith { listOf(1, 2, 3, 4) }.use { sound ->
+                TestGateway(listOf(faulty, sound)).use { gateway ->
+                    val whole = (1..4).joinToString("") { event(it) }
+                    val answers =
+                        List(20) {
+                            exchange(
+                                gateway.port,
+                                request(
+                                    if (it % 2 ==
+                                        0
+                                    ) {
+                                        "/stream/x"
+                                    } else {
+                                        "/stream-once/x"
+                                    },
+                                ),
+                            )
+                        }
+                    for (answer in answers.filter { it.status == 200 }) {
+                        assertTrue(whole.startsWith(answer.body), answer.body)
+                        assertEquals(answer.body == whole, answer.isComplete)
+                    }
+                    assertTrue(answers.any { it.isComplete && it.body == whole })
+                }
+            }
+        }
+    }
+}
