--- a/daemons/src/test/kotlin/org/cicadaturn/daemons/site/PlannedStopSiteTest.kt
+++ b/daemons/src/test/kotlin/org/cicadaturn/daemons/site/PlannedStopSiteTest.kt
@@ -3,7 +3,6 @@
 import kotlinx.coroutines.runBlocking
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertTrue
-import org.junit.jupiter.api.Tag
 import org.junit.jupiter.api.Test
 import java.nio.file.Path
 import kotlin.io.path.ExperimentalPathApi
@@ -37,7 +36,6 @@
 
     /** Guards against requests around planned stops that a gateway has read or passed on and that get no whole answer. */
     @Test
-    @Tag("known-red")
     fun `planned stops of gateway processes lose no request`() {
         val events =
             Site(plan, directory).use { site ->
