Take the orderly end of a connection for the end of an answer without length and chunks

What callers saw: answers of plain services, chat completions in one object and errors of engines that have neither a length nor chunks got 502, though HTTP (RFC 9112, 6.3) and the users' page allow them. Keyed calls stayed claimed, and each repetition got `unknown`.

Cause: `isEndMarked` judged the head only. How the connection ended and what the content shows were not used.

Change: `bodyEndOf` names what ends a body. For one that its connection ends, the end mark of a chat stream or the end of a JSON object decides; otherwise the address of the back end must still accept a connection, as the system also ends those of a crashed process in order. A reset, a timeout and a cancelled call stay `unknown`. A confirmation is kept only if its framing or content proves its end.

--- a/daemons/src/test/kotlin/org/cicadaturn/daemons/system/UndeclaredAnswerTest.kt
+++ b/daemons/src/test/kotlin/org/cicadaturn/daemons/system/UndeclaredAnswerTest.kt
@@ -232,6 +232,8 @@
             mapOf(
                 "with a length" to stream(COMPLETION, Framing.LENGTH, JSON),
                 "chunked" to stream(COMPLETION, type = "$JSON; charset=utf-8"),
+                "until the connection ends" to stream(COMPLETION, Framing.UNTIL_CLOSE, JSON),
+                "error until the connection ends" to stream(error, Framing.UNTIL_CLOSE, JSON, "400 Bad Request"),
                 "error" to stream(error, Framing.LENGTH, JSON, "400 Bad Request"),
             )
         val received = received(answers, stream = false).mapValues { (_, answer) -> answer.status to answer.body }
@@ -239,6 +241,8 @@
             mapOf(
                 "with a length" to (200 to COMPLETION),
                 "chunked" to (200 to COMPLETION),
+                "until the connection ends" to (200 to COMPLETION),
+                "error until the connection ends" to (400 to error),
                 "error" to (400 to error),
             )
         assertEquals(expected, received)
--- a/decisions/src/main/kotlin/org/cicadaturn/decisions/answer/RequestedAnswer.kt
+++ b/decisions/src/main/kotlin/org/cicadaturn/decisions/answer/RequestedAnswer.kt
@@ -85,26 +85,42 @@
     return (if (form == AnswerForm.CHAT_STREAM) BodyHandling.CHAT_EVENTS else BodyHandling.CHAT_OBJECT).right()
 }
 
+/** What ends the body of an answer. */
+public enum class BodyEnd {
+    /** The answer has no body. */
+    NO_BODY,
+
+    /** A length or the last chunk, so that a body that was cut is noticed. */
+    FRAMING,
+
+    /** The orderly end of the connection. */
+    CONNECTION,
+}
+
 /**
- * Returns true if the end of the body of an answer with [status] and [headers] to a call of [method] is marked, so that
- * a body that was cut is noticed: by chunks, by a length, by having no body, or by a mark in its content.
- *
- * A body that ends with its connection is as long as whatever arrived.
+ * Returns what ends the body of an answer with [status] and [headers] to a call of [method] by RFC 9112, section 6.3, or
+ * null if its headers contradict each other or declare a coding that is not undone here.
  */
-public fun isEndMarked(
+public fun bodyEndOf(
     method: String,
     status: Int,
     headers: List<Header>,
-    hasEndMark: Boolean,
-): Boolean {
-    if (!hasBody(method, status)) return true
-    if (hasEndMark && status == OK) return true
+): BodyEnd? {
+    if (!hasBody(method, status)) return BodyEnd.NO_BODY
     val codings = valuesOf("transfer-encoding", headers)
-    if (codings.isNotEmpty()) return codings.singleOrNull().equals("chunked", ignoreCase = true)
-    val length = valuesOf("content-length", headers).distinct().singleOrNull() ?: return false
-    return length.toLongOrNull()?.let { it >= 0 } == true
+    if (codings.isNotEmpty()) {
+        return BodyEnd.FRAMING.takeIf { codings.singleOrNull().equals("chunked", ignoreCase = true) }
+    }
+    val lengths = valuesOf("content-length", headers).distinct()
+    if (lengths.isEmpty()) return BodyEnd.CONNECTION
+    val length = lengths.singleOrNull()?.toLongOrNull() ?: return null
+    return BodyEnd.FRAMING.takeIf { length >= 0 }
 }
 
+/** Returns true if an answer with [headers] declares a JSON body, whose content shows whether it is whole. */
+public fun isJson(headers: List<Header>): Boolean =
+    mediaTypeIn(headers)?.let { it == JSON || it.endsWith("+json") } == true
+
 /** Returns true if an answer with [status] to a call of [method] can have a body. */
 public fun hasBody(
     method: String,
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/endpoint/Backend.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/endpoint/Backend.kt
@@ -12,13 +12,17 @@
 import io.ktor.client.statement.bodyAsChannel
 import io.ktor.http.HttpHeaders
 import io.ktor.http.HttpMethod
+import io.ktor.utils.io.ByteReadChannel
 import io.ktor.utils.io.readAvailable
 import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.currentCoroutineContext
+import kotlinx.coroutines.ensureActive
 import kotlinx.io.IOException
 import okhttp3.ConnectionPool
 import okhttp3.Dispatcher
-import org.cicadaturn.decisions.answer.hasBody
-import org.cicadaturn.decisions.answer.isEndMarked
+import org.cicadaturn.decisions.answer.BodyEnd
+import org.cicadaturn.decisions.answer.bodyEndOf
+import org.cicadaturn.decisions.answer.isJson
 import org.cicadaturn.schema.generated.Frame
 import org.cicadaturn.schema.generated.Header
 import org.cicadaturn.schema.generated.NetworkAddress
@@ -32,9 +36,7 @@
 internal const val CHUNK_BYTES: Int = 64 * 1024
 
 private const val MAX_CONCURRENT_CALLS = 4096
-private const val UNMARKED_END =
-    "the answer has neither a length nor chunks, so that a part of it cannot be told from the whole; " +
-        "make the back end send Content-Length"
+private const val OK = 200
 private val CONNECT_TIMEOUT: Duration = 1.seconds
 
 /** Receives the answer of a back end while it arrives. */
@@ -51,9 +53,15 @@
 
 /** Result of a call to a back end. */
 internal sealed interface BackendResult {
-    /** The complete answer was passed to the sink. */
+    /** The complete answer was passed to the sink; its framing or its content shows that it is whole. */
     data object Complete : BackendResult
 
+    /**
+     * An answer that only the end of its connection ends was passed to the sink. The connection ended in order, and the
+     * back end still accepts connections. By HTTP the answer is whole, but nothing in it proves that.
+     */
+    data object Closed : BackendResult
+
     /** The back end accepted no connection, so the call has not run. */
     data class NotRun(
         val detail: String,
@@ -102,14 +110,22 @@
         }
     }
 
-/** Returns a [BackendCall] that uses HTTP to call the back end at [address]. */
+/**
+ * Returns a [BackendCall] that uses HTTP to call the back end at [address].
+ *
+ * [isAccepting] tells whether the back end still accepts connections, after the end of a connection that could also be
+ * that of its process.
+ */
 internal fun httpBackend(
     client: HttpClient,
     address: NetworkAddress,
+    isAccepting: suspend (NetworkAddress) -> Boolean = ::acceptsConnections,
 ): BackendCall =
     BackendCall { open, sink ->
         try {
-            client.prepareRequest { setUpRequest(address, open) }.execute { relay(it, open, sink) }
+            client
+                .prepareRequest { setUpRequest(address, open) }
+                .execute { response -> relay(response, open, sink) { isAccepting(address) } }
         } catch (e: ConnectException) {
             BackendResult.NotRun(detailOf(e))
         } catch (e: ConnectTimeoutException) {
@@ -150,26 +166,66 @@
     response: HttpResponse,
     open: Frame.Open,
     sink: AnswerSink,
+    isAccepting: suspend () -> Boolean,
 ): BackendResult {
     val status = response.status.value
     val headers = response.headers.entries().flatMap { (name, values) -> values.map { Header(name, it) } }
-    if (!isEndMarked(open.method, status, headers, open.hasEndMark)) return BackendResult.Unknown(UNMARKED_END)
+    val end =
+        bodyEndOf(open.method, status, headers)
+            ?: return BackendResult.Unknown("the headers of the answer do not tell where its body ends")
     sink.head(status, endToEnd(headers))
-    if (!hasBody(open.method, status)) return BackendResult.Complete
+    if (end == BodyEnd.NO_BODY) return BackendResult.Complete
+    val json = if (end == BodyEnd.CONNECTION && isJson(headers)) JsonBody() else null
+    val receivedBytes =
+        relayBody(response.bodyAsChannel()) {
+            json?.append(it)
+            sink.chunk(it)
+        }
+    // The client ends the body of a call that was cancelled in the same way as one that is whole.
+    currentCoroutineContext().ensureActive()
+    response.coroutineContext.ensureActive()
+    if (end == BodyEnd.CONNECTION) return resultAtClose(json, open.hasEndMark && status == OK, isAccepting)
     val expectedBytes = response.headers[HttpHeaders.ContentLength]?.toLongOrNull()
-    val body = response.bodyAsChannel()
+    if (expectedBytes != null && receivedBytes != expectedBytes) {
+        return BackendResult.Unknown("$receivedBytes of $expectedBytes bytes came")
+    }
+    return BackendResult.Complete
+}
+
+/** Passes [body] to [chunk] and returns its length in bytes; throws the failure that ended it before its end. */
+private suspend fun relayBody(
+    body: ByteReadChannel,
+    chunk: suspend (ByteArray) -> Unit,
+): Long {
     val buffer = ByteArray(CHUNK_BYTES)
     var receivedBytes = 0L
     while (true) {
         val count = body.readAvailable(buffer)
         if (count < 0) break
         if (count == 0) continue
-        sink.chunk(buffer.copyOf(count))
+        chunk(buffer.copyOf(count))
         receivedBytes += count
     }
-    body.closedCause?.let { return BackendResult.Unknown(detailOf(it)) }
-    if (expectedBytes != null && receivedBytes != expectedBytes) {
-        return BackendResult.Unknown("$receivedBytes of $expectedBytes bytes came")
+    body.closedCause?.let { throw IOException("the body ended with a failure", it) }
+    return receivedBytes
+}
+
+/**
+ * Returns the result of a call whose connection ended in order behind a body that has no other end.
+ *
+ * Also the connections of a process that crashed end in order, so the content has to show that the answer is whole, or
+ * the back end has to live on.
+ */
+private suspend fun resultAtClose(
+    json: JsonBody?,
+    hasEndMark: Boolean,
+    isAccepting: suspend () -> Boolean,
+): BackendResult {
+    val isWhole = if (hasEndMark) true else json?.isWhole()
+    return when {
+        isWhole == true -> BackendResult.Complete
+        isWhole == false -> BackendResult.Unknown("the connection ended within the JSON body of the answer")
+        isAccepting() -> BackendResult.Closed
+        else -> BackendResult.Unknown("the connection ended the answer, and the back end accepts no other one")
     }
-    return BackendResult.Complete
 }
--- /dev/null
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/endpoint/BodyAtClose.kt
@@ -0,0 +1,84 @@
+package org.cicadaturn.tasks.endpoint
+
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.runInterruptible
+import kotlinx.io.IOException
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.json.Json
+import kotlinx.serialization.json.JsonArray
+import kotlinx.serialization.json.JsonObject
+import org.cicadaturn.schema.generated.NetworkAddress
+import java.io.ByteArrayOutputStream
+import java.net.InetSocketAddress
+import java.net.Socket
+import java.net.SocketTimeoutException
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** Maximum length of a body whose content is verified; the same as for answers that are buffered before their head. */
+private const val MAX_VERIFIED_BYTES = 1 shl 20
+
+private val CONNECT_TIMEOUT: Duration = 1.seconds
+
+/**
+ * Time for which a new connection has to stay open. A process that ends closes its sockets one after the other, and its
+ * listening socket may be the later one; connections that it has not accepted are then reset.
+ */
+private val OPEN_TIME: Duration = 20.milliseconds
+
+/** Collects a JSON body that only the end of its connection ends. */
+internal class JsonBody {
+    private val bytes = ByteArrayOutputStream()
+    private var isTooLong = false
+
+    /** Adds the next part of the body. */
+    fun append(data: ByteArray) {
+        if (bytes.size() + data.size > MAX_VERIFIED_BYTES) isTooLong = true
+        if (!isTooLong) bytes.write(data)
+    }
+
+    /**
+     * Returns true if the content shows that the body is whole, and false if it shows that it is not.
+     *
+     * No part of an object or an array is itself one. Returns null for a number or another scalar, parts of which are
+     * valid, and for a body of over 1 MiB, which is not verified.
+     */
+    fun isWhole(): Boolean? {
+        if (isTooLong) return null
+        return try {
+            val value = Json.parseToJsonElement(bytes.toByteArray().decodeToString(throwOnInvalidSequence = true))
+            if (value is JsonObject || value is JsonArray) true else null
+        } catch (_: SerializationException) {
+            false
+        } catch (_: CharacterCodingException) {
+            false
+        }
+    }
+}
+
+/** Returns true if [address] accepts a connection and keeps it open for [OPEN_TIME]. */
+internal suspend fun acceptsConnections(address: NetworkAddress): Boolean =
+    runInterruptible(Dispatchers.IO) {
+        Socket().use { socket ->
+            val timeout = CONNECT_TIMEOUT.inWholeMilliseconds.toInt()
+            val isConnected =
+                failureOf { socket.connect(InetSocketAddress(address.ip, address.port), timeout) } == null
+            isConnected && failureOf { socket.awaitEnd() } is SocketTimeoutException
+        }
+    }
+
+/** Waits until the peer ends the connection; throws a [SocketTimeoutException] if it stays open. */
+private fun Socket.awaitEnd() {
+    soTimeout = OPEN_TIME.inWholeMilliseconds.toInt()
+    getInputStream().read()
+}
+
+/** Returns the failure of [action], or null if it succeeds. */
+private fun failureOf(action: () -> Unit): IOException? =
+    try {
+        action()
+        null
+    } catch (e: IOException) {
+        e
+    }
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/endpoint/RequestRunner.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/endpoint/RequestRunner.kt
@@ -105,12 +105,13 @@
         if (result is BackendResult.NotRun) gate.markCold()
         sender.send(
             when (result) {
-                BackendResult.Complete -> Frame.End(open.stream, sink.chunks)
+                BackendResult.Complete, BackendResult.Closed -> Frame.End(open.stream, sink.chunks)
                 is BackendResult.NotRun -> Frame.Failed(open.stream, Outcome.NOT_RUN, result.detail)
                 is BackendResult.Unknown -> Frame.Failed(open.stream, Outcome.UNKNOWN, result.detail)
             },
         )
-        return if (result == BackendResult.Complete && !sink.isServerError) Ending.FINISHED else Ending.FAILED
+        val isAnswered = result == BackendResult.Complete || result == BackendResult.Closed
+        return if (isAnswered && !sink.isServerError) Ending.FINISHED else Ending.FAILED
     }
 }
 
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/endpoint/StoredConfirmations.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/endpoint/StoredConfirmations.kt
@@ -17,6 +17,10 @@
 /** Maximum size of the body of an answer; the ledger keeps only shorter ones, but the first caller gets it in full. */
 private const val MAX_ANSWER_BYTES = 1 shl 20
 
+private const val UNPROVEN_END =
+    "the answer has neither a length nor chunks, and its content does not show whether it is whole; " +
+        "make the back end send Content-Length"
+
 /** Returns a call that sends each request to [backend] at most once, as recorded by [confirmations]. */
 internal fun storedConfirmations(
     confirmations: Confirmations,
@@ -49,6 +53,11 @@
             CallResult.Unknown(result.detail)
         }
 
+        BackendResult.Closed -> {
+            // Repetitions would get what is stored for a day, so it has to be proven that it is no part.
+            CallResult.Unknown(UNPROVEN_END)
+        }
+
         BackendResult.Complete -> {
             sink.answer()?.let { CallResult.Answered(it) }
                 ?: CallResult.Unknown("the answer is longer than $MAX_ANSWER_BYTES bytes")
