Let the deadline alone bound the wait for bytes of a back end

What callers saw: a call whose back end sent nothing for 10 s failed as `unknown`, whatever time its caller allowed. It had run; the key of a keyed one stayed claimed.

Cause: OkHttp has a read timeout of 10 s unless one is set. Change: none is set, as the deadline of the call already ends it.

Test: BackendTest "an answer may pause for over ten seconds" failed before with "Socket timeout has expired".

--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/endpoint/Backend.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/endpoint/Backend.kt
@@ -97,6 +97,8 @@
             config {
                 // A repeated call could run twice, and a repeated connect would hide that the back end is unavailable.
                 retryOnConnectionFailure(false)
+                // The deadline of the call bounds the wait for bytes; the client's own limit is 10 s without one.
+                readTimeout(0, TimeUnit.SECONDS)
                 // Answers do not name their call, so on a kept connection a second copy of an answer, whole or cut,
                 // would be taken for the answer to the next call or become a part of it.
                 connectionPool(ConnectionPool(0, 1, TimeUnit.SECONDS))
--- a/tasks/src/test/kotlin/org/cicadaturn/tasks/endpoint/BackendTest.kt
+++ b/tasks/src/test/kotlin/org/cicadaturn/tasks/endpoint/BackendTest.kt
@@ -177,6 +177,15 @@
         }
     }
 
+    /** Guards against an answer that is given up within the time of its caller. */
+    @Test
+    fun `an answer may pause for over ten seconds`() {
+        assertEquals(
+            BackendResult.Closed to "helloworld",
+            run("HTTP/1.1 200 OK\r\n\r\nhelloworld", pause = 10_500.milliseconds),
+        )
+    }
+
     /** Guards against the result "unknown" although the back end cannot have received the call. */
     @Test
     fun `a call whose connection is refused has not run`() {
