Keep an engine in service after a single late report

Cause: one load report that was read later than four intervals marked its engine as unreachable. A report is also late if the endpoint process itself is short of processor time, and then all its engines are lost at once.

Change: a late report counts only as the third one in a row; a refused connection and a failure count at once, as before. The probe takes its reader as a function, so that the test runs in virtual time.

--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/endpoint/EndpointNode.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/endpoint/EndpointNode.kt
@@ -140,7 +140,9 @@
         supervisor.start(scope, "configuration from the store") { loadConfigurationFromStore() }
         if (settings.kind == "engine") {
             supervisor.start(scope, "engine probe") {
-                probeEngine(client, settings.backend, settings.probeInterval, gate) { engineReachable.value = it }
+                probeEngine(settings.probeInterval, gate, httpLoadReader(client, settings.backend)) {
+                    engineReachable.value = it
+                }
             }
         }
         val identity = wireIdentity(Role.ENDPOINT, file.process, file.wire, dependencies.incarnation)
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/endpoint/EngineProbe.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/endpoint/EngineProbe.kt
@@ -15,21 +15,39 @@
 
 private val json = Json { ignoreUnknownKeys = true }
 
+/** Time after which a report is late, in intervals between reports. */
+private const val LATE_INTERVALS = 4
+
+/** Late reports in a row after which an engine counts as unreachable: 3.5 s at the default interval of 250 ms. */
+private const val MAX_LATE_REPORTS = 3
+
+/** Reads the load report of an engine; returns null if the engine gives none. */
+internal typealias LoadReader = suspend () -> EngineLoad?
+
+/** Returns a reader that asks the engine at [address] by HTTP. */
+internal fun httpLoadReader(
+    client: HttpClient,
+    address: NetworkAddress,
+): LoadReader = { readLoad(client, address) }
+
 /**
- * Reads the load report of the engine at [address] every [interval] and passes it to [gate], until it is cancelled.
+ * Calls [read] every [interval] and passes the report to [gate], until it is cancelled.
  *
- * [onReachable] is called after each attempt, with true if the engine returned a report.
+ * [onReachable] is called with true after each report and with false after a failure. A report that is late may be late
+ * for want of processor time in this process, so only [MAX_LATE_REPORTS] in a row count as a failure.
  */
 internal suspend fun probeEngine(
-    client: HttpClient,
-    address: NetworkAddress,
     interval: Duration,
     gate: Gate,
+    read: LoadReader,
     onReachable: (Boolean) -> Unit,
 ) {
+    var late = 0
     while (true) {
-        val load = withTimeoutOrNull(interval * 4) { readLoad(client, address) }
-        onReachable(load != null)
+        var isLate = true
+        val load = withTimeoutOrNull(interval * LATE_INTERVALS) { read().also { isLate = false } }
+        late = if (isLate) late + 1 else 0
+        if (!isLate || late >= MAX_LATE_REPORTS) onReachable(load != null)
         if (load != null) gate.applyEngineReport(load.run, load.cold)
         delay(interval)
     }
--- a/tasks/src/test/kotlin/org/cicadaturn/tasks/endpoint/RepeatedAnswerTest.kt
+++ b/tasks/src/test/kotlin/org/cicadaturn/tasks/endpoint/RepeatedAnswerTest.kt
@@ -168,7 +168,8 @@
         gate: ReportedGate,
     ): Boolean =
         coroutineScope {
-            val probe = launch { probeEngine(client, NetworkAddress("127.0.0.1", port), 1.hours, gate) {} }
+            val probe =
+                launch { probeEngine(1.hours, gate, httpLoadReader(client, NetworkAddress("127.0.0.1", port))) {} }
             gate.reports.receive().also { probe.cancel() }
         }
 
