Keep a silent endpoint until another one has answered

What callers saw: a safe request whose only endpoint answered after more than half of the time allowed got 502, and so did one whose next endpoint refused. A chat stream that paused for longer than entry.stream-stall was cut if no other endpoint continued it, and an event stream of a plain service always.

Cause: the attempt was cancelled first and its replacement looked for afterwards; a stalled stream was not read again.

Change: another attempt is made beside the silent one if an endpoint and the retry budget allow it at once. The first answer ends the others, and a refusal ends only its own attempt. A stalled stream is read on if nothing continues it, and cancelled at once if something does. Streams that nothing can continue may pause until the deadline.

--- a/daemons/src/test/kotlin/org/cicadaturn/daemons/system/ScriptedBackend.kt
+++ b/daemons/src/test/kotlin/org/cicadaturn/daemons/system/ScriptedBackend.kt
@@ -7,18 +7,20 @@
 import java.net.Socket
 import java.util.concurrent.ConcurrentHashMap
 import kotlin.concurrent.thread
+import kotlin.time.Duration
 
 private const val HEAD_END = "\r\n\r\n"
 
 /**
  * Back end on loopback that sends scripted bytes and closes the connection after each answer; it resets the connection
- * behind an answer whose name is in [resets].
+ * behind an answer whose name is in [resets], and pauses within one that [pauses] names.
  *
  * A request gets the answer whose name its body or path contains, between two `#`.
  */
 internal class ScriptedBackend(
     private val answers: Map<String, ByteArray>,
     private val resets: Set<String> = emptySet(),
+    private val pauses: Map<String, Pause> = emptyMap(),
 ) : AutoCloseable {
     private val server = ServerSocket(0, 200, InetAddress.getLoopbackAddress())
     private val counts = ConcurrentHashMap<String, Int>()
@@ -42,7 +44,12 @@
         if (request.isEmpty()) return
         val name = request.substringAfter('#').substringBefore('#')
         counts.merge(name, 1, Int::plus)
-        socket.getOutputStream().write(answers.getValue(name))
+        val answer = answers.getValue(name)
+        val pause = pauses[name] ?: Pause(0, Duration.ZERO)
+        socket.getOutputStream().write(answer.copyOf(pause.after))
+        socket.getOutputStream().flush()
+        Thread.sleep(pause.time.inWholeMilliseconds)
+        socket.getOutputStream().write(answer.copyOfRange(pause.after, answer.size))
         socket.getOutputStream().flush()
         if (name in resets) socket.setSoLinger(true, 0) else socket.shutdownOutput()
     }
@@ -66,6 +73,12 @@
     override fun close() = server.close()
 }
 
+/** Pause of [time] behind the first [after] bytes of an answer. */
+internal class Pause(
+    val after: Int,
+    val time: Duration,
+)
+
 /** How the end of a scripted body is marked. */
 internal enum class Framing { CHUNKED, LENGTH, UNTIL_CLOSE, CUT_CHUNKED, CUT_LENGTH }
 
--- a/daemons/src/test/kotlin/org/cicadaturn/daemons/system/SystemOptions.kt
+++ b/daemons/src/test/kotlin/org/cicadaturn/daemons/system/SystemOptions.kt
@@ -85,6 +85,7 @@
     val stopTimeout: Duration = 20.seconds,
     val storeTimeout: Duration = 2.seconds,
     val slowReaderTimeout: Duration = 20.seconds,
+    val streamStall: Duration = 5.seconds,
     val maxBody: Int = 65_536,
     val maxHeader: Int = 4_096,
 )
@@ -171,7 +172,7 @@
                 maxAttempts = 3,
                 retryShare = 10,
                 queueWait = 1.seconds,
-                streamStall = 5.seconds,
+                streamStall = options.streamStall,
                 slowReaderTimeout = options.slowReaderTimeout,
             ),
     )
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/entry/AnswerReader.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/entry/AnswerReader.kt
@@ -56,8 +56,8 @@
 /**
  * Reads an answer from the frames of one stream and verifies that it is what was [expected].
  *
- * Events of a chat completion are read by [chatEvents], which all attempts of a request share. A streamed answer is
- * reported as broken if no frame arrives for [stallLimit].
+ * Events of a chat completion are read by [chatEvents]. Passing them on fails if no frame arrives for [stallLimit], so
+ * that another endpoint can be asked for the rest; after that it can be called again to read on.
  */
 internal class AnswerReader(
     private val stream: AnswerStream,
@@ -76,6 +76,12 @@
     var isEnded = false
         private set
 
+    /** True if the last failure to pass on events was a pause of the endpoint, after which the answer may go on. */
+    var isStalled = false
+        private set
+
+    private var unsent: ChatBatch? = null
+
     /** What a refusal or failure of the endpoint proves about the claim on the idempotency key. */
     var proof = ClaimProof.NOT_READ
         private set
@@ -134,7 +140,8 @@
         while (true) {
             val batch = nextEvents().fold({ return it.left() }, { it })
             if (batch.sound.isNotEmpty()) {
-                return Answer.Streamed(head.status, head.headers, isChat = true) { relayEvents(batch, it) }.right()
+                unsent = batch
+                return Answer.Streamed(head.status, head.headers, isChat = true) { relayEvents(it) }.right()
             }
             if (batch.defect != null) return unexpected(batch.defect).left()
         }
@@ -149,16 +156,12 @@
         return batch.right()
     }
 
-    private suspend fun relayEvents(
-        first: ChatBatch,
-        write: suspend (ByteArray) -> Unit,
-    ): Refusal? {
-        var batch = first
-        while (true) {
+    private suspend fun relayEvents(write: suspend (ByteArray) -> Unit): Refusal? {
+        while (!chatEvents.isEnded || unsent != null) {
+            val batch = unsent ?: nextEvents(stallLimit).fold({ return broken(it) }, { it })
+            unsent = null
             if (batch.sound.isNotEmpty()) write(batch.sound)
             batch.defect?.let { return broken(unexpected(it)) }
-            if (chatEvents.isEnded) break
-            batch = nextEvents(stallLimit).fold({ return broken(it) }, { it })
         }
         isComplete = true
         awaitLastFrame()
@@ -178,7 +181,7 @@
     ): Refusal? {
         if (first.isNotEmpty()) write(first)
         while (true) {
-            val frame = next(stallLimit)
+            val frame = next()
             if (frame is Frame.End) {
                 isComplete = true
                 return null
@@ -197,8 +200,10 @@
 
     private suspend fun next(limit: Duration = Duration.INFINITE): Frame? {
         val timeout = minOf(timeLeft(), limit)
+        isStalled = false
         if (timeout <= Duration.ZERO) return null
         val frame = withTimeoutOrNull(timeout) { stream.frames.receiveCatching().getOrNull() ?: CONNECTION_LOST }
+        isStalled = frame == null && timeLeft() > Duration.ZERO
         isEnded = frame is Frame.End || frame is Frame.Refused || frame is Frame.Failed
         return frame
     }
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/entry/ChatEvents.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/entry/ChatEvents.kt
@@ -29,15 +29,18 @@
  * Verifies the events of a streamed chat completion and counts the tokens in them.
  *
  * Verified events are encoded again, so that a caller reads exactly what was verified. Engines send one token in each
- * event. An answer that broke off is resumed after the tokens counted so far. Not safe for use by several coroutines.
+ * event. An answer that broke off is resumed after the tokens counted so far, which are the [earlierTokens] of the next
+ * one. Not safe for use by several coroutines.
  */
-internal class ChatEvents {
+internal class ChatEvents(
+    earlierTokens: Int = 0,
+) {
     private var reader = EventReader()
     private var sequence = chatSequence()
     private var hasEvent = false
 
-    /** Number of tokens in the events returned so far, over all answers. */
-    var tokens = 0
+    /** Number of tokens in the events returned so far and in earlier answers. */
+    var tokens = earlierTokens
         private set
 
     /** True once the current answer is whole. */
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/entry/RequestPipeline.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/entry/RequestPipeline.kt
@@ -3,7 +3,13 @@
 import arrow.core.Either
 import arrow.core.left
 import arrow.core.right
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Deferred
 import kotlinx.coroutines.NonCancellable
+import kotlinx.coroutines.async
+import kotlinx.coroutines.cancelAndJoin
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.selects.select
 import kotlinx.coroutines.withContext
 import kotlinx.coroutines.withTimeoutOrNull
 import org.cicadaturn.decisions.answer.requestedAnswerOf
@@ -31,6 +37,7 @@
 import org.cicadaturn.tasks.observe.EntryMetrics
 import kotlin.time.Clock
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Instant
 
 /**
@@ -105,7 +112,7 @@
         private val tried = HashSet<EndpointId>()
         private val reports = ArrayList<AttemptReport>()
         private val expected = requestedAnswerOf(routed.request)
-        private val chatEvents = ChatEvents()
+        private var chatEvents = ChatEvents()
         private var lastRefusal: Refusal? = null
         private var attempts = 0
         private var resumeFrom = 0
@@ -134,112 +141,201 @@
 
         private fun timeLeft(): Duration = deadline - clock.now()
 
-        /** Makes one attempt. Returns null after [respond] was called with an answer, or why there is none. */
-        private suspend fun attempt(respond: suspend (Either<Refusal, Answer>) -> Unit): Refusal? {
-            val shard = routed.confirmation?.let { shardOf(it.key) }
-            val query = RoutingQuery(routed.service.id, routed.tokens.toLong(), deadline, tried.toSet(), shard)
-            val assigned =
-                when (val assignment = directory.choose(query, minOf(options.queueWait, timeLeft() / 2))) {
-                    is Assignment.None -> {
-                        // Without an endpoint to try, there is no further attempt.
-                        attempts = options.maxAttempts
-                        // The refusal of an earlier endpoint tells the caller more than that no other endpoint is left.
-                        return lastRefusal ?: refusalOf(assignment.code, assignment.message, null)
+        /**
+         * Makes one attempt, and others beside it while it is silent. Returns null after [respond] was called with an
+         * answer, or why there is none.
+         *
+         * A silent attempt is given up only once another one has answered, as that one may be refused.
+         */
+        private suspend fun attempt(respond: suspend (Either<Refusal, Answer>) -> Unit): Refusal? =
+            coroutineScope {
+                val running = ArrayList<RunningAttempt>()
+                try {
+                    val assigned = firstEndpoint().fold({ return@coroutineScope it }, { it })
+                    var failure = begin(assigned, running)
+                    while (running.isNotEmpty()) {
+                        val ended = awaitOne(running)
+                        if (ended == null) {
+                            beginStandby(running)
+                            continue
+                        }
+                        val refusal = settle(ended, running, respond) ?: return@coroutineScope null
+                        failure = refusal
                     }
+                    failure
+                } finally {
+                    withContext(NonCancellable) { running.toList().forEach { close(it, running) } }
+                }
+            }
 
-                    is Assignment.Assigned -> {
-                        assignment
-                    }
+        private suspend fun firstEndpoint(): Either<Refusal, Assignment.Assigned> =
+            when (val assignment = choose(minOf(options.queueWait, timeLeft() / 2))) {
+                is Assignment.None -> {
+                    // Without an endpoint to try, there is no further attempt.
+                    attempts = options.maxAttempts
+                    // The refusal of an earlier endpoint tells the caller more than that no other endpoint is left.
+                    (lastRefusal ?: refusalOf(assignment.code, assignment.message, null)).left()
                 }
+
+                is Assignment.Assigned -> {
+                    assignment.right()
+                }
+            }
+
+        private suspend fun choose(wait: Duration): Assignment {
+            val shard = routed.confirmation?.let { shardOf(it.key) }
+            val query = RoutingQuery(routed.service.id, routed.tokens.toLong(), deadline, tried.toSet(), shard)
+            return directory.choose(query, wait)
+        }
+
+        /** Sends the request to [assigned] and adds the attempt to [running]; returns why it was not sent, or null. */
+        private suspend fun CoroutineScope.begin(
+            assigned: Assignment.Assigned,
+            running: MutableList<RunningAttempt>,
+        ): Refusal? {
             attempts++
             tried += assigned.endpoint
-            var outcome: AttemptOutcome = AttemptOutcome.Neutral
+            var isSent = false
             try {
                 registry.attemptStarted(slot, assigned.endpoint)
-                return exchange(assigned, respond) { outcome = it }
+                val id = newAttempt()
+                val start = clock.now()
+                val stream =
+                    assigned.session.open(id) { openFrame(it, id) }
+                        ?: return recordFailure(unreachable(assigned.endpoint), ClaimProof.NOT_READ)
+                val events = ChatEvents(resumeFrom)
+                val reader = AnswerReader(stream, expected, events, options.streamStall) { timeLeft() }
+                running +=
+                    RunningAttempt(assigned.endpoint, stream, reader, events, start, async { reader.awaitAnswer() })
+                isSent = true
+                return null
             } finally {
-                withContext(NonCancellable) { directory.finished(assigned.endpoint, routed.tokens.toLong(), outcome) }
+                if (!isSent) withContext(NonCancellable) { finished(assigned.endpoint, AttemptOutcome.Neutral) }
             }
         }
 
-        /** Sends the request to [assigned]. Returns null after [respond] was called, or why there is no answer. */
-        private suspend fun exchange(
-            assigned: Assignment.Assigned,
+        /** Begins another attempt beside those in [running], if an endpoint and the retry budget allow it at once. */
+        private suspend fun CoroutineScope.beginStandby(running: MutableList<RunningAttempt>) {
+            running.forEach { it.outcome = AttemptOutcome.Failed }
+            val assigned = choose(Duration.ZERO) as? Assignment.Assigned ?: return
+            if (registry.tryRetry()) {
+                metrics.retries.labelValues(routed.service.id.text).inc()
+                begin(assigned, running)
+            } else {
+                finished(assigned.endpoint, AttemptOutcome.Neutral)
+            }
+        }
+
+        /** Waits until an attempt has an answer or a failure; returns null once another attempt may be made beside them. */
+        private suspend fun awaitOne(running: List<RunningAttempt>): RunningAttempt? =
+            withTimeoutOrNull(standbyDelay()) {
+                select { running.forEach { attempt -> attempt.answer.onJoin { attempt } } }
+            }
+
+        /** Passes on the answer of [ended], or removes it from [running] and returns why it has none. */
+        private suspend fun settle(
+            ended: RunningAttempt,
+            running: MutableList<RunningAttempt>,
             respond: suspend (Either<Refusal, Answer>) -> Unit,
-            onOutcome: (AttemptOutcome) -> Unit,
         ): Refusal? {
-            val id = newAttempt()
-            val start = clock.now()
-            val stream =
-                assigned.session.open(id) { openFrame(it, id) }
-                    ?: return recordFailure(unreachable(assigned.endpoint), ClaimProof.NOT_READ)
-            var ended = false
-            try {
-                val reader = AnswerReader(stream, expected, chatEvents, options.streamStall) { timeLeft() }
-                val received =
-                    withTimeoutOrNull(firstByteLimit()) { reader.awaitAnswer() }
-                        ?: noAnswerInTime(assigned.endpoint).left()
-                val answer =
-                    received.fold(
-                        {
-                            ended = reader.isEnded
-                            if (it.outcome == Outcome.UNKNOWN) onOutcome(AttemptOutcome.Failed)
-                            return recordFailure(it, reader.proof)
-                        },
-                        { it },
-                    )
-                onOutcome(AttemptOutcome.Answered(clock.now() - start))
-                // A resumed answer is forwarded as a part of the first one, which already counts its tokens.
-                respond((if (resumeFrom == 0) usage.counted(resumable(answer)) else answer).right())
-                ended = reader.isEnded
-                if (!reader.isComplete) onOutcome(AttemptOutcome.Failed)
-                countAttempt(if (reader.isComplete) Outcome.DONE else Outcome.UNKNOWN)
-                return null
-            } finally {
-                if (!ended) withContext(NonCancellable) { stream.cancel() }
+            val answer =
+                ended.answer.await().fold(
+                    {
+                        ended.outcome =
+                            if (it.outcome == Outcome.UNKNOWN) AttemptOutcome.Failed else AttemptOutcome.Neutral
+                        recordFailure(it, ended.reader.proof)
+                        close(ended, running)
+                        return it
+                    },
+                    { it },
+                )
+            (running - ended).forEach {
+                recordReplaced()
+                close(it, running)
             }
+            ended.outcome = AttemptOutcome.Answered(clock.now() - ended.start)
+            chatEvents = ended.events
+            val resumable = resumable(ended, answer)
+            // A resumed answer is forwarded as a part of the first one, which already counts its tokens.
+            respond((if (resumeFrom == 0) usage.counted(resumable) else resumable).right())
+            if (!ended.reader.isComplete) ended.outcome = AttemptOutcome.Failed
+            countAttempt(if (ended.reader.isComplete) Outcome.DONE else Outcome.UNKNOWN)
+            return null
+        }
+
+        /** Ends [attempt], cancels it at its endpoint unless it has ended there, and removes it from [running]. */
+        private suspend fun close(
+            attempt: RunningAttempt,
+            running: MutableList<RunningAttempt>,
+        ) {
+            running -= attempt
+            attempt.answer.cancelAndJoin()
+            if (!attempt.reader.isEnded) attempt.stream.cancel()
+            finished(attempt.endpoint, attempt.outcome)
+        }
+
+        private suspend fun finished(
+            endpoint: EndpointId,
+            outcome: AttemptOutcome,
+        ) {
+            directory.finished(endpoint, routed.tokens.toLong(), outcome)
         }
 
         /** Returns [answer]; a streamed chat completion is extended to resume at another endpoint if it breaks off. */
-        private fun resumable(answer: Answer): Answer {
-            if (answer !is Answer.Streamed || !answer.isChat || !routed.idempotent) return answer
-            return answer.relayedBy { write -> relayAndResume(answer, write) }
+        private fun resumable(
+            attempt: RunningAttempt,
+            answer: Answer,
+        ): Answer {
+            if (answer !is Answer.Streamed || !answer.isChat) return answer
+            return answer.relayedBy { write -> relayAndResume(attempt, answer, write) }
         }
 
+        /**
+         * Passes on [answer]. If it breaks off or stalls, the rest is asked for at another endpoint; an answer that has
+         * only stalled is read on if no other endpoint continues it.
+         */
         private suspend fun relayAndResume(
+            attempt: RunningAttempt,
             answer: Answer.Streamed,
             write: suspend (ByteArray) -> Unit,
         ): Refusal? {
             var failure = answer.relay(write)
-            while (failure != null && mayResume()) {
-                metrics.resumes.labelValues(routed.service.id.text).inc()
-                resumeFrom = chatEvents.tokens
-                var result: Refusal? = failure
-                val refusal =
+            while (failure != null) {
+                if (mayResume()) {
+                    metrics.resumes.labelValues(routed.service.id.text).inc()
+                    resumeFrom = chatEvents.tokens
+                    var isContinued = false
                     attempt { next ->
                         val streamed = next.getOrNull() as? Answer.Streamed
-                        if (streamed != null && streamed.isChat) result = streamed.relay(write)
+                        if (streamed == null || !streamed.isChat) return@attempt
+                        isContinued = true
+                        if (!attempt.reader.isEnded) attempt.stream.cancel()
+                        failure = streamed.relay(write)
                     }
-                failure = if (refusal == null) result else failure
+                    if (isContinued) return failure
+                } else if (!attempt.reader.isStalled) {
+                    return failure
+                }
+                if (attempt.reader.isStalled) failure = answer.relay(write)
             }
-            return failure
+            return null
         }
 
         private suspend fun mayResume(): Boolean =
-            chatEvents.tokens > 0 &&
+            routed.idempotent &&
+                chatEvents.tokens > 0 &&
                 attempts < options.maxAttempts &&
                 timeLeft() > Duration.ZERO &&
                 registry.tryRetry()
 
         /**
-         * Returns the time within which the current attempt has to begin its answer.
+         * Returns the time after which another attempt is made beside those that have not begun to answer.
          *
-         * If another attempt is possible, half of the time left is reserved for it, so that a stalled back end does not
-         * use up the whole deadline.
+         * Half of the time left is reserved for it, so that a stalled back end does not use up the whole deadline.
          */
-        private fun firstByteLimit(): Duration {
+        private fun standbyDelay(): Duration {
             val mayRepeat = routed.idempotent && attempts < options.maxAttempts
-            return if (mayRepeat) timeLeft() / 2 else timeLeft()
+            return if (mayRepeat) maxOf(timeLeft() / 2, MIN_STANDBY_DELAY) else Duration.INFINITE
         }
 
         private fun openFrame(
@@ -278,18 +374,37 @@
             return refusal
         }
 
+        /** Records that an attempt was given up as another one has answered. */
+        private fun recordReplaced() {
+            usage.attemptMayHaveRun()
+            countAttempt(Outcome.UNKNOWN)
+        }
+
         private fun countAttempt(outcome: Outcome) {
             metrics.attempts.labelValues(routed.service.id.text, outcome.name.lowercase()).inc()
         }
     }
 }
 
+/** Attempt whose [answer] is awaited or passed on; only the coroutine of its request changes it. */
+private class RunningAttempt(
+    val endpoint: EndpointId,
+    val stream: AnswerStream,
+    val reader: AnswerReader,
+    val events: ChatEvents,
+    val start: Instant,
+    val answer: Deferred<Either<Refusal, Answer>>,
+) {
+    /** What the directory learns of the attempt when it ends. */
+    var outcome: AttemptOutcome = AttemptOutcome.Neutral
+}
+
+/** Shortest time between two questions for another endpoint, so that the last moments before a deadline have few. */
+private val MIN_STANDBY_DELAY: Duration = 100.milliseconds
+
 /** Header that asks a model engine to resume an answer at a token. */
 private const val RESUME_HEADER = "X-Resume-From"
 
-private fun noAnswerInTime(endpoint: EndpointId): Refusal =
-    Refusal(ErrorKind.ATTEMPT_FAILED, "endpoint $endpoint began no answer in time", "retry later", Outcome.UNKNOWN)
-
 private fun unreachable(endpoint: EndpointId): Refusal =
     Refusal(ErrorKind.NO_ENDPOINT, "endpoint $endpoint was lost before the request was sent", "retry later")
 
