Report a request as not run only if no attempt may have run

What callers saw: a safe request whose first attempt broke off and whose second one was refused got the outcome `not_run`, although the first may have run.

Cause: without an idempotency key the outcome of the last attempt was reported. Change: `not_run` becomes `unknown` if any attempt may have run.

Test: StandbyEndpointTest "a refusal after an attempt that may have run ..." failed before: 1 of 8 requests got `not_run` after its attempt at the endpoint that breaks off.

--- a/daemons/src/test/kotlin/org/cicadaturn/daemons/system/StandbyEndpointTest.kt
+++ b/daemons/src/test/kotlin/org/cicadaturn/daemons/system/StandbyEndpointTest.kt
@@ -117,6 +117,21 @@
         }
     }
 
+    /** Guards against "not run" for a request that an earlier attempt may have run. */
+    @Test
+    fun `a refusal after an attempt that may have run does not say that the request has not run`() {
+        val names = (1..CALLS).map { "cut $it" }
+        val cut = scriptedAnswer("{".encodeToByteArray(), Framing.CUT_CHUNKED, listOf("Content-Type: application/json"))
+        ScriptedBackend(names.associateWith { cut }).use { backend ->
+            withEndpoints(listOf(backend.address, closedAddress())) { system ->
+                val answers = names.associateWith { ask(system, it) }.filterKeys { it in backend.requests }
+                val notRun = answers.filterValues { "\"outcome\":\"not_run\"" in it.body }
+                assertEquals(emptyMap<String, ReceivedAnswer>(), notRun)
+            }
+            check(backend.requests.isNotEmpty()) { "no request reached the back end" }
+        }
+    }
+
     /** Returns an address at which nothing listens. */
     private fun closedAddress(): NetworkAddress =
         ServerSocket(0, 1, InetAddress.getLoopbackAddress()).use { NetworkAddress("127.0.0.1", it.localPort) }
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/entry/RequestPipeline.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/entry/RequestPipeline.kt
@@ -88,13 +88,16 @@
         }
     }
 
-    /** Returns [refusal] with the outcome of the request, which for a confirmation follows from all its attempts. */
+    /** Returns [refusal] with the outcome of the request, which follows from all its attempts. */
     private fun forCaller(
         routed: RoutedRequest,
         refusal: Refusal,
         reports: List<AttemptReport>,
     ): Refusal {
-        if (routed.confirmation == null) return refusal
+        if (routed.confirmation == null) {
+            val mayHaveRun = refusal.outcome == Outcome.NOT_RUN && reports.any { it.outcome != Outcome.NOT_RUN }
+            return if (mayHaveRun) refusal.copy(outcome = Outcome.UNKNOWN) else refusal
+        }
         val outcome = callerOutcome(reports)
         return refusal.copy(
             outcome = outcome,
