--- a/daemons/src/test/kotlin/org/cicadaturn/daemons/QuarantineTest.kt
+++ b/daemons/src/test/kotlin/org/cicadaturn/daemons/QuarantineTest.kt
@@ -62,6 +62,23 @@
         assertTrue("\"segment\":\"5c1e\"" in json, json)
     }
 
+    /** Guards against a request that is listed as a segment, or that cannot be released by the name in the list. */
+    @Test
+    fun `a request is listed with its kind and released by its name`() {
+        val digest = "0123456789abcdef".repeat(4)
+        val spec = """{"service":"draft","segment":"$digest","confidence":0.9,"crashes":1,"since":1,"isRequest":true}"""
+        val metadata = """{"name":"draft.request-$digest"}"""
+        answer = 200 to """{"items":[{"metadata":$metadata,"spec":$spec}],"truncated":false,"at":7}"""
+        val (_, text) = printed { listQuarantine(connection, OutputFormat.TEXT) }
+        assertTrue("request-$digest" in text, text)
+        val (_, json) = printed { listQuarantine(connection, OutputFormat.JSON) }
+        assertTrue("\"kind\":\"REQUEST\"" in json, json)
+        calls.clear()
+        answer = 200 to "{}"
+        assertEquals(SUCCESS, printed { releaseSegment(connection, "draft", "request-$digest") }.first)
+        assertEquals(listOf("DELETE /objects/quarantined-segments/draft.request-$digest"), calls)
+    }
+
     /** Guards against a release of another segment, and against a failure that is reported as a release. */
     @Test
     fun `a release removes the entry of the segment`() {
