--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/QuarantineRewriting.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/QuarantineRewriting.kt
@@ -4,7 +4,7 @@
 import kotlinx.coroutines.flow.first
 import kotlinx.coroutines.withTimeoutOrNull
 import org.apache.logging.log4j.LogManager
-import org.cicadaturn.decisions.quarantine.ServiceSegment
+import org.cicadaturn.decisions.quarantine.suspect
 import org.cicadaturn.decisions.routing.entryRank
 import org.cicadaturn.schema.generated.QuarantinedSegment
 import kotlin.time.Duration
@@ -46,7 +46,7 @@
     return entryRank(dependencies.self, peers.map { it.id }, nameOf(entry)).coerceAtMost(MAX_TURN)
 }
 
-private fun nameOf(entry: QuarantinedSegment): String = "${entry.service}.${entry.segment}"
+private fun nameOf(entry: QuarantinedSegment): String = "${entry.service}.${entry.suspect.name}"
 
 private val logger = LogManager.getLogger("org.cicadaturn.tasks.gateway.QuarantineRewriting")
 
--- a/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/QuarantineTaskTest.kt
+++ b/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/QuarantineTaskTest.kt
@@ -19,9 +19,11 @@
 import org.cicadaturn.decisions.quarantine.Verdict
 import org.cicadaturn.decisions.quarantine.lossWeights
 import org.cicadaturn.decisions.quarantine.segmentQuarantine
+import org.cicadaturn.decisions.quarantine.suspect
 import org.cicadaturn.decisions.quarantine.trialRegistry
 import org.cicadaturn.schema.generated.AdmissionState
 import org.cicadaturn.schema.generated.AnswerProgress
+import org.cicadaturn.schema.generated.Digest
 import org.cicadaturn.schema.generated.EndpointId
 import org.cicadaturn.schema.generated.FailureDomainId
 import org.cicadaturn.schema.generated.FleetView
@@ -36,6 +38,7 @@
 import org.cicadaturn.schema.generated.ServiceId
 import org.cicadaturn.schema.generated.StoreReport
 import org.cicadaturn.schema.generated.StoreReportRequest
+import org.cicadaturn.schema.generated.SuspectKind
 import org.cicadaturn.tasks.store.StoreError
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertFalse
@@ -94,13 +97,17 @@
             val state = MutableStateFlow(FleetState(FleetView(), isConfigurationCurrent = true, isKnown = false))
             val task = start(this, scope)
 
-            fun verdict(prompt: String): Verdict = task.view.value.verdict(service, segments(prompt))
+            fun verdict(
+                prompt: String,
+                request: Digest? = null,
+            ): Verdict = task.view.value.verdict(service, segments(prompt)) { request }
 
             suspend fun lose(
                 endpoint: String,
                 prompt: String,
                 progress: AnswerProgress = AnswerProgress.HEAD,
-            ) = task.lost(LostRequest(endpoints.first { it.id.text == endpoint }, segments(prompt), progress))
+                request: Digest? = null,
+            ) = task.lost(LostRequest(endpoints.first { it.id.text == endpoint }, segments(prompt), progress, request))
 
             fun answer(prompt: String) = task.answered(service, organisation, segments(prompt))
 
@@ -181,7 +188,7 @@
 
             override suspend fun quarantine(entry: QuarantinedSegment): Either<StoreError, Unit> {
                 if (!isStoreAvailable) return unavailable.left()
-                stored[ServiceSegment(entry.service, entry.segment)] = entry
+                stored[entry.suspect] = entry
                 publish()
                 return Unit.right()
             }
@@ -223,6 +230,34 @@
             }
         }
 
+    /** Guards against a request that crashes an endpoint for each gateway, or again after all have lost power. */
+    @Test
+    fun `a request that crashes endpoints is held back by all processes, by late ones and after a loss of power`() =
+        runTest {
+            val fleet = TestFleet(this)
+            val bad = Digest("bad")
+            val processes = listOf("g1", "g2", "g3").map { fleet.start(it) }
+            fleet.isStoreAvailable = false
+            processes[1].answer("shared own1")
+            processes[0].lose("e1", "shared own2", request = bad)
+            testScheduler.advanceTimeBy(100)
+            val all = processes + fleet.start("g4")
+            testScheduler.advanceTimeBy(100)
+            all.forEach { process ->
+                val verdict = process.verdict("shared own3", bad)
+                assertTrue(verdict is Verdict.Quarantined && verdict.isForRequest, "${process.name}: $verdict")
+                assertEquals(Verdict.Clear, process.verdict("shared own3", Digest("sound")), process.name)
+            }
+            fleet.isStoreAvailable = true
+            testScheduler.advanceTimeBy(3_000)
+            assertEquals(listOf(SuspectKind.REQUEST), fleet.stored.keys.map { it.kind })
+            all.forEach { it.end() }
+            val restarted = fleet.start("g1")
+            testScheduler.advanceTimeBy(10)
+            assertTrue(restarted.verdict("shared own3", bad) is Verdict.Quarantined)
+            assertEquals(Verdict.Clear, restarted.verdict("shared own3", Digest("sound")))
+        }
+
     /** Guards against a process that starts after the crashes, or with an empty store, and sends such requests again. */
     @Test
     fun `a process that starts later learns from the others`() =
