List nothing in the store before the peers have told what they answered

The first write now waits for the time in which peers answer a report, 0.5 s. The new case of QuarantineTaskTest failed before, with the shared segment listed beside the request.

--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/QuarantinePeers.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/QuarantinePeers.kt
@@ -17,7 +17,7 @@
 import kotlin.time.Duration.Companion.seconds
 
 /** Longest wait for the answer of another process. */
-private val ANSWER_TIMEOUT = 500.milliseconds
+internal val ANSWER_TIMEOUT = 500.milliseconds
 
 /** Rounds of questions to all other processes; they may start at the same time. */
 private const val QUERY_ROUNDS = 5
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/QuarantineTask.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/QuarantineTask.kt
@@ -299,14 +299,15 @@
     }
 
     /**
-     * Brings the list in the store up to date, one call at a time. All processes come to the same conclusions, so each
-     * waits for a random time, after which another one has usually written.
+     * Brings the list in the store up to date, one call at a time. It waits until the other processes have told what they
+     * have answered, as an entry outlasts the evidence for it. All processes come to the same conclusions then, so each
+     * waits for a random time longer, after which another one has usually written.
      */
     private fun scheduleStoreUpdate() {
         if (isStoring || changes().isEmpty) return
         isStoring = true
         scope.launch {
-            delay(MAX_STORE_DELAY * dependencies.random.nextDouble())
+            delay(ANSWER_TIMEOUT + MAX_STORE_DELAY * dependencies.random.nextDouble())
             send(QuarantineMessage.UpdateStore)
         }
     }
@@ -387,7 +388,7 @@
         /** Requests in a row that are held back, without an answer of their service, until one of them is tried. */
         const val MAX_HELD_BACK = 50
 
-        /** Longest delay of a write that any process could do. */
+        /** Longest further delay of a write that any process could do. */
         val MAX_STORE_DELAY = 300.milliseconds
 
         /** Own reports that may still get further prompts, which arrive within a fraction of a second. */
--- a/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/QuarantineTaskTest.kt
+++ b/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/QuarantineTaskTest.kt
@@ -85,6 +85,7 @@
         /** Endpoints that were probed, in order. */
         val probed = mutableListOf<String>()
         var isStoreAvailable = true
+        var exchangeTime = 2.milliseconds
         val stored = LinkedHashMap<ServiceSegment, QuarantinedSegment>()
         private val processes = LinkedHashMap<String, Process>()
         private val leaving = endpoint("leaving", AdmissionState.DRAINED)
@@ -175,7 +176,7 @@
             to: String,
             news: QuarantineNews,
         ): QuarantineNews? {
-            delay(2)
+            delay(exchangeTime)
             if (from in cutOff || to in cutOff) {
                 delay(400)
                 return null
@@ -285,6 +286,21 @@
             assertQuarantined(restarted, "bad own2")
         }
 
+    /** Guards against a sound segment that is listed, and held back for a minute, as the answers to it come late. */
+    @Test
+    fun `nothing is listed before the other processes have told what they answered`() =
+        runTest {
+            val fleet = TestFleet(this)
+            val processes = listOf("g1", "g2", "g3").map { fleet.start(it) }
+            testScheduler.advanceTimeBy(100)
+            fleet.exchangeTime = 200.milliseconds
+            processes[1].answer("shared own1")
+            processes[0].lose("e1", "shared own2", request = Digest("bad"))
+            testScheduler.advanceTimeBy(3_000)
+            assertEquals(listOf("request-bad"), fleet.stored.keys.map { it.name })
+            processes.forEach { assertEquals(Verdict.Clear, it.verdict("shared own3"), it.name) }
+        }
+
     /** Guards against entries that are lost as the store was away when they were due. */
     @Test
     fun `entries are written after an outage of the store`() =
