--- a/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/QuarantineTaskTest.kt
+++ b/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/QuarantineTaskTest.kt
@@ -19,9 +19,11 @@
 import org.cicadaturn.decisions.quarantine.Verdict
 import org.cicadaturn.decisions.quarantine.lossWeights
 import org.cicadaturn.decisions.quarantine.segmentQuarantine
+import org.cicadaturn.decisions.quarantine.suspect
 import org.cicadaturn.decisions.quarantine.trialRegistry
 import org.cicadaturn.schema.generated.AdmissionState
 import org.cicadaturn.schema.generated.AnswerProgress
+import org.cicadaturn.schema.generated.Digest
 import org.cicadaturn.schema.generated.EndpointId
 import org.cicadaturn.schema.generated.FailureDomainId
 import org.cicadaturn.schema.generated.FleetView
@@ -36,6 +38,7 @@
 import org.cicadaturn.schema.generated.ServiceId
 import org.cicadaturn.schema.generated.StoreReport
 import org.cicadaturn.schema.generated.StoreReportRequest
+import org.cicadaturn.schema.generated.SuspectKind
 import org.cicadaturn.tasks.store.StoreError
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertFalse
@@ -82,6 +85,7 @@
         /** Endpoints that were probed, in order. */
         val probed = mutableListOf<String>()
         var isStoreAvailable = true
+        var exchangeTime = 2.milliseconds
         val stored = LinkedHashMap<ServiceSegment, QuarantinedSegment>()
         private val processes = LinkedHashMap<String, Process>()
         private val leaving = endpoint("leaving", AdmissionState.DRAINED)
@@ -94,13 +98,17 @@
             val state = MutableStateFlow(FleetState(FleetView(), isConfigurationCurrent = true, isKnown = false))
             val task = start(this, scope)
 
-            fun verdict(prompt: String): Verdict = task.view.value.verdict(service, segments(prompt))
+            fun verdict(
+                prompt: String,
+                request: Digest? = null,
+            ): Verdict = task.view.value.verdict(service, segments(prompt)) { request }
 
             suspend fun lose(
                 endpoint: String,
                 prompt: String,
                 progress: AnswerProgress = AnswerProgress.HEAD,
-            ) = task.lost(LostRequest(endpoints.first { it.id.text == endpoint }, segments(prompt), progress))
+                request: Digest? = null,
+            ) = task.lost(LostRequest(endpoints.first { it.id.text == endpoint }, segments(prompt), progress, request))
 
             fun answer(prompt: String) = task.answered(service, organisation, segments(prompt))
 
@@ -168,7 +176,7 @@
             to: String,
             news: QuarantineNews,
         ): QuarantineNews? {
-            delay(2)
+            delay(exchangeTime)
             if (from in cutOff || to in cutOff) {
                 delay(400)
                 return null
@@ -181,7 +189,7 @@
 
             override suspend fun quarantine(entry: QuarantinedSegment): Either<StoreError, Unit> {
                 if (!isStoreAvailable) return unavailable.left()
-                stored[ServiceSegment(entry.service, entry.segment)] = entry
+                stored[entry.suspect] = entry
                 publish()
                 return Unit.right()
             }
@@ -223,6 +231,34 @@
             }
         }
 
+    /** Guards against a request that crashes an endpoint for each gateway, or again after all have lost power. */
+    @Test
+    fun `a request that crashes endpoints is held back by all processes, by late ones and after a loss of power`() =
+        runTest {
+            val fleet = TestFleet(this)
+            val bad = Digest("bad")
+            val processes = listOf("g1", "g2", "g3").map { fleet.start(it) }
+            fleet.isStoreAvailable = false
+            processes[1].answer("shared own1")
+            processes[0].lose("e1", "shared own2", request = bad)
+            testScheduler.advanceTimeBy(100)
+            val all = processes + fleet.start("g4")
+            testScheduler.advanceTimeBy(100)
+            all.forEach { process ->
+                val verdict = process.verdict("shared own3", bad)
+                assertTrue(verdict is Verdict.Quarantined && verdict.isForRequest, "${process.name}: $verdict")
+                assertEquals(Verdict.Clear, process.verdict("shared own3", Digest("sound")), process.name)
+            }
+            fleet.isStoreAvailable = true
+            testScheduler.advanceTimeBy(3_000)
+            assertEquals(listOf(SuspectKind.REQUEST), fleet.stored.keys.map { it.kind })
+            all.forEach { it.end() }
+            val restarted = fleet.start("g1")
+            testScheduler.advanceTimeBy(10)
+            assertTrue(restarted.verdict("shared own3", bad) is Verdict.Quarantined)
+            assertEquals(Verdict.Clear, restarted.verdict("shared own3", Digest("sound")))
+        }
+
     /** Guards against a process that starts after the crashes, or with an empty store, and sends such requests again. */
     @Test
     fun `a process that starts later learns from the others`() =
@@ -250,6 +286,21 @@
             assertQuarantined(restarted, "bad own2")
         }
 
+    /** Guards against a sound segment that is listed, and held back for a minute, as the answers to it come late. */
+    @Test
+    fun `nothing is listed before the other processes have told what they answered`() =
+        runTest {
+            val fleet = TestFleet(this)
+            val processes = listOf("g1", "g2", "g3").map { fleet.start(it) }
+            testScheduler.advanceTimeBy(100)
+            fleet.exchangeTime = 200.milliseconds
+            processes[1].answer("shared own1")
+            processes[0].lose("e1", "shared own2", request = Digest("bad"))
+            testScheduler.advanceTimeBy(3_000)
+            assertEquals(listOf("request-bad"), fleet.stored.keys.map { it.name })
+            processes.forEach { assertEquals(Verdict.Clear, it.verdict("shared own3"), it.name) }
+        }
+
     /** Guards against entries that are lost as the store was away when they were due. */
     @Test
     fun `entries are written after an outage of the store`() =
