Leave room at a group to requests that can be in time

Callers saw streams late for 10 s after a group of ranks had come back: 105 to 113 requests in flight at 96 slots, 45 answers a second, where 57 in flight give as many in calm seconds, in a fraction of the time.

Cause: requests that waited for the end of an outage, and callers that came back, filled the group to its limit. Each place that got free went to a waiting request, so new requests waited until they were late as well. The order of the dispatcher could not help, as each gateway gets only a few free places a second.

A request that is late is now placed only up to 0.65 of the room of its gateway. Waiting times of late requests are estimated from the placements of late requests.

The new test in DispatcherTest failed before: the late request was placed. In "a request that can be in time is placed before one that waits for longer" the late request now needs more free places, which is checked. In "requests wait without cost while all groups are down" the requests return in time, so that the test still expects all to be placed.

--- a/decisions/src/main/kotlin/org/cicadaturn/decisions/dispatch/Dispatcher.kt
+++ b/decisions/src/main/kotlin/org/cicadaturn/decisions/dispatch/Dispatcher.kt
@@ -36,7 +36,13 @@
     val aimUntil: Instant,
     val waitUntil: Instant,
     val hasReturned: Boolean = false,
-)
+) {
+    /** Returns true if its placement at [now] would no longer lead to an answer within the latency target. */
+    internal fun isLateAt(now: Instant): Boolean = now > aimUntil
+
+    /** Returns the request for an endpoint that it makes at [now]. */
+    internal fun endpointAt(now: Instant): EndpointRequest = endpoint.copy(isLate = isLateAt(now))
+}
 
 /** Decision on one request. */
 public sealed interface DispatchDecision {
@@ -119,8 +125,16 @@
         }
     }
 
+    /** Requests whose rate of placements is measured together, as late ones get only a part of the room. */
+    private data class RateKey(
+        val service: ServiceId,
+        val isLate: Boolean,
+    )
+
+    private fun DispatchRequest.rateKeyAt(now: Instant) = RateKey(endpoint.service, isLateAt(now))
+
     private val shares = DecayingCounts<OrganisationId>()
-    private val rates = DecayingCounts<ServiceId>()
+    private val rates = DecayingCounts<RateKey>()
     private val queue = LinkedHashMap<DispatchTicket, Waiting>()
     private var queuedBytes = 0L
 
@@ -145,10 +159,10 @@
         candidate: Waiting,
         now: Instant,
     ): DispatchDecision.Place? =
-        when (val choice = balancer.choose(candidate.request.endpoint, now)) {
+        when (val choice = balancer.choose(candidate.request.endpointAt(now), now)) {
             is EndpointChoice.Chosen -> {
                 candidate.request.organisation?.let { shares.placed(it, now) }
-                rates.placed(candidate.request.endpoint.service, now)
+                rates.placed(candidate.request.rateKeyAt(now), now)
                 DispatchDecision.Place(candidate.ticket, choice)
             }
             is EndpointChoice.None -> {
@@ -191,7 +205,7 @@
         candidate: Waiting,
         now: Instant,
     ): Duration {
-        val rate = rates.perSecond(candidate.request.endpoint.service, now).coerceAtLeast(MIN_RATE)
+        val rate = rates.perSecond(candidate.request.rateKeyAt(now), now).coerceAtLeast(MIN_RATE)
         return (ahead(candidate, now) / rate).seconds
     }
 
@@ -307,7 +321,7 @@
     private fun inOrder(now: Instant): List<Waiting> = queue.values.sortedWith(order(now))
 
     private fun order(now: Instant): Comparator<Waiting> =
-        compareBy<Waiting> { now > it.request.aimUntil }
+        compareBy<Waiting> { it.request.isLateAt(now) }
             .thenBy { it.request.priority }
             .thenBy { it.request.organisation?.let { id -> shares.recent(id, now) } ?: 0.0 }
             .thenBy { it.request.waitUntil }
--- a/decisions/src/main/kotlin/org/cicadaturn/decisions/gateway/BalancerTypes.kt
+++ b/decisions/src/main/kotlin/org/cicadaturn/decisions/gateway/BalancerTypes.kt
@@ -30,6 +30,7 @@
  * restriction
  * @property isRetry true if it was sent to an endpoint before, so that the retry budget applies
  * @property canWait true if it may wait until the service accepts requests
+ * @property isLate true if it can no longer be answered within its latency target
  */
 public data class EndpointRequest(
     val service: ServiceId,
@@ -37,6 +38,7 @@
     val only: Set<EndpointId>?,
     val isRetry: Boolean,
     val canWait: Boolean,
+    val isLate: Boolean = false,
 ) {
     /** Returns true if the request's own history lets it go to [endpoint]. */
     public fun mayGoTo(endpoint: EndpointId): Boolean = endpoint !in excluded && (only == null || endpoint in only)
--- a/decisions/src/main/kotlin/org/cicadaturn/decisions/gateway/GroupRoom.kt
+++ b/decisions/src/main/kotlin/org/cicadaturn/decisions/gateway/GroupRoom.kt
@@ -34,9 +34,15 @@
         limits.keys.retainAll(endpoints.mapTo(HashSet()) { groups.groupOf(it) })
     }
 
-    /** Returns true if the group of [member] may get another request of this process. */
+    /**
+     * Returns true if the group of [member] may get another request of this process.
+     *
+     * A late request gets only a share of the room. Late requests that fill a group make the next ones late as well, long
+     * after an outage or a burst: near its limit, a group answers hardly more requests a second, and all of them slower.
+     */
     fun hasRoom(
         member: BalancedEndpoint,
+        isLate: Boolean,
         now: Instant,
     ): Boolean {
         val endpoint = member.endpoint
@@ -46,7 +52,7 @@
         // The requests that waited for the end of an outage come before any report of the load.
         val hasReturned = now - groups.upSince(endpoint.id) < RETURN_TIME
         val share = if (hasReturned) endpoint.slots.toDouble() / gateways.at(now) else Double.MAX_VALUE
-        return ownPerRank(member) < minOf(limit, share)
+        return ownPerRank(member) < minOf(limit, share) * (if (isLate) LATE_SHARE else 1.0)
     }
 
     /** Returns the number of requests that this process has in flight at a rank of the group of [member], on average. */
@@ -78,5 +84,8 @@
     private companion object {
         /** Time after an outage for which a process keeps to an even share of the slots; reports follow meanwhile. */
         val RETURN_TIME = 500.milliseconds
+
+        /** Share of the room up to which late requests are placed; about what a group uses without an overload. */
+        const val LATE_SHARE = 0.65
     }
 }
--- a/decisions/src/main/kotlin/org/cicadaturn/decisions/gateway/LeastLoadBalancer.kt
+++ b/decisions/src/main/kotlin/org/cicadaturn/decisions/gateway/LeastLoadBalancer.kt
@@ -155,7 +155,7 @@
         val holds = permits.holds(running, now)
         val allowed = running.filter { holds[it]?.isAskedFor != true }
         if (allowed.isEmpty()) return none(permits.causeOf(holds), permits.budget(holds, now))
-        val withRoom = if (request.canWait) allowed.filter { room.hasRoom(it, now) } else allowed
+        val withRoom = if (request.canWait) allowed.filter { room.hasRoom(it, request.isLate, now) } else allowed
         if (withRoom.isEmpty()) return none(Unavailability.AT_LIMIT)
         val open = withRoom.filter { it !in holds }
         val available = open.filter { isAvailable(it, pool, now) }
@@ -272,7 +272,7 @@
         return serving.of(member.endpoint.service).any {
             groups.groupOf(it.endpoint.id) != group &&
                 groups.health(it.endpoint.id, now) == GroupHealth.ACCEPTING &&
-                room.hasRoom(it, now)
+                room.hasRoom(it, isLate = false, now)
         }
     }
 
--- a/decisions/src/test/kotlin/org/cicadaturn/decisions/dispatch/DispatcherTest.kt
+++ b/decisions/src/test/kotlin/org/cicadaturn/decisions/dispatch/DispatcherTest.kt
@@ -112,10 +112,29 @@
         val now = start + 100.milliseconds
         balancer.finished(ids[0], EndpointUse.Answered(50.milliseconds), now)
         assertEquals(listOf(fresh), placed(dispatcher.advance(now)))
+        // The late request gets its place once the rest of the room suffices for those that can be in time.
+        repeat(2) { balancer.finished(ids[0], EndpointUse.Answered(50.milliseconds), now) }
+        assertEquals(emptyList<DispatchTicket>(), placed(dispatcher.advance(now)))
         balancer.finished(ids[0], EndpointUse.Answered(50.milliseconds), now)
         assertEquals(listOf(late), placed(dispatcher.advance(now)))
     }
 
+    /** Guards against late requests that fill a group after an outage, so that all that follow are late as well. */
+    @Test
+    fun `late requests leave a part of the room to those that can be in time`() {
+        val balancer = balancer()
+        val dispatcher = dispatcher(balancer) { 0.5 }
+        fill(balancer, dispatcher)
+        val now = start + 400.milliseconds
+        ids.forEach { balancer.finished(it, EndpointUse.Answered(50.milliseconds), now) }
+        val late = ticket()
+        assertInstanceOf(DispatchDecision.Wait::class.java, dispatcher.submit(late, request(), now))
+        val fresh = request(aimUntil = now + 200.milliseconds)
+        assertInstanceOf(DispatchDecision.Place::class.java, dispatcher.submit(ticket(), fresh, now))
+        ids.forEach { balancer.finished(it, EndpointUse.Answered(50.milliseconds), now) }
+        assertEquals(listOf(late), placed(dispatcher.advance(now)))
+    }
+
     /** Guards against an organisation that floods the service and takes the places of the others. */
     @Test
     fun `the organisation with fewer requests placed lately goes first`() {
@@ -138,7 +157,7 @@
         listOf(ids[0], ids[2]).forEach { balancer.finished(it, EndpointUse.Refused(hadFreePlaces = true), start) }
         val tickets = List(8) { ticket() }
         tickets.forEach { id ->
-            val decision = dispatcher.submit(id, request(), start)
+            val decision = dispatcher.submit(id, request(aimUntil = start + 600.milliseconds), start)
             assertEquals(DispatchDecision.Wait(id, Unavailability.DOWN), decision)
         }
         val back = start + 500.milliseconds
