Place late requests of returned callers first

Callers that had come back after a refusal were refused again at a group's limit while requests that could still come back were placed.

Cause: among late requests the order was by organisation and by the end of the wait only. A caller comes back once or twice, so those that have come back and still wait now go first among late requests of equal priority.

The new test in DispatcherTest failed before: the first attempt was placed.

--- a/decisions/src/main/kotlin/org/cicadaturn/decisions/dispatch/Dispatcher.kt
+++ b/decisions/src/main/kotlin/org/cicadaturn/decisions/dispatch/Dispatcher.kt
@@ -75,7 +75,8 @@
  *
  * Requests that can still be answered within their latency target are placed before those that cannot: under overload,
  * first come first served would make all of them late. Among equals the order is by priority, then by the requests
- * that were placed lately for their organisation, then by the time left.
+ * that were placed lately for their organisation, then by the time left. Late requests whose callers have come back go
+ * before other late ones, whose callers can still come back.
  */
 public interface Dispatcher {
     /** Decides on a new request. */
@@ -323,6 +324,7 @@
     private fun order(now: Instant): Comparator<Waiting> =
         compareBy<Waiting> { it.request.isLateAt(now) }
             .thenBy { it.request.priority }
+            .thenBy { it.request.isLateAt(now) && !it.request.hasReturned }
             .thenBy { it.request.organisation?.let { id -> shares.recent(id, now) } ?: 0.0 }
             .thenBy { it.request.waitUntil }
 
--- a/decisions/src/test/kotlin/org/cicadaturn/decisions/dispatch/DispatcherTest.kt
+++ b/decisions/src/test/kotlin/org/cicadaturn/decisions/dispatch/DispatcherTest.kt
@@ -190,6 +190,21 @@
         assertEquals(DispatchDecision.Wait(id, Unavailability.DOWN), dispatcher.submit(id, returned, now))
     }
 
+    /** Guards against places for callers that can still come back, while others are lost after their only retry. */
+    @Test
+    fun `among late requests those whose callers have come back go first`() {
+        val balancer = balancer()
+        val dispatcher = dispatcher(balancer) { 0.0 }
+        fill(balancer, dispatcher)
+        val now = start + 400.milliseconds
+        val first = ticket()
+        val returned = ticket()
+        dispatcher.submit(first, request("other"), now)
+        dispatcher.submit(returned, request().copy(hasReturned = true), now)
+        repeat(4) { balancer.finished(ids[0], EndpointUse.Answered(50.milliseconds), now) }
+        assertEquals(returned, placed(dispatcher.advance(now)).first())
+    }
+
     /** Guards against callers that were rejected together and come back together. */
     @Test
     fun `the delays of rejected callers are spread`() {
