Keep the order of entries that a restored store lacks

Quarantined entries that a restored store lacks were listed in the order of hash codes. With the kind of an entry as a part of its key, whose hash code differs from run to run, the order did too, and RestoredStoreTest failed in one run of its module (y before x).

--- a/decisions/src/main/kotlin/org/cicadaturn/decisions/gateway/KeptEntries.kt
+++ b/decisions/src/main/kotlin/org/cicadaturn/decisions/gateway/KeptEntries.kt
@@ -10,7 +10,7 @@
     private val keyOf: (V) -> K,
 ) {
     private val entries = LinkedHashMap<K, V>()
-    private val keptUntil = HashMap<K, Instant>()
+    private val keptUntil = LinkedHashMap<K, Instant>()
 
     val values: List<V> get() = entries.values.toList()
 
