Wait for a late budget for half of the time of a request

Cause: the wait for the process that allocates the budget was fixed at 2 s beyond the wait for budget. Change: it is half of the time that the caller allows, and 2 s at least. A process that is lost is noticed by its link, as before.

Test: LimitsTaskTest.aLateAnswerOfTheAllocatorAdmits, in virtual time with 3.4 s for a round trip, failed before with the reason UNANSWERED. WholePathTest was not run beside load.

--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/limits/LimitsTask.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/limits/LimitsTask.kt
@@ -50,7 +50,10 @@
 /** Time that a request waits for budget before it is refused; random, so that callers do not retry at the same time. */
 private val BUDGET_WAIT_MS = 200..800
 
-/** Additional wait for the process that allocates the budget, if it is late to answer because its host is busy. */
+/**
+ * Shortest additional wait for the process that allocates the budget, if it is late to answer because its host is busy.
+ * A request whose caller allows more time waits for half of it, which leaves the other half for the request itself.
+ */
 private val ALLOCATOR_WAIT: Duration = 2.seconds
 
 /** Bound of the random first sequence number of budget requests. */
@@ -61,7 +64,7 @@
     /**
      * Decides on a request of [tokens], the estimate for the prompt and the answer.
      *
-     * Waits up to 800 ms for budget from the other entry processes, or up to 2.8 s if their answer is late, but not
+     * Waits up to 800 ms for budget from the other entry processes, or longer if their answer is late, but not
      * past [deadline]. After [LimitDecision.Admitted] the caller must call [finished].
      */
     suspend fun admit(
@@ -233,7 +236,7 @@
                 event.deadline,
                 now + random.nextInt(BUDGET_WAIT_MS.first, BUDGET_WAIT_MS.last + 1).milliseconds,
             )
-        val answerUntil = minOf(event.deadline, waitUntil + ALLOCATOR_WAIT)
+        val answerUntil = minOf(event.deadline, maxOf(waitUntil + ALLOCATOR_WAIT, now + (event.deadline - now) / 2))
         val request = LimitRequest(event.id, event.tokens, waitUntil, answerUntil)
         val decision = node.request(event.organisation, request, now)
         if (decision is LimitDecision.Waiting) waiting[event.id] = event.reply else event.reply.complete(decision)
--- a/tasks/src/test/kotlin/org/cicadaturn/tasks/limits/LimitsTaskTest.kt
+++ b/tasks/src/test/kotlin/org/cicadaturn/tasks/limits/LimitsTaskTest.kt
@@ -93,13 +93,21 @@
     private fun CoroutineScope.connect(
         a: Pair<String, LimitsTask>,
         b: Pair<String, LimitsTask>,
+        delay: Duration = Duration.ZERO,
     ) {
         val aToB = Channel<Frame>(Channel.UNLIMITED)
         val bToA = Channel<Frame>(Channel.UNLIMITED)
         val links = listOf(a.second to PipeLink(b.first, aToB, bToA), b.second to PipeLink(a.first, bToA, aToB))
         for ((task, link) in links) {
             launch { task.serve(link) }
-            launch { for (frame in link.incoming) task.accept(link.peer.process, frame) }
+            launch {
+                for (frame in link.incoming) {
+                    launch {
+                        delay(delay)
+                        task.accept(link.peer.process, frame)
+                    }
+                }
+            }
         }
     }
 
@@ -178,6 +186,22 @@
             assertTrue(refusal.retryAfter!! > Duration.ZERO)
         }
 
+    /** Guards against a request that is refused although its budget comes while its caller still waits. */
+    @Test
+    fun aLateAnswerOfTheAllocatorAdmits() =
+        runTest {
+            val tasks = listOf("a" to task("a", members = 2), "b" to task("b", members = 2))
+            backgroundScope.connect(tasks[0], tasks[1], delay = 1_700.milliseconds)
+            delay(90.seconds)
+            val decisions =
+                tasks.map { (_, task) ->
+                    // What the allocator has granted is confirmed by its standby until the next question.
+                    delay(20.seconds)
+                    admit(task, 1_000)
+                }
+            assertEquals(listOf(true, true), decisions.map { it is LimitDecision.Admitted }, "$decisions")
+        }
+
     private fun routedRequest(): RoutedRequest {
         val chat = ChatRequestInfo("draft", promptTokens = 7, maxTokens = 93, stream = true, prefix = "")
         val request = CallerRequest(RequestId("r"), "POST", "/v1/chat/completions", emptyMap(), ByteArray(0), chat)
