Run the limits and the links of an entry process again after a failure

What callers would see: after one exception in the task of the limits, no request was admitted or refused any more; each waited until its caller left, while the process said that it was ready.

Cause: the task, the links to other entry processes and the coroutine that passes on a new configuration were launched once. Change: they run under the Supervisor; the state of the limits is kept.

--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/entry/EntryNode.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/entry/EntryNode.kt
@@ -129,12 +129,8 @@
         supervisor.start(scope, "local drain") { localDrain.run() }
         supervisor.start(scope, "directory") { directory.run() }
         supervisor.start(scope, "requests") { registry.run() }
-        scope.launch {
-            configurationManager.inForce.filterNotNull().collect {
-                limits.configure(
-                    it.index.configuration,
-                )
-            }
+        supervisor.start(scope, "configuration of the limits") {
+            configurationManager.inForce.filterNotNull().collect { limits.configure(it.index.configuration) }
         }
         supervisor.start(scope, "configuration metrics") { updateConfigurationMetrics() }
         val times = watchTimes(file.store.watchWait, file.store.maxSilence)
@@ -151,7 +147,7 @@
         val identity = wireIdentity(Role.ENTRY, file.process, file.wire, dependencies.incarnation)
         val wire =
             Wire(selector, identity, wireTimes(file.wire)) { commonMetrics.wireErrors.labelValues(it.kind).inc() }
-        network = PeerNetwork(wire, configurationManager, limits)
+        network = PeerNetwork(wire, configurationManager, limits, supervisor)
         peers = network.start(scope, settings.peerListen, settings.peers) { backoff(MAX_LINK_BACKOFF) }
         val connections = EndpointConnections(wire, configurationManager, directory) { backoff(MAX_LINK_BACKOFF) }
         supervisor.start(scope, "endpoint connections") { connections.run(configurationManager.inForce) }
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/entry/PeerNetwork.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/entry/PeerNetwork.kt
@@ -2,11 +2,11 @@
 
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.asCoroutineDispatcher
-import kotlinx.coroutines.launch
 import kotlinx.coroutines.plus
 import org.cicadaturn.decisions.retry.Backoff
 import org.cicadaturn.schema.generated.NetworkAddress
 import org.cicadaturn.schema.generated.Role
+import org.cicadaturn.tasks.Supervisor
 import org.cicadaturn.tasks.configuration.ConfigurationManager
 import org.cicadaturn.tasks.limits.LimitsTask
 import org.cicadaturn.tasks.wire.Wire
@@ -23,6 +23,7 @@
     private val wire: Wire,
     private val configurationManager: ConfigurationManager,
     private val limits: LimitsTask,
+    private val supervisor: Supervisor,
 ) {
     private val dispatcher =
         ScheduledThreadPoolExecutor(1) { Thread(it, "cicadaturn-peers").apply { isDaemon = true } }
@@ -40,12 +41,14 @@
         newBackoff: () -> Backoff,
     ): WireListener {
         val ownScope = scope + dispatcher
-        ownScope.launch { limits.run() }
+        supervisor.start(ownScope, "limits") { limits.run() }
         val listener =
             wire.listen(listen, setOf(Role.ENTRY), ownScope) { exchangeWithPeer(it, configurationManager, limits) }
         peers.forEach {
             val backoff = newBackoff()
-            ownScope.launch { keepPeerConnected(wire, it, configurationManager, limits, backoff) }
+            supervisor.start(ownScope, "link to ${it.ip}:${it.port}") {
+                keepPeerConnected(wire, it, configurationManager, limits, backoff)
+            }
         }
         return listener
     }
--- a/tasks/src/test/kotlin/org/cicadaturn/tasks/entry/PeerNetworkTest.kt
+++ b/tasks/src/test/kotlin/org/cicadaturn/tasks/entry/PeerNetworkTest.kt
@@ -1,9 +1,11 @@
 package org.cicadaturn.tasks.entry
 
 import io.ktor.network.selector.SelectorManager
+import kotlinx.coroutines.CoroutineExceptionHandler
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.Job
+import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.cancel
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
@@ -21,6 +23,7 @@
 import org.cicadaturn.schema.generated.ProcessId
 import org.cicadaturn.schema.generated.Revision
 import org.cicadaturn.schema.generated.Role
+import org.cicadaturn.tasks.Supervisor
 import org.cicadaturn.tasks.configuration.ConfigurationTask
 import org.cicadaturn.tasks.limits.LimitsTask
 import org.cicadaturn.tasks.wire.Wire
@@ -29,6 +32,7 @@
 import org.junit.jupiter.api.Assertions.assertInstanceOf
 import org.junit.jupiter.api.Test
 import java.util.concurrent.CountDownLatch
+import java.util.concurrent.atomic.AtomicBoolean
 import kotlin.random.Random
 import kotlin.time.Clock
 import kotlin.time.Duration.Companion.milliseconds
@@ -46,14 +50,35 @@
 class PeerNetworkTest {
     private val times = WireTimes(5.seconds, keepaliveInterval = 200.milliseconds, keepaliveTimeout = 30.seconds)
 
+    /** Clock that fails once when it is told to. */
+    private class FailingClock : Clock {
+        private val isDue = AtomicBoolean()
+
+        val hasFailed: Boolean get() = !isDue.get()
+
+        fun failNext() = isDue.set(true)
+
+        override fun now(): Instant {
+            check(!isDue.compareAndSet(true, false)) { "planted failure" }
+            return Clock.System.now()
+        }
+    }
+
     private inner class Entry(
         id: String,
         selector: SelectorManager,
     ) {
-        val limits = LimitsTask(ProcessId(id), members = 2, Clock.System, Random(1))
+        val clock = FailingClock()
+        val limits = LimitsTask(ProcessId(id), members = 2, clock, Random(1))
         private val identity =
             WireIdentity(Role.ENTRY, ProcessId(id), Incarnation(1), FailureDomainId("a"), "k".repeat(32))
-        private val network = PeerNetwork(Wire(selector, identity, times) {}, ConfigurationTask(1.seconds), limits)
+        private val network =
+            PeerNetwork(
+                Wire(selector, identity, times) {},
+                ConfigurationTask(1.seconds),
+                limits,
+                Supervisor(Clock.System),
+            )
 
         suspend fun start(
             scope: CoroutineScope,
@@ -95,4 +120,28 @@
                 decisions.forEach { assertInstanceOf(LimitDecision.Admitted::class.java, it) }
             }
         }
+
+    /** Guards against an entry process that admits no request any more after one failure of its limits. */
+    @Test
+    fun `requests are admitted after a failure of the limits`() =
+        runBlocking {
+            val handler = CoroutineExceptionHandler { _, cause -> println("a task ended: $cause") }
+            val scope = CoroutineScope(Dispatchers.Default + SupervisorJob() + handler)
+            SelectorManager(Dispatchers.IO).use { selector ->
+                val entries = listOf("a", "b").map { Entry(it, selector) }
+                val address = entries[0].start(scope, emptyList())
+                entries[1].start(scope, listOf(address))
+                entries.forEach { withTimeout(HANG_TIMEOUT) { while (it.admit() !is LimitDecision.Admitted) delay(1) } }
+                val decisions =
+                    entries.map { entry ->
+                        entry.clock.failNext()
+                        scope.launch { entry.admit() }
+                        withTimeout(HANG_TIMEOUT) { while (!entry.clock.hasFailed) delay(1) }
+                        withTimeoutOrNull(HANG_TIMEOUT) { entry.admit() }
+                    }
+                scope.cancel()
+                entries.forEach { it.close() }
+                decisions.forEach { assertInstanceOf(LimitDecision.Admitted::class.java, it) }
+            }
+        }
 }
