Take a back end that resets further connections for a running one

A whole answer of a plain service that only its connection ends got `unknown` if its back end had too many connections to keep another one: the endpoint process took the end of its probe for a crash, as the gateway had done.

After a connection that is ended at once, a second one tells: a process that has ended refuses it.

BackendTest "a back end that resets further connections accepts them" guards it; by reading, not by a run, it fails on the code before.

--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/endpoint/BodyAtClose.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/endpoint/BodyAtClose.kt
@@ -57,17 +57,22 @@
     }
 }
 
-/** Returns true if [address] accepts a connection and keeps it open for [OPEN_TIME]. */
+/**
+ * Returns true if [address] accepts a connection and keeps it open for [OPEN_TIME], or accepts another one after it has
+ * ended the first: a back end with too many connections resets further ones, but goes on to accept them.
+ */
 internal suspend fun acceptsConnections(address: NetworkAddress): Boolean =
     runInterruptible(Dispatchers.IO) {
-        Socket().use { socket ->
-            val timeout = CONNECT_TIMEOUT.inWholeMilliseconds.toInt()
-            val isConnected =
-                failureOf { socket.connect(InetSocketAddress(address.ip, address.port), timeout) } == null
-            isConnected && failureOf { socket.awaitEnd() } is SocketTimeoutException
-        }
+        val isKeptOpen = Socket().use { it.connectTo(address) && failureOf { it.awaitEnd() } is SocketTimeoutException }
+        isKeptOpen || Socket().use { it.connectTo(address) }
     }
 
+/** Connects to [address] and returns true if that succeeds. */
+private fun Socket.connectTo(address: NetworkAddress): Boolean {
+    val timeout = CONNECT_TIMEOUT.inWholeMilliseconds.toInt()
+    return failureOf { connect(InetSocketAddress(address.ip, address.port), timeout) } == null
+}
+
 /** Waits until the peer ends the connection; throws a [SocketTimeoutException] if it stays open. */
 private fun Socket.awaitEnd() {
     soTimeout = OPEN_TIME.inWholeMilliseconds.toInt()
--- a/tasks/src/test/kotlin/org/cicadaturn/tasks/endpoint/BackendTest.kt
+++ b/tasks/src/test/kotlin/org/cicadaturn/tasks/endpoint/BackendTest.kt
@@ -137,6 +137,24 @@
             closing.join()
         }
 
+    /** Guards against a whole answer that counts as cut as its back end has too many connections to keep another one. */
+    @Test
+    fun `a back end that resets further connections accepts them`() =
+        runBlocking(Dispatchers.Default) {
+            ServerSocket(0, 50, InetAddress.getLoopbackAddress()).use { server ->
+                val resetting =
+                    launch(Dispatchers.IO) {
+                        repeat(2) {
+                            val socket = server.accept()
+                            socket.setSoLinger(true, 0)
+                            socket.close()
+                        }
+                    }
+                assertTrue(acceptsConnections(NetworkAddress("127.0.0.1", server.localPort)))
+                resetting.join()
+            }
+        }
+
     /** Guards against a part of an answer that counts as whole as the call was cancelled within it. */
     @Test
     fun `a call that is cancelled has no result`() {
