Judge broken off answers of the lab by the page

The lab closed the connection of a stream without length and chunks in order where its endpoint was to break it off between two events. An endpoint of the lab now resets such a connection.

LostRule excused a cut whose last run was broken off although another endpoint had finished the answer before (review); a finished run now forbids that, which is stricter.

--- a/daemons/src/test/kotlin/org/cicadaturn/daemons/site/Engine.kt
+++ b/daemons/src/test/kotlin/org/cicadaturn/daemons/site/Engine.kt
@@ -68,6 +68,8 @@
                     return refuse(out, UNAVAILABLE, handling.headers)
                 }
                 RunSignal.BrokenOff -> {
+                    // Without a length and chunks, only a reset tells a stream that is broken off from a whole one.
+                    if (!handling.shape.isFramed) return handling.reset()
                     handling.end = RunEnd.BROKEN_OFF
                     return false
                 }
--- a/daemons/src/test/kotlin/org/cicadaturn/daemons/site/LostRule.kt
+++ b/daemons/src/test/kotlin/org/cicadaturn/daemons/site/LostRule.kt
@@ -69,12 +69,17 @@
         // A close resets the connection if bytes of the request have not been read.
         runs.isEmpty() && (attempt.end == AttemptEnd.RESET || !mayBeRead(attempt)) -> Verdict.UNREAD
         time >= attempt.limit - DEADLINE_SLACK -> Verdict.DEADLINE
-        runs.lastOrNull { it.end != RunEnd.REFUSED }?.end == RunEnd.BROKEN_OFF -> Verdict.BROKEN_OFF
+        isBrokenOff(runs) -> Verdict.BROKEN_OFF
         stop != null && isExcused(attempt, stop, runs) -> Verdict.AT_WORK
         else -> Verdict.LOST
     }
 }
 
+/** Returns true if no endpoint has ended its answer whole and the one that ended last broke it off. */
+private fun isBrokenOff(runs: List<RunSeen>): Boolean =
+    runs.none { it.end == RunEnd.FINISHED } &&
+        runs.lastOrNull { it.end != RunEnd.REFUSED }?.end == RunEnd.BROKEN_OFF
+
 private fun isExcused(
     attempt: AttemptSeen,
     stop: StopSeen,
--- a/daemons/src/test/kotlin/org/cicadaturn/daemons/site/LostRuleTest.kt
+++ b/daemons/src/test/kotlin/org/cicadaturn/daemons/site/LostRuleTest.kt
@@ -45,6 +45,7 @@
         val broken = run(2.9.seconds, RunEnd.BROKEN_OFF)
         val standby = run(1.5.seconds).copy(from = 101.seconds, endpoint = "i-2")
         assertEquals(Verdict.BROKEN_OFF, verdict(attempt, broken, standby))
+        assertEquals(Verdict.LOST, verdict(attempt, broken, standby.copy(end = RunEnd.FINISHED)))
         assertEquals(Verdict.LOST, verdict(attempt, broken, standby.copy(until = 103.seconds)))
         assertEquals(Verdict.LOST, verdict(attempt, broken, standby.copy(until = 103.seconds, end = RunEnd.FINISHED)))
     }
