--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/entry/RequestPipeline.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/entry/RequestPipeline.kt
@@ -40,19 +40,6 @@
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Instant
 
-/**
- * Bounds on the work for one request.
- *
- * @property maxAttempts maximum number of attempts, including the first
- * @property queueWait maximum time to wait while every endpoint is full
- * @property streamStall maximum pause within a streamed answer before the answer is reported as broken
- */
-internal data class PipelineOptions(
-    val maxAttempts: Int,
-    val queueWait: Duration,
-    val streamStall: Duration,
-)
-
 /** Sends a request to endpoints until one answers, as far as the rules for retries allow. */
 internal class RequestPipeline(
     private val directory: Directory,
@@ -410,14 +397,3 @@
 
 private fun unreachable(endpoint: EndpointId): Refusal =
     Refusal(ErrorKind.NO_ENDPOINT, "endpoint $endpoint was lost before the request was sent", "retry later")
-
-/** Headers of the caller that are not forwarded to the back end. */
-private val withheldHeaders = setOf("authorization", "x-deadline-ms", "x-request-id", "x-attempt-id", "x-resume-from")
-
-/** Headers that ask for another form of a chat completion than its request describes. */
-private val withheldChatHeaders = setOf("accept", "accept-encoding", "range", "if-range", "last-event-id")
-
-private fun forwardedHeaders(request: CallerRequest): List<Header> {
-    val withheld = if (request.chat == null) withheldHeaders else withheldHeaders + withheldChatHeaders
-    return request.headers.filterKeys { it !in withheld }.map { (name, value) -> Header(name, value) }
-}
