Close the listener of a test endpoint before its connections

Its endpoint ends by closing the listener and then its connections, but a thread that waits in accept keeps the listening socket open until it wakes up, so the gateway's connection could still be taken for longer than the 5 ms after which it counts as accepted. A process that crashes has no such thread.

The endpoint now waits for that thread before it closes its connections. The assertions are the same.

--- a/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/ScriptedEndpoint.kt
+++ b/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/ScriptedEndpoint.kt
@@ -49,7 +49,7 @@
     /** Number of connections that were made to it. */
     val connections: Int get() = sockets.size
 
-    init {
+    private val acceptor =
         thread(isDaemon = true) {
             while (!server.isClosed) {
                 val socket = runCatching { server.accept() }.getOrNull() ?: break
@@ -64,7 +64,6 @@
                 thread(isDaemon = true) { runCatching { serve(socket) } }
             }
         }
-    }
 
     private fun serve(socket: Socket) {
         socket.use {
@@ -90,8 +89,16 @@
 
     override fun close() {
         server.close()
+        // A thread that waits for a connection keeps the listening socket open until it wakes up. A process that crashes
+        // has none, so its connections must not end before that.
+        acceptor.join(MAX_CLOSING_MILLIS)
         sockets.forEach { it.close() }
     }
+
+    private companion object {
+        /** Longest wait for the thread that accepts connections, which wakes up at once unless processor time is short. */
+        const val MAX_CLOSING_MILLIS = 1_000L
+    }
 }
 
 /** Returns the next request from [input], or null at its end. */
