Reset broken off streams of the lab in HTTP/1.0 too

Streams in HTTP/1.0 have no chunks, so an orderly close in their midst cannot be told from their end either.

--- a/daemons/src/test/kotlin/org/cicadaturn/daemons/site/Engine.kt
+++ b/daemons/src/test/kotlin/org/cicadaturn/daemons/site/Engine.kt
@@ -69,7 +69,7 @@
                 }
                 RunSignal.BrokenOff -> {
                     // Without a length and chunks, only a reset tells a stream that is broken off from a whole one.
-                    if (!handling.shape.isFramed) return handling.reset()
+                    if (!handling.shape.isChunked) return handling.reset()
                     handling.end = RunEnd.BROKEN_OFF
                     return false
                 }
