Return to a silent endpoint after the one that replaced it breaks off

Callers of streams got a cut although both the time and an endpoint were left: the first endpoint fell silent, the second one took over and broke off. The silent endpoint counted as lost for the request, and the route's two endpoints were used up.

A stream that has begun now goes on at an endpoint that was given up for its silence alone. The limit on attempts counts different endpoints, so it holds. An endpoint that is asked again and breaks off is not asked once more.

--- a/decisions/src/main/kotlin/org/cicadaturn/decisions/gateway/AttemptPolicy.kt
+++ b/decisions/src/main/kotlin/org/cicadaturn/decisions/gateway/AttemptPolicy.kt
@@ -32,7 +32,8 @@
  * @property maxEndpoints number of different endpoints that it may be sent to
  * @property unsentAttempts number of attempts that ended with [AttemptEnd.NOT_SENT]
  * @property mayHaveRun true if any attempt may have run the request
- * @property hasRefused true if an endpoint that the request was sent to has refused it, so that it may be asked again
+ * @property canAskAgain true if an endpoint that the request was sent to may be asked again, as it refused the request or
+ *   was given up for its silence alone
  * @property isAnswerBegun true if the caller has already received a part of the answer
  * @property remaining time until the deadline
  * @property holdTimeLeft time for which the request may still wait for an endpoint that accepts it
@@ -44,7 +45,7 @@
     val maxEndpoints: Int,
     val unsentAttempts: Int,
     val mayHaveRun: Boolean,
-    val hasRefused: Boolean,
+    val canAskAgain: Boolean,
     val isAnswerBegun: Boolean,
     val remaining: Duration,
     val holdTimeLeft: Duration,
@@ -55,7 +56,7 @@
     /** Send the request to another endpoint, within the retry budget. */
     REPEAT,
 
-    /** Wait until the service accepts requests again, then send the request to an endpoint that has refused it. */
+    /** Wait until the service accepts requests again, then send the request to an endpoint that it was sent to before. */
     HOLD,
 
     /** Pass the endpoint's failure on to the caller. */
@@ -89,9 +90,10 @@
     val hasAttempts = history.endpointsTried < history.maxEndpoints && history.unsentAttempts <= MAX_UNSENT_ATTEMPTS
     if (isSafe && hasTime && hasAttempts) return NextStep.REPEAT
     // The limit on attempts counts only different endpoints, so after a wait, the request may be sent again to one that
-    // refused it. Without a wait, a stream that has begun would be cut while its caller still waits for the next event.
+    // refused it, or that another one replaced while it was silent. Without a wait, a stream that has begun would be cut
+    // while its caller still waits for the next event.
     val isRefused = end == AttemptEnd.NOT_EXECUTED && !history.mayHaveRun
-    val canContinue = isResumable && history.isAnswerBegun && history.hasRefused
+    val canContinue = isResumable && history.isAnswerBegun && history.canAskAgain
     val canWait = hasTime && history.holdTimeLeft > Duration.ZERO
     if (canWait && (isRefused || canContinue)) return NextStep.HOLD
     return finalStep(end, history)
--- a/decisions/src/test/kotlin/org/cicadaturn/decisions/gateway/AttemptPolicyTest.kt
+++ b/decisions/src/test/kotlin/org/cicadaturn/decisions/gateway/AttemptPolicyTest.kt
@@ -25,7 +25,7 @@
         maxEndpoints,
         0,
         mayHaveRun,
-        hasRefused = false,
+        canAskAgain = false,
         isAnswerBegun,
         1.seconds,
         holdTimeLeft,
@@ -79,11 +79,11 @@
                 isAnswerBegun = true,
                 isResumable = true,
                 holdTimeLeft = 1.seconds,
-            ).copy(hasRefused = true)
+            ).copy(canAskAgain = true)
         return listOf(
             Case(end, history, NextStep.HOLD),
             Case(end, history.copy(holdTimeLeft = Duration.ZERO), NextStep.CUT),
-            Case(end, history.copy(hasRefused = false), NextStep.CUT),
+            Case(end, history.copy(canAskAgain = false), NextStep.CUT),
             Case(end, history.copy(isResumable = false), NextStep.CUT),
         )
     }
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/RequestAttempts.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/RequestAttempts.kt
@@ -28,6 +28,9 @@
 
     /** Endpoints that may have run the request or could not be reached. */
     private val excluded = HashSet<EndpointId>()
+
+    /** Endpoints in [excluded] that were given up for their silence alone, so that they may still serve the request. */
+    private val silenced = HashSet<EndpointId>()
     private var unsent = 0
 
     /** True if an endpoint may have run the request. */
@@ -87,6 +90,7 @@
             excluded += endpoint.id
             mayHaveRun = true
         }
+        if (result.end == AttemptEnd.STALLED) silenced += endpoint.id else silenced -= endpoint.id
         result.failure?.let { lastFailure = it }
         return result
     }
@@ -110,8 +114,14 @@
         silent: EndpointId? = null,
     ): EndpointRequest {
         val isLimitReached = tried.size >= route.attempts
-        // The second attempt goes to another endpoint; later ones may return to an endpoint that refused.
-        val others = if (progress.sends <= 1) tried + excluded else excluded
+        // The second attempt goes to another endpoint; later ones may return to an endpoint that refused, and to a silent
+        // one once no other endpoint is left. Beside a silent endpoint, the request stays with two attempts.
+        val others =
+            when {
+                progress.sends <= 1 -> tried + excluded
+                isLimitReached && silent == null -> excluded - silenced
+                else -> excluded
+            }
         return EndpointRequest(
             service,
             excluded = others + listOfNotNull(silent),
@@ -133,7 +143,7 @@
             maxEndpoints = route.attempts,
             unsentAttempts = unsent,
             mayHaveRun = mayHaveRun,
-            hasRefused = tried.any { it !in excluded },
+            canAskAgain = tried.any { it !in excluded || it in silenced },
             isAnswerBegun = isAnswerBegun,
             remaining = remaining,
             holdTimeLeft = holdTimeLeft,
