--- a/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/LimitExchangeTest.kt
+++ b/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/LimitExchangeTest.kt
@@ -24,8 +24,6 @@
 import org.cicadaturn.schema.generated.LimitNews
 import org.cicadaturn.schema.generated.NetworkAddress
 import org.cicadaturn.schema.generated.ProcessId
-import org.cicadaturn.schema.generated.StoreReport
-import org.cicadaturn.schema.generated.StoreReportRequest
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertTrue
 import org.junit.jupiter.api.Test
@@ -140,14 +138,6 @@
         override suspend fun status(): List<EndpointLimitStatus> = emptyList()
     }
 
-    private class StateFleet(
-        override val state: MutableStateFlow<FleetState>,
-    ) : Fleet {
-        override suspend fun ownView(): FleetView = state.value.view
-
-        override suspend fun storeReport(request: StoreReportRequest): StoreReport? = null
-    }
-
     private fun TestFleet.gateway(name: String): TestFleet.Gateway = gateways.getValue(name)
 
     /** Guards against gateways that use an endpoint without knowing its limit until each has had an answer from it. */
--- a/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/TaskFailureTest.kt
+++ b/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/TaskFailureTest.kt
@@ -2,7 +2,6 @@
 
 import arrow.core.Either
 import arrow.core.right
-import io.prometheus.metrics.model.registry.PrometheusRegistry
 import kotlinx.coroutines.awaitCancellation
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.flow.MutableStateFlow
@@ -23,13 +22,8 @@
 import org.cicadaturn.decisions.gateway.LoadSample
 import org.cicadaturn.decisions.gateway.endpointBalancer
 import org.cicadaturn.decisions.gateway.fleetWatchTimes
-import org.cicadaturn.decisions.quarantine.LossWeights
-import org.cicadaturn.decisions.quarantine.lossWeights
-import org.cicadaturn.decisions.quarantine.segmentQuarantine
-import org.cicadaturn.decisions.quarantine.trialRegistry
 import org.cicadaturn.decisions.retry.Backoff
 import org.cicadaturn.schema.generated.AdmissionState
-import org.cicadaturn.schema.generated.AnswerProgress
 import org.cicadaturn.schema.generated.CallerLimits
 import org.cicadaturn.schema.generated.EndpointId
 import org.cicadaturn.schema.generated.FailureDomainId
@@ -38,12 +32,8 @@
 import org.cicadaturn.schema.generated.LiveEndpoint
 import org.cicadaturn.schema.generated.NetworkAddress
 import org.cicadaturn.schema.generated.ProcessId
-import org.cicadaturn.schema.generated.PromptSegmentId
-import org.cicadaturn.schema.generated.QuarantineNews
-import org.cicadaturn.schema.generated.QuarantinedSegment
 import org.cicadaturn.schema.generated.RoutedService
 import org.cicadaturn.schema.generated.RoutingConfiguration
-import org.cicadaturn.schema.generated.SegmentState
 import org.cicadaturn.schema.generated.ServiceId
 import org.cicadaturn.schema.generated.StorePosition
 import org.cicadaturn.schema.generated.StoreReport
@@ -286,119 +276,4 @@
             val isAnswered = withTimeoutOrNull(1.seconds) { pool.take(EndpointId("e"), 1.seconds, null).let { true } }
             assertEquals(true, isAnswered)
         }
-
-    private val lost = LostRequest(endpoint(), listOf("a", "b").map { PromptSegmentId(it) }, AnswerProgress.HEAD)
-
-    private fun TestScope.quarantineWith(
-        weights: LossWeights = lossWeights(),
-        store: FleetStore = FixedFleetStore(content = null),
-        refusesConnections: suspend (NetworkAddress) -> Boolean = { it.ip == "e" },
-        exchange: suspend (GatewayPeer, QuarantineNews) -> QuarantineNews? = { _, _ -> null },
-    ): Quarantine =
-        startQuarantine(
-            processScope(),
-            QuarantineDependencies(
-                self = ProcessId("self"),
-                quarantine = segmentQuarantine(),
-                weights = weights,
-                trials = trialRegistry(ProcessId("self")),
-                fleet = fleetOf(endpoint(), endpoint("e2")),
-                store = store,
-                refusesConnections = refusesConnections,
-                exchange = exchange,
-                metrics = QuarantineMetrics(PrometheusRegistry()),
-                random = Random(1),
-                clock = virtualClock(),
-                wallClock = virtualClock(),
-            ),
-        )
-
-    private suspend fun isAnswered(call: suspend () -> Unit): Boolean =
-        withTimeoutOrNull(2.seconds) { call().let { true } } ?: false
-
-    /** Guards against requests that wait for the judgement of their loss until their deadline. */
-    @Test
-    fun `losses are judged after one of them could not be weighed`() =
-        runTest {
-            val failure = PlantedFailure()
-            val real = lossWeights()
-            val failing =
-                object : LossWeights by real {
-                    override fun likelihoodRatio(
-                        service: ServiceId,
-                        progress: AnswerProgress,
-                        isStream: Boolean,
-                    ): Double {
-                        failure()
-                        return real.likelihoodRatio(service, progress, isStream)
-                    }
-                }
-            val quarantine = quarantineWith(weights = failing)
-            repeat(2) { assertTrue(isAnswered { quarantine.lost(lost) }, "loss $it is judged") }
-            assertTrue(
-                quarantine.view.value.suspicions
-                    .isNotEmpty(),
-            )
-        }
-
-    /** Guards against losses at an endpoint that are never judged after the probe for one of them has failed. */
-    @Test
-    fun `losses at an endpoint are judged after a probe of it failed`() =
-        runTest {
-            val failure = PlantedFailure()
-            val quarantine =
-                quarantineWith(refusesConnections = {
-                    failure()
-                    it.ip == "e"
-                })
-            repeat(2) { assertTrue(isAnswered { quarantine.lost(lost) }, "loss $it is judged") }
-            assertTrue(
-                quarantine.view.value.suspicions
-                    .isNotEmpty(),
-            )
-        }
-
-    /** Guards against a service whose suspected prompts are never tried after a call to a peer has failed. */
-    @Test
-    fun `a trial can be claimed after a claim failed`() =
-        runTest {
-            val failure = PlantedFailure()
-            val quarantine =
-                quarantineWith(exchange = { _, news ->
-                    if (news.trials.isNotEmpty()) failure()
-                    null
-                })
-            delay(10.seconds)
-            val claims = List(2) { withTimeoutOrNull(2.seconds) { quarantine.claimTrial(service) } }
-            assertEquals(listOf(false, true), claims)
-        }
-
-    /** Guards against a list in the store that is never updated again after one call has failed. */
-    @Test
-    fun `the list in the store is updated after a call to the store failed`() =
-        runTest {
-            val failure = PlantedFailure()
-            val stored = mutableListOf<QuarantinedSegment>()
-            val store =
-                object : FleetStore by FixedFleetStore(content = null) {
-                    override suspend fun quarantine(entry: QuarantinedSegment): Either<StoreError, Unit> {
-                        failure()
-                        stored += entry
-                        return Unit.right()
-                    }
-                }
-            val quarantine = quarantineWith(store = store)
-            // Answers that follow their heads at once make a lost head strong evidence.
-            val times = mapOf(AnswerProgress.NONE to 100.milliseconds, AnswerProgress.RUNNING to 1.seconds)
-            repeat(10) { quarantine.observed(service, times) }
-            assertTrue(isAnswered { quarantine.lost(lost) })
-            assertEquals(
-                SegmentState.QUARANTINED,
-                quarantine.view.value.suspicions
-                    .single()
-                    .state,
-            )
-            delay(10.seconds)
-            assertEquals(listOf(PromptSegmentId("a")), stored.map { it.segment }.distinct())
-        }
 }
