Give gateways of tests ports that no outgoing connection takes

The port was one of those that the system gives to outgoing connections (32768 to 60999 here), of which the tests beside it open thousands.

Ports of gateways in tests are now drawn from 12000 to 32000, as the site of planned stops does it. That site drew them with its seed, so two runs with the same seed on one host could meet; they are drawn without it now. No other draw of a seed is changed, as each part of the site has its own generator.

--- a/daemons/src/test/kotlin/org/cicadaturn/daemons/site/GatewayProcesses.kt
+++ b/daemons/src/test/kotlin/org/cicadaturn/daemons/site/GatewayProcesses.kt
@@ -29,12 +29,12 @@
     val admin: Int,
 )
 
-/** Returns addresses of [count] gateways, whose ports no outgoing connection gets while a gateway is down. */
-internal fun gatewayAddresses(
-    count: Int,
-    random: Random,
-): List<GatewayAddresses> {
-    val ports = generateSequence { random.nextInt(PORTS.first, PORTS.last) }.distinct().filter(::isFree).iterator()
+/**
+ * Returns addresses of [count] gateways, whose ports no outgoing connection gets while a gateway is down. The ports are
+ * not drawn with the seed of the site, as another site with the same seed could take those of a gateway that is down.
+ */
+internal fun gatewayAddresses(count: Int): List<GatewayAddresses> {
+    val ports = generateSequence { Random.nextInt(PORTS.first, PORTS.last) }.distinct().filter(::isFree).iterator()
     return List(count) {
         val zone = ZONES[it % ZONES.size]
         val node = "front-$zone-${it / ZONES.size + 1}"
--- a/daemons/src/test/kotlin/org/cicadaturn/daemons/site/Site.kt
+++ b/daemons/src/test/kotlin/org/cicadaturn/daemons/site/Site.kt
@@ -50,7 +50,7 @@
     private val scope = CoroutineScope(SupervisorJob() + dispatcher)
     val journal = SiteJournal()
     val store = StoreServer(scope)
-    private val addresses = gatewayAddresses(plan.gateways, randomFor(0))
+    private val addresses = gatewayAddresses(plan.gateways)
     private val seeds = addresses.take(SEEDS).joinToString(",") { "127.0.0.1:${it.control}" }
     private val gateways = addresses.map { GatewayProcess(it, directory, store.address, seeds, BOUNDS) }
     private val ingress = Ingress(gateways)
--- a/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/LimitSite.kt
+++ b/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/LimitSite.kt
@@ -4,6 +4,7 @@
 import org.cicadaturn.schema.generated.GatewayPeer
 import org.cicadaturn.schema.generated.NetworkAddress
 import org.cicadaturn.schema.generated.ProcessId
+import java.io.IOException
 import java.net.ServerSocket
 import java.util.concurrent.ConcurrentLinkedQueue
 import java.util.concurrent.Executors
@@ -122,8 +123,24 @@
     }
 }
 
-/** Returns [count] ports of this host that were free a moment ago. */
-internal fun freePorts(count: Int): List<Int> {
-    val sockets = List(count) { ServerSocket(0) }
-    return sockets.map { it.localPort }.also { sockets.forEach { socket -> socket.close() } }
-}
+/**
+ * Returns [count] ports of this host that were free a moment ago. They are below those that the system gives to outgoing
+ * connections, as one of these could take a port before a gateway listens on it, or between its end and its next start.
+ */
+internal fun freePorts(count: Int): List<Int> =
+    generateSequence { Random.nextInt(FIRST_PORT, LAST_PORT) }
+        .distinct()
+        .filter(::isFree)
+        .take(count)
+        .toList()
+
+private fun isFree(port: Int): Boolean =
+    try {
+        ServerSocket(port).close()
+        true
+    } catch (e: IOException) {
+        false
+    }
+
+private const val FIRST_PORT = 12_000
+private const val LAST_PORT = 32_000
