Test a whole stream whose endpoint ends before its departure is known

Another endpoint that is asked behind the last event has nothing to add, and the caller gets the stream whole. The test passed without a change.

--- a/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/ConnectionEndedAnswerTest.kt
+++ b/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/ConnectionEndedAnswerTest.kt
@@ -161,6 +161,25 @@
         }
     }
 
+    /** Guards against a cut of a whole stream whose endpoint ends before this process knows that it leaves. */
+    @Test
+    fun `a whole stream of an endpoint that refuses connections is verified by another one`() {
+        var self: ScriptedEndpoint? = null
+        val ends: Script = { r, out ->
+            out.text(twoEvents(r) + event(3))
+            flushAndPause(out, 50)
+            checkNotNull(self).close()
+            false
+        }
+        beside(ends) { gateway, one, other ->
+            self = one
+            val answer = exchange(gateway.port, request("/stream/x"))
+            assertEquals(200 to event(1) + event(2) + event(3), answer.status to answer.body, "$lines")
+            assertTrue(answer.isComplete, "$lines")
+            assertEquals(listOf("3"), other.requests.map { it.header("Last-Event-Id") }, "$lines")
+        }
+    }
+
     private fun assertIncomplete(
         stream: Script,
         body: Script,
