Resume a chat stream at the position of the answer that is read on

After a stall whose replacement answers with an error, the first endpoint is read on. The request kept the state of the replacement, which stands where the stall began, so a third endpoint was asked to resume there and the caller got tokens twice. The position is now that of the answer that is passed on, and the request keeps no state of the events.

ChatResumeTest failed before: positions 0, 1, 1 in place of 0, 1, 3.

--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/entry/RequestPipeline.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/entry/RequestPipeline.kt
@@ -102,7 +102,6 @@
         private val tried = HashSet<EndpointId>()
         private val reports = ArrayList<AttemptReport>()
         private val expected = requestedAnswerOf(routed.request)
-        private var chatEvents = ChatEvents()
         private var lastRefusal: Refusal? = null
         private var attempts = 0
         private var resumeFrom = 0
@@ -244,7 +243,6 @@
                 close(it, running)
             }
             ended.outcome = AttemptOutcome.Answered(clock.now() - ended.start)
-            chatEvents = ended.events
             val resumable = resumable(ended, answer)
             // A resumed answer is forwarded as a part of the first one, which already counts its tokens.
             respond((if (resumeFrom == 0) usage.counted(resumable) else resumable).right())
@@ -291,9 +289,10 @@
         ): Refusal? {
             var failure = answer.relay(write)
             while (failure != null) {
-                if (mayResume()) {
+                if (mayResume(attempt.events)) {
                     metrics.resumes.labelValues(routed.service.id.text).inc()
-                    resumeFrom = chatEvents.tokens
+                    // The state of another attempt is older once this answer has been read on.
+                    resumeFrom = attempt.events.tokens
                     var isContinued = false
                     attempt { next ->
                         val streamed = next.getOrNull() as? Answer.Streamed
@@ -311,9 +310,9 @@
             return null
         }
 
-        private suspend fun mayResume(): Boolean =
+        private suspend fun mayResume(events: ChatEvents): Boolean =
             routed.idempotent &&
-                chatEvents.tokens > 0 &&
+                events.tokens > 0 &&
                 attempts < options.maxAttempts &&
                 timeLeft() > Duration.ZERO &&
                 registry.tryRetry()
