Learn consecutive event numbers from streams that are under way

A stream was evidence of consecutive numbers only once it had ended. One with an event left out ends at once, so in the first moments of a process three faulty answers of two endpoints could be all the evidence although sound streams were running, and later gaps passed as complete.

A stream now counts from its third event. The new case of LearnedNumbersTest failed before: streams without event 2 came as whole.

--- a/decisions/src/main/kotlin/org/cicadaturn/decisions/gateway/EventNumberEvidence.kt
+++ b/decisions/src/main/kotlin/org/cicadaturn/decisions/gateway/EventNumberEvidence.kt
@@ -79,5 +79,5 @@
     }
 }
 
-/** Consecutive numbers that no service with gaps is expected to send. */
-private const val SHOWN_EVENTS = 3
+/** Consecutive numbers that no service with gaps is expected to send, counted from the first event of a stream. */
+public const val SHOWN_EVENTS: Int = 3
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/AttemptExecution.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/AttemptExecution.kt
@@ -11,6 +11,7 @@
 import org.cicadaturn.decisions.gateway.ExpectedAnswer
 import org.cicadaturn.decisions.gateway.ExpectedEvents
 import org.cicadaturn.decisions.gateway.PauseNotice
+import org.cicadaturn.decisions.gateway.SHOWN_EVENTS
 import org.cicadaturn.decisions.gateway.StreamEvent
 import org.cicadaturn.decisions.gateway.eventStream
 import org.cicadaturn.decisions.gateway.verdictOn
@@ -267,6 +268,7 @@
             }
             events = (events ?: 0) + 1
             event.id?.let { summary = summary?.plusEvent(it) }
+            if (events == SHOWN_EVENTS) attempt.observer.onNumbersShown(attempt, summary)
             if (!sink.sendEvent(head, event)) return false
         }
         if (complete.isNotEmpty()) lastEventAt = clock.now()
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/AttemptRequests.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/AttemptRequests.kt
@@ -1,6 +1,7 @@
 package org.cicadaturn.tasks.gateway
 
 import org.cicadaturn.decisions.gateway.Admission
+import org.cicadaturn.decisions.gateway.AnswerSummary
 import org.cicadaturn.decisions.gateway.ExpectedEvents
 import org.cicadaturn.decisions.gateway.numberSightingIn
 import org.cicadaturn.schema.generated.LiveEndpoint
@@ -77,14 +78,30 @@
         return ExpectedEvents(dependencies.eventNumbers.numberingOf(service), lastReceivedEvent())
     }
 
+    /**
+     * Records what the first events of the answer to [attempt] show about their numbers.
+     *
+     * An answer with an event left out ends at once. If sound answers counted only at their end, several faulty ones
+     * could come first and be taken for the numbers of the service.
+     */
+    fun numbersShown(
+        attempt: AttemptRequest,
+        summary: AnswerSummary?,
+    ): Unit = recordNumbers(attempt, summary, hasGap = false)
+
     /** Records what [result], the end of [attempt], shows about the numbers of events. */
     fun ended(
         attempt: AttemptRequest,
         result: AttemptResult,
+    ): Unit = recordNumbers(attempt, result.summary, hasGap = (result as? AttemptResult.Failed)?.hasGap == true)
+
+    private fun recordNumbers(
+        attempt: AttemptRequest,
+        summary: AnswerSummary?,
+        hasGap: Boolean,
     ) {
         val events = attempt.events ?: return
-        val hasGap = (result as? AttemptResult.Failed)?.hasGap == true
-        val sighting = numberSightingIn(result.summary, hasGap, events.after) ?: return
+        val sighting = numberSightingIn(summary, hasGap, events.after) ?: return
         dependencies.eventNumbers.seen(attempt.endpoint.service, attempt.endpoint.id, sighting)
     }
 
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/Exchange.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/Exchange.kt
@@ -52,11 +52,13 @@
  * @property onConnected called with the number of requests that the connection to the endpoint has carried before
  * @property onDisconnected called if the connection to the endpoint has ended before the attempt
  * @property onProgress called each time that the answer has come further
+ * @property onNumbersShown called once an answer has as many events as show how they are numbered
  */
 internal class AttemptObserver(
     val onConnected: (earlierRequests: Int) -> Unit,
     val onDisconnected: (ConnectionEnd) -> Unit,
     val onProgress: (AnswerProgress) -> Unit,
+    val onNumbersShown: (AttemptRequest, AnswerSummary?) -> Unit,
 )
 
 /** Receives the parts of an answer as soon as they can be passed on to the caller. */
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/RequestAttempts.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/RequestAttempts.kt
@@ -66,6 +66,7 @@
                     onConnected = { if (isCurrent()) progress.earlierRequests = it },
                     onDisconnected = { if (isCurrent()) progress.connectionEnd = it },
                     onProgress = { recordProgress(observation, it, isCurrent()) },
+                    onNumbersShown = requests::numbersShown,
                 ),
             )
         val result =
--- a/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/LearnedNumbersTest.kt
+++ b/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/LearnedNumbersTest.kt
@@ -6,6 +6,10 @@
 import org.junit.jupiter.api.Test
 import org.junit.jupiter.params.ParameterizedTest
 import org.junit.jupiter.params.provider.CsvSource
+import java.io.OutputStream
+import java.net.Socket
+import java.util.concurrent.CountDownLatch
+import java.util.concurrent.TimeUnit
 
 /** Tests the streams of services that number events otherwise than 1, 2, 3, without a setting that says so. */
 class LearnedNumbersTest {
@@ -109,6 +113,51 @@
         }
     }
 
+    /** Guards against a left-out event that passes as sound streams, which last longer than faulty ones, still run. */
+    @Test
+    fun `a stream that is under way shows consecutive numbers`() {
+        val release = CountDownLatch(1)
+        val script: (RawRequest, OutputStream) -> Boolean = { r, out ->
+            if (r.id == "first") {
+                out.text(streamHead(r, "s") + (1..3).joinToString("") { event(it) })
+                out.flush()
+                release.await(5, TimeUnit.SECONDS)
+                !out.text(event(4))
+            } else {
+                out.text(streamAnswer(r, "s", listOf(1, 3, 4).joinToString("") { event(it) }))
+            }
+        }
+        ScriptedEndpoint(script).use { one ->
+            ScriptedEndpoint(script).use { other ->
+                TestGateway(listOf(one, other), retrySlack = 10_000.0).use { gateway ->
+                    Socket("127.0.0.1", gateway.port).use { caller ->
+                        caller.soTimeout = 10_000
+                        caller.getOutputStream().write(request("/stream-once/x", id = "first").encodeToByteArray())
+                        readUntil(caller, event(3))
+                        val others = List(12) { exchange(gateway.port, request("/stream/x", id = "c$it")) }
+                        val whole = others.filter { it.status == 200 && it.isComplete }
+                        assertEquals(emptyList<String>(), whole.map { it.body })
+                        release.countDown()
+                        readUntil(caller, event(4), "0\r\n\r\n")
+                    }
+                }
+            }
+        }
+    }
+
+    /** Reads from [caller] until all of [texts] have come; fails at the end of the connection. */
+    private fun readUntil(
+        caller: Socket,
+        vararg texts: String,
+    ) {
+        val received = StringBuilder()
+        while (texts.any { it !in received }) {
+            val next = caller.getInputStream().read()
+            check(next >= 0) { "the connection ended behind $received" }
+            received.append(next.toChar())
+        }
+    }
+
     /** Guards against a service whose streams are judged by those of one faulty endpoint from before the first sound one. */
     @Test
     fun `one endpoint that leaves events out changes nothing`() {
