Verify JSON bodies in gzip or behind a byte order mark

The check undoes gzip, whose trailer also shows a cut, and skips the mark. A body in another coding, or in UTF-16, cannot be read here and is judged by whether the back end accepts connections, as other types are.

Both new tests of BackendTest failed before: Unknown for a whole body in gzip, and Closed for a body that is a byte order mark alone.

--- a/decisions/src/main/kotlin/org/cicadaturn/decisions/answer/RequestedAnswer.kt
+++ b/decisions/src/main/kotlin/org/cicadaturn/decisions/answer/RequestedAnswer.kt
@@ -121,6 +121,13 @@
 public fun isJson(headers: List<Header>): Boolean =
     mediaTypeIn(headers)?.let { it == JSON || it.endsWith("+json") } == true
 
+/** Returns the codings of the body of an answer with [headers] in lower case, in the order in which they were applied. */
+public fun contentCodingsIn(headers: List<Header>): List<String> =
+    valuesOf("content-encoding", headers)
+        .flatMap { it.split(',') }
+        .map { it.trim().lowercase(Locale.ROOT) }
+        .filter { it.isNotEmpty() && it != "identity" }
+
 /** Returns true if an answer with [status] to a call of [method] can have a body. */
 public fun hasBody(
     method: String,
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/endpoint/Backend.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/endpoint/Backend.kt
@@ -22,6 +22,7 @@
 import okhttp3.Dispatcher
 import org.cicadaturn.decisions.answer.BodyEnd
 import org.cicadaturn.decisions.answer.bodyEndOf
+import org.cicadaturn.decisions.answer.contentCodingsIn
 import org.cicadaturn.decisions.answer.isJson
 import org.cicadaturn.schema.generated.Frame
 import org.cicadaturn.schema.generated.Header
@@ -177,7 +178,7 @@
             ?: return BackendResult.Unknown("the headers of the answer do not tell where its body ends")
     sink.head(status, endToEnd(headers))
     if (end == BodyEnd.NO_BODY) return BackendResult.Complete
-    val json = if (end == BodyEnd.CONNECTION && isJson(headers)) JsonBody() else null
+    val json = if (end == BodyEnd.CONNECTION && isJson(headers)) JsonBody(contentCodingsIn(headers)) else null
     val receivedBytes =
         relayBody(response.bodyAsChannel()) {
             json?.append(it)
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/endpoint/BodyAtClose.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/endpoint/BodyAtClose.kt
@@ -12,6 +12,7 @@
 import java.net.InetSocketAddress
 import java.net.Socket
 import java.net.SocketTimeoutException
+import java.util.zip.GZIPInputStream
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -27,8 +28,17 @@
  */
 private val OPEN_TIME: Duration = 20.milliseconds
 
-/** Collects a JSON body that only the end of its connection ends. */
-internal class JsonBody {
+private val GZIP_CODINGS = setOf("gzip", "x-gzip")
+
+private const val UTF8_BYTE_ORDER_MARK = "\uFEFF"
+
+/** First bytes of a text in UTF-16, which RFC 8259 does not allow between systems; it is passed on without being read. */
+private val UTF16_BYTE_ORDER_MARKS = setOf(listOf<Byte>(-2, -1), listOf<Byte>(-1, -2))
+
+/** Collects a JSON body that only the end of its connection ends and to which [codings] were applied. */
+internal class JsonBody(
+    private val codings: List<String> = emptyList(),
+) {
     private val bytes = ByteArrayOutputStream()
     private var isTooLong = false
 
@@ -42,19 +52,38 @@
      * Returns true if the content shows that the body is whole, and false if it shows that it is not.
      *
      * No part of an object or an array is itself one. Returns null for a number or another scalar, parts of which are
-     * valid, and for a body of over 1 MiB, which is not verified.
+     * valid, for a body of over 1 MiB, and for one in another coding than gzip or in UTF-16, which are not verified.
      */
     fun isWhole(): Boolean? {
         if (isTooLong) return null
         return try {
-            val value = Json.parseToJsonElement(bytes.toByteArray().decodeToString(throwOnInvalidSequence = true))
-            if (value is JsonObject || value is JsonArray) true else null
+            decoded()?.let(::isWholeJson)
         } catch (_: SerializationException) {
             false
-        } catch (_: CharacterCodingException) {
+        } catch (_: IOException) {
+            // Also thrown for a text in UTF-8 and for data in gzip that end too early.
             false
         }
     }
+
+    /** Returns the body without its coding; null if the coding is not known or the content too long. */
+    private fun decoded(): ByteArray? =
+        when {
+            codings.isEmpty() -> bytes.toByteArray()
+            codings.size == 1 && codings.single() in GZIP_CODINGS ->
+                GZIPInputStream(bytes.toByteArray().inputStream())
+                    .use { it.readNBytes(MAX_VERIFIED_BYTES + 1) }
+                    .takeIf { it.size <= MAX_VERIFIED_BYTES }
+            else -> null
+        }
+
+    private fun isWholeJson(content: ByteArray): Boolean? {
+        if (content.take(2) in UTF16_BYTE_ORDER_MARKS) return null
+        // A reader of JSON may ignore the mark (RFC 8259, section 8.1); this parser does not.
+        val text = content.decodeToString(throwOnInvalidSequence = true).removePrefix(UTF8_BYTE_ORDER_MARK)
+        val value = Json.parseToJsonElement(text)
+        return if (value is JsonObject || value is JsonArray) true else null
+    }
 }
 
 /**
--- a/tasks/src/test/kotlin/org/cicadaturn/tasks/endpoint/BackendTest.kt
+++ b/tasks/src/test/kotlin/org/cicadaturn/tasks/endpoint/BackendTest.kt
@@ -24,6 +24,7 @@
 import java.io.IOException
 import java.net.InetAddress
 import java.net.ServerSocket
+import java.util.zip.GZIPOutputStream
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -94,6 +95,46 @@
         assertEquals(BackendResult.Closed to "17", run(JSON + "17"))
     }
 
+    private fun encodedJson(
+        body: ByteArray,
+        encoding: String = "gzip",
+    ): ByteArray = JSON.replace("\r\n\r\n", "\r\nContent-Encoding: $encoding\r\n\r\n").encodeToByteArray() + body
+
+    private fun gzip(text: String): ByteArray =
+        ByteArrayOutputStream()
+            .also { bytes ->
+                GZIPOutputStream(bytes).use { it.write(text.encodeToByteArray()) }
+            }.toByteArray()
+
+    /** Guards against a whole JSON body that counts as cut as it is not read as its headers declare it. */
+    @Test
+    fun `an encoded JSON body shows that an answer without another end is whole`() {
+        val whole = gzip("{\"number\":[1,2]}")
+        assertEquals(BackendResult.Complete, run(encodedJson(whole), Ending.CRASH).first)
+        assertEquals(BackendResult.Complete, run(encodedJson(whole, "X-GZip"), Ending.CRASH).first)
+        val marked = "\uFEFF{\"number\":1}"
+        assertEquals(BackendResult.Complete to marked, run(JSON + marked, Ending.CRASH))
+        assertEquals(BackendResult.Closed, run(encodedJson(byteArrayOf(1, 2, 3), "br")).first)
+        val utf16 = JSON.encodeToByteArray() + "{\"number\":1}".toByteArray(Charsets.UTF_16)
+        assertEquals(BackendResult.Closed, run(utf16).first)
+    }
+
+    /** Guards against a part of an encoded JSON body that counts as whole. */
+    @TestFactory
+    fun `a part of an encoded JSON body has an unknown outcome`(): List<DynamicTest> {
+        val whole = gzip("{\"number\":[1,2]}")
+        return listOf(
+            "gzip without its last byte" to encodedJson(whole.copyOf(whole.size - 1)),
+            "half of the gzip" to encodedJson(whole.copyOf(whole.size / 2)),
+            "nothing" to encodedJson(ByteArray(0)),
+            "gzip of a part" to encodedJson(gzip("{\"number\":")),
+            "byte order mark only" to (JSON + "\uFEFF").encodeToByteArray(),
+            "byte order mark and a part" to (JSON + "\uFEFF{\"number\":").encodeToByteArray(),
+        ).map { (name, answer) ->
+            DynamicTest.dynamicTest(name) { assertInstanceOf(BackendResult.Unknown::class.java, run(answer).first) }
+        }
+    }
+
     /** Guards against a part of an answer that counts as whole as the back end reset its connection. */
     @TestFactory
     fun `a reset is no end of an answer`(): List<DynamicTest> =
@@ -219,6 +260,12 @@
         answer: String,
         ending: Ending = Ending.IN_ORDER,
         pause: Duration = Duration.ZERO,
+    ): Pair<BackendResult, String> = run(answer.encodeToByteArray(), ending, pause)
+
+    private fun run(
+        answer: ByteArray,
+        ending: Ending = Ending.IN_ORDER,
+        pause: Duration = Duration.ZERO,
     ): Pair<BackendResult, String> =
         runBlocking(Dispatchers.Default) {
             ServerSocket(0, 1, InetAddress.getLoopbackAddress()).use { server ->
@@ -232,7 +279,7 @@
     /** Reads one request up to the end of its body, sends [answer] and ends the connection after [pause]. */
     private fun answerOnce(
         server: ServerSocket,
-        answer: String,
+        answer: ByteArray,
         ending: Ending,
         pause: Duration,
     ) {
@@ -244,7 +291,7 @@
                 if (n < 0) return
                 request.append(String(buffer, 0, n))
             }
-            socket.getOutputStream().write(answer.encodeToByteArray())
+            socket.getOutputStream().write(answer)
             socket.getOutputStream().flush()
             Thread.sleep(pause.inWholeMilliseconds)
             if (ending == Ending.RESET) socket.setSoLinger(true, 0)
