Keep the configuration of a process through a failure of its task

The task that owns the configuration ended for good with the first configuration that it could not put into force: the process went on with the one before it, which still counted as the newest, and took no later one. Its state was local to its run, so a second run would have begun without a configuration.

--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/endpoint/EndpointNode.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/endpoint/EndpointNode.kt
@@ -13,7 +13,6 @@
 import kotlinx.coroutines.flow.filterNotNull
 import kotlinx.coroutines.flow.first
 import kotlinx.coroutines.flow.update
-import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
 import kotlinx.serialization.json.Json
 import org.apache.logging.log4j.LogManager
@@ -95,7 +94,7 @@
     private val supervisor = Supervisor(dependencies.clock)
     private val selector = SelectorManager(Dispatchers.IO)
     private val client = backendClient()
-    private val configurationManager = ConfigurationTask()
+    private val configurationManager = ConfigurationTask(supervisor = supervisor)
     private val gate = GateTask(admissionGate(limits()), dependencies.clock)
     private val stopping = MutableStateFlow(false)
     private val localDrain = LocalDrainTask(configurationManager.inForce)
@@ -132,7 +131,7 @@
         )
 
     suspend fun start() {
-        scope.launch { configurationManager.run() }
+        supervisor.start(scope, "configuration") { configurationManager.run() }
         supervisor.start(scope, "local drain") { localDrain.run() }
         supervisor.start(scope, "gate") { gate.run() }
         supervisor.start(scope, "reports") { publishReports() }
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/entry/EntryNode.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/entry/EntryNode.kt
@@ -9,7 +9,6 @@
 import kotlinx.coroutines.flow.MutableStateFlow
 import kotlinx.coroutines.flow.filterNotNull
 import kotlinx.coroutines.flow.first
-import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
 import kotlinx.serialization.json.Json
 import org.apache.logging.log4j.LogManager
@@ -102,7 +101,7 @@
     private val selector = SelectorManager(Dispatchers.IO)
     private val metrics = entryMetrics(dependencies.registry)
     private val commonMetrics = processMetrics(dependencies.registry)
-    private val configurationManager = ConfigurationTask(file.store.peerWait)
+    private val configurationManager = ConfigurationTask(file.store.peerWait, supervisor)
     private val directory =
         DirectoryTask(endpointDirectory(domain, REMOTE_ROUND_TRIP_COST, dependencies.chooser), dependencies.clock)
     private val registry = RegistryTask(settings.maxInFlight, retryBudget(settings.retryShare), dependencies.clock)
@@ -125,7 +124,7 @@
         get() = mapOf("listen" to callers.address, "peer" to peers.address, "admin" to admin.address)
 
     suspend fun start() {
-        scope.launch { configurationManager.run() }
+        supervisor.start(scope, "configuration") { configurationManager.run() }
         supervisor.start(scope, "local drain") { localDrain.run() }
         supervisor.start(scope, "directory") { directory.run() }
         supervisor.start(scope, "requests") { registry.run() }
