Keep confirmations going after a failure of the router or of a shard

The router and the shards of the confirmations ended for good with a plain exception. After that no request for their keys was answered, and a planned stop waited for its time-out. A failure of the observer lost the answer of a store call, after which the shard waited for it for ever, or the result of a confirmation.

Both run under the supervisor of the process and keep their state. The router answers "unknown" for a request that it may have passed on.

--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/confirmation/ConfirmationTasks.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/confirmation/ConfirmationTasks.kt
@@ -23,6 +23,8 @@
 /** Number of messages that may wait for the router. If the queue is full, a new request is refused as overloaded. */
 private const val ROUTER_QUEUE = 1024
 
+private const val ROUTER_TASK = "confirmations"
+
 /** Message to the router, which owns the table of shards. */
 private sealed interface RouterMessage {
     data class ToShard(
@@ -47,7 +49,8 @@
     private val lastCallNumber = AtomicLong()
 
     init {
-        context.scope.launch { Router(context, inbox).run() }
+        val router = Router(context, inbox)
+        context.supervisor.start(context.scope, ROUTER_TASK) { router.run() }
     }
 
     override suspend fun run(
@@ -63,7 +66,7 @@
         val isSent = inbox.trySend(RouterMessage.ToShard(objectKey, ShardMessage.Run(request))).isSuccess
         if (!isSent) reply.complete(overloaded)
         val result = awaitReply(objectKey, request)
-        context.observer(ConfirmationEvent.RequestEnded(result, context.clock.now() - start))
+        context.observe(ConfirmationEvent.RequestEnded(result, context.clock.now() - start))
         return result
     }
 
@@ -108,6 +111,9 @@
         ClaimProof.NOT_READ,
     )
 
+private val notRouted =
+    ConfirmationResult.Unknown("the request met an internal error; repeat with the same key to learn the outcome")
+
 /** Owns the table of shards; only the coroutine that runs [run] accesses it. */
 private class Router(
     private val context: ShardContext,
@@ -118,11 +124,27 @@
 
     suspend fun run() {
         for (message in inbox) {
-            when (message) {
-                is RouterMessage.ToShard -> route(message)
-                is RouterMessage.Drain -> drain(message.reply)
-                is RouterMessage.Status -> status(message.reply)
-            }
+            context.supervisor.attempt(ROUTER_TASK, message) { handle(message) } ?: reject(message)
+        }
+    }
+
+    private fun handle(message: RouterMessage) {
+        when (message) {
+            is RouterMessage.ToShard -> route(message)
+            is RouterMessage.Drain -> drain(message.reply)
+            is RouterMessage.Status -> status(message.reply)
+        }
+    }
+
+    private fun reject(message: RouterMessage) {
+        when (message) {
+            // The shard may have the request already, so this is no refusal.
+            is RouterMessage.ToShard -> (message.message as? ShardMessage.Run)?.request?.reply?.complete(notRouted)
+
+            // No reply to a drain: calls may be in progress, and the process limits its wait.
+            is RouterMessage.Drain -> Unit
+
+            is RouterMessage.Status -> message.reply.completeExceptionally(IllegalStateException("no status of shards"))
         }
     }
 
@@ -140,7 +162,7 @@
 
     private fun start(objectKey: String): ShardTask {
         val shard = ShardTask(objectKey, context)
-        context.scope.launch { shard.run() }
+        context.supervisor.start(context.scope, "shard $objectKey") { shard.run() }
         return shard
     }
 
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/confirmation/Confirmations.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/confirmation/Confirmations.kt
@@ -10,6 +10,7 @@
 import org.cicadaturn.schema.generated.AttemptId
 import org.cicadaturn.schema.generated.ConfirmationKey
 import org.cicadaturn.schema.generated.ServiceId
+import org.cicadaturn.tasks.Supervisor
 import org.cicadaturn.tasks.store.ObjectStore
 import kotlin.time.Clock
 import kotlin.time.Duration
@@ -95,7 +96,8 @@
  * Returns confirmations that store their claims in [store].
  *
  * [newAttemptId] returns an identifier that is unique among all processes. The tasks and the calls run in [scope].
- * Cancelling it has the same effect as a crash of the process: claims without an outcome stay claimed.
+ * Cancelling it has the same effect as a crash of the process: claims without an outcome stay claimed. [supervisor] runs
+ * a task again after a failure, with its state.
  */
 public fun confirmations(
     store: ObjectStore,
@@ -104,4 +106,5 @@
     scope: CoroutineScope,
     options: ConfirmationOptions = ConfirmationOptions(),
     observer: ConfirmationObserver = {},
-): Confirmations = ConfirmationTasks(ShardContext(store, clock, newAttemptId, scope, options, observer))
+    supervisor: Supervisor = Supervisor(clock),
+): Confirmations = ConfirmationTasks(ShardContext(store, clock, newAttemptId, scope, options, observer, supervisor))
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/endpoint/EndpointNode.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/endpoint/EndpointNode.kt
@@ -112,6 +112,7 @@
             dependencies.clock,
             { AttemptId("${file.process.id}-${UUID.randomUUID()}") },
             scope,
+            supervisor = supervisor,
         )
     private lateinit var listener: WireListener
     private lateinit var admin: RunningServer
