State the known time of the next budget in refusals

Callers that found all endpoints at their limits, or paused, were told to return after at most 0.3 of their time or 2.5 s, although it was known that there is no budget before that: with a limit of 0.25 a second each refusal stated 0.9 s where the next budget came after 4 s, and a caller that returned at the stated times was refused 4 times.

The cap is meant for guesses. The dispatcher now says before which time there is no place, where limits and pauses of endpoints tell it, and retryDelay never states less. If the known time lies within the share that callers wait, the spread still ends there. Guessed times keep the cap: outages, overload, trials of prompts, refusals without a known pause, and a process that may not send to any of the limited endpoints.

Two tests of rejections now also check the known time.

--- a/bench/src/main/kotlin/org/cicadaturn/bench/overload/GatewayModel.kt
+++ b/bench/src/main/kotlin/org/cicadaturn/bench/overload/GatewayModel.kt
@@ -183,7 +183,7 @@
             is DispatchDecision.Reject -> {
                 attempt.isOver = true
                 requests.remove(decision.ticket)
-                attempt.onRefused(retryDelay(attempt.caller.remaining, decision.retryAfter))
+                attempt.onRefused(retryDelay(attempt.caller.remaining, decision.retryAfter, decision.notBefore))
             }
             is DispatchDecision.Wait -> Unit
         }
--- a/decisions/src/main/kotlin/org/cicadaturn/decisions/dispatch/Dispatcher.kt
+++ b/decisions/src/main/kotlin/org/cicadaturn/decisions/dispatch/Dispatcher.kt
@@ -61,11 +61,16 @@
         val cause: Unavailability,
     ) : DispatchDecision
 
-    /** The request is not placed because of [cause]; a place is likely after [retryAfter]. */
+    /**
+     * The request is not placed because of [cause]; a place is likely after [retryAfter].
+     *
+     * @property notBefore time before which there is no place, by what the endpoints ask for; null if it is not known
+     */
     public data class Reject(
         override val ticket: DispatchTicket,
         val cause: Unavailability,
         val retryAfter: Duration,
+        val notBefore: Duration? = null,
     ) : DispatchDecision
 }
 
@@ -250,25 +255,33 @@
     ): DispatchDecision.Reject {
         val service = candidate.request.endpoint.service
         val budget = candidate.budget
+        if (candidate.cause != Unavailability.AT_LIMIT && budget != null) return rejectAtBudget(candidate, budget, now)
         val delay =
-            when {
-                candidate.cause == Unavailability.AT_LIMIT ->
-                    forecast.spread(maxOf(queueTime(candidate, now), MIN_OVERLOAD_DELAY))
-                budget != null -> forecast.spread(budgetDelay(candidate, budget, now))
-                else -> forecast.retryAfter(downTime(service, now))
+            if (candidate.cause == Unavailability.AT_LIMIT) {
+                forecast.spread(maxOf(queueTime(candidate, now), MIN_OVERLOAD_DELAY))
+            } else {
+                forecast.retryAfter(downTime(service, now))
             }
         return DispatchDecision.Reject(candidate.ticket, candidate.cause, delay)
     }
 
-    private fun budgetDelay(
+    private fun rejectAtBudget(
         candidate: Waiting,
         budget: RateBudget,
         now: Instant,
-    ): Duration {
+    ): DispatchDecision.Reject {
         val time = budgetTime(candidate, budget, now)
+        val isKnown = budget.perSecond > 0.0 && budget.nextAt < Instant.DISTANT_FUTURE
         // A pause ends at a known time, unlike a limit.
-        if (candidate.cause == Unavailability.PAUSED && budget.nextAt < Instant.DISTANT_FUTURE) return time
-        return time.coerceIn(MIN_OVERLOAD_DELAY, MAX_BUDGET_DELAY)
+        val isPause = candidate.cause == Unavailability.PAUSED && budget.nextAt < Instant.DISTANT_FUTURE
+        val earliest = if (isPause) time else time.coerceAtMost(MAX_BUDGET_DELAY)
+        val delay = if (isPause) time else maxOf(earliest, MIN_OVERLOAD_DELAY)
+        return DispatchDecision.Reject(
+            candidate.ticket,
+            candidate.cause,
+            forecast.spread(delay),
+            earliest.takeIf { isKnown },
+        )
     }
 
     override fun cancel(ticket: DispatchTicket) {
--- a/decisions/src/main/kotlin/org/cicadaturn/decisions/gateway/AttemptPolicy.kt
+++ b/decisions/src/main/kotlin/org/cicadaturn/decisions/gateway/AttemptPolicy.kt
@@ -158,11 +158,26 @@
 /**
  * Returns the delay after which a caller whose request was refused with [remaining] time left should retry: the
  * [expected] time until it can be served, but at most the part of its time that leaves room for the retry.
+ *
+ * If it is known that the request cannot be served before [notBefore], the delay is never shorter. A caller whose time
+ * ends earlier learns from it that a retry is of no use.
  */
 public fun retryDelay(
     remaining: Duration,
     expected: Duration = Duration.INFINITE,
-): Duration = minOf(remaining * RETRY_DELAY_SHARE, expected).coerceIn(MIN_RETRY_DELAY, MAX_RETRY_DELAY)
+    notBefore: Duration? = null,
+): Duration {
+    val share = remaining * RETRY_DELAY_SHARE
+    if (notBefore == null) return minOf(share, expected).coerceIn(MIN_RETRY_DELAY, MAX_RETRY_DELAY)
+    val latest =
+        when {
+            notBefore <= share -> share
+            // Leaves time to run the request to callers that wait longer than most.
+            notBefore < remaining -> (notBefore + remaining) / 2
+            else -> Duration.INFINITE
+        }
+    return minOf(latest, expected).coerceAtLeast(maxOf(notBefore, MIN_RETRY_DELAY))
+}
 
 private val MAX_STREAM_HOLD = 1_200.milliseconds
 private const val HOLD_SHARE = 0.35
--- a/decisions/src/test/kotlin/org/cicadaturn/decisions/dispatch/WithheldEndpointsTest.kt
+++ b/decisions/src/test/kotlin/org/cicadaturn/decisions/dispatch/WithheldEndpointsTest.kt
@@ -80,7 +80,7 @@
         balancer.pauses(e0, 30.seconds)
         balancer.pauses(e1, 5.seconds)
         val decision = submit()
-        assertEquals(DispatchDecision.Reject(DispatchTicket(1), Unavailability.PAUSED, 5.seconds), decision)
+        assertEquals(DispatchDecision.Reject(DispatchTicket(1), Unavailability.PAUSED, 5.seconds, 5.seconds), decision)
     }
 
     /** Guards against a rejection of requests that can be served after the pause, and of more than those. */
--- a/decisions/src/test/kotlin/org/cicadaturn/decisions/gateway/AttemptPolicyTest.kt
+++ b/decisions/src/test/kotlin/org/cicadaturn/decisions/gateway/AttemptPolicyTest.kt
@@ -97,6 +97,26 @@
             ) { assertEquals(it.step, nextStep(it.end, it.history)) }
         }
 
+    /** Guards against callers that are told to return before a time at which, as is known, they cannot be served. */
+    @Test
+    fun `a known time is stated in full and a guess only up to a share of the time left`() {
+        assertEquals(900.milliseconds, retryDelay(3.seconds, 5.seconds))
+        assertEquals(2_500.milliseconds, retryDelay(60.seconds, 5.seconds))
+        assertEquals(100.milliseconds, retryDelay(3.seconds, Duration.ZERO))
+        assertEquals(5.seconds, retryDelay(3.seconds, 5.seconds, notBefore = 4.seconds))
+        assertEquals(5.seconds, retryDelay(60.seconds, 5.seconds, notBefore = 4.seconds))
+        assertEquals(100.milliseconds, retryDelay(3.seconds, 20.milliseconds, notBefore = 10.milliseconds))
+    }
+
+    /** Guards against a spread that keeps callers from a retry in their time, and against a time before the known one. */
+    @Test
+    fun `a delay beyond a known time leaves time for a retry`() {
+        assertEquals(900.milliseconds, retryDelay(3.seconds, 1_600.milliseconds, notBefore = 800.milliseconds))
+        assertEquals(2_500.milliseconds, retryDelay(3.seconds, 4.seconds, notBefore = 2.seconds))
+        assertEquals(2_100.milliseconds, retryDelay(3.seconds, 2_100.milliseconds, notBefore = 2.seconds))
+        assertEquals(4.seconds, retryDelay(3.seconds, 4.seconds, notBefore = 3.seconds))
+    }
+
     /** Guards against repetitions that are sent too late to be answered before the deadline. */
     @Test
     fun `nothing is repeated shortly before the deadline`() {
--- a/decisions/src/test/kotlin/org/cicadaturn/decisions/ratelimit/EndpointLimitDispatchTest.kt
+++ b/decisions/src/test/kotlin/org/cicadaturn/decisions/ratelimit/EndpointLimitDispatchTest.kt
@@ -48,7 +48,7 @@
     fun `a request without budget in time is rejected at once with the time of the next budget`() {
         val decision = dispatcher(limit = 0.25).submit(START, wait = 2.seconds)
         assertEquals(
-            DispatchDecision.Reject(DispatchTicket(1), Unavailability.AT_NAMED_LIMIT, 4.seconds),
+            DispatchDecision.Reject(DispatchTicket(1), Unavailability.AT_NAMED_LIMIT, 4.seconds, 4.seconds),
             rounded(decision),
         )
     }
@@ -103,6 +103,8 @@
         val decisions =
             (0 until 40).map { dispatcher(limit = 0.0, gateways = 40, self = "g$it").submit(START, wait = 30.seconds) }
         assertEquals(38, decisions.count { it is DispatchDecision.Reject && it.retryAfter == 8.seconds })
+        // Another process may serve the caller sooner.
+        assertEquals(38, decisions.count { it is DispatchDecision.Reject && it.notBefore == null })
     }
 
     /** Guards against a stream that waits for another endpoint while its caller has a part, or exceeds a limit. */
@@ -132,6 +134,8 @@
 
     private fun rounded(decision: DispatchDecision): DispatchDecision =
         (decision as DispatchDecision.Reject).let {
-            it.copy(retryAfter = (it.retryAfter / 10.milliseconds).let { n -> Math.round(n) * 10 }.milliseconds)
+            it.copy(retryAfter = rounded(it.retryAfter), notBefore = it.notBefore?.let(::rounded))
         }
+
+    private fun rounded(time: Duration): Duration = (Math.round(time / 10.milliseconds) * 10).milliseconds
 }
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/Balancer.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/Balancer.kt
@@ -32,10 +32,15 @@
         internal val outcome: CompletableDeferred<Placement>,
     ) : Placement
 
-    /** The request gets no endpoint because of [cause]; the caller should retry after [retryAfter]. */
+    /**
+     * The request gets no endpoint because of [cause]; the caller should retry after [retryAfter].
+     *
+     * @property notBefore time before which no endpoint takes it; null if it is not known
+     */
     public class Rejected(
         public val cause: Unavailability,
         public val retryAfter: Duration,
+        public val notBefore: Duration? = null,
     ) : Placement
 }
 
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/BalancerTask.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/BalancerTask.kt
@@ -225,7 +225,12 @@
         val placement =
             when (decision) {
                 is DispatchDecision.Place -> Placement.Placed(decision.choice.endpoint)
-                is DispatchDecision.Reject -> Placement.Rejected(decision.cause, decision.retryAfter)
+                is DispatchDecision.Reject ->
+                    Placement.Rejected(
+                        decision.cause,
+                        decision.retryAfter,
+                        decision.notBefore,
+                    )
                 is DispatchDecision.Wait -> return
             }
         if (placement is Placement.Rejected && placement.cause in ASKED_FOR) {
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/RequestExecution.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/RequestExecution.kt
@@ -169,7 +169,8 @@
                         continue
                     }
                     val step = finalStep(last, history())
-                    return finish(step, placement.cause.text, retryDelay(remaining(), placement.retryAfter))
+                    val delay = retryDelay(remaining(), placement.retryAfter, placement.notBefore)
+                    return finish(step, placement.cause.text, delay)
                 }
                 is Placement.Waiting -> error("a wait ends with another placement")
             }
--- a/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/EndpointLimitTest.kt
+++ b/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/EndpointLimitTest.kt
@@ -3,7 +3,6 @@
 import org.cicadaturn.tasks.gateway.LimitedEndpoint.Companion.allowed
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertTrue
-import org.junit.jupiter.api.Tag
 import org.junit.jupiter.api.Test
 import org.junit.jupiter.params.ParameterizedTest
 import org.junit.jupiter.params.provider.ValueSource
@@ -207,7 +206,6 @@
     }
 
     /** Guards against callers that are told to return before there can be budget for them. */
-    @Tag("known-red")
     @Test
     fun `a refusal states the time of the next budget of a low limit`() {
         val limited = LimitedEndpoint(listOf("0.25"))
