Hold back a request after two crashes, however many were lost beside it

Cause: each loss of a plain service weighs 20:1, and the requests that are lost beside it share the evidence. With 16 others in each of two crashes the request has a confidence of 0.37, below the limit of 0.5, so it was sent as a trial, which was the third crash.

Change: after two outages without a whole answer in between the limit is 0.2. The confidence of a listed request in its review is 0.15 instead of 0.3, below the new limit; otherwise the request would be held back until its entry expires.

The test with 16 others failed before with Suspected(0.367). The test of the review fails with the new limit and the old 0.3.

--- a/decisions/src/main/kotlin/org/cicadaturn/decisions/quarantine/CrashEvidence.kt
+++ b/decisions/src/main/kotlin/org/cicadaturn/decisions/quarantine/CrashEvidence.kt
@@ -30,7 +30,7 @@
     val lastCrash: Instant,
 ) {
     /** What is done with requests that contain the segment and no other suspected one; null if nothing. */
-    val state: SegmentState? get() = stateAt(confidence, segment.kind)
+    val state: SegmentState? get() = stateAt(confidence, segment.kind, crashes)
 
     /**
      * Earliest time of the next trial. The service recovers in between, and a segment that goes on to crash endpoints
--- a/decisions/src/main/kotlin/org/cicadaturn/decisions/quarantine/SegmentQuarantine.kt
+++ b/decisions/src/main/kotlin/org/cicadaturn/decisions/quarantine/SegmentQuarantine.kt
@@ -267,7 +267,7 @@
         const val EXPIRY = 4.0
 
         /** Confidence of a listed segment or request that is tried again; below those at which it is held back. */
-        const val REVIEWED_CONFIDENCE = 0.3
+        const val REVIEWED_CONFIDENCE = 0.15
         const val MAX_LISTED_ENDPOINTS = 16
     }
 }
--- a/decisions/src/main/kotlin/org/cicadaturn/decisions/quarantine/Verdict.kt
+++ b/decisions/src/main/kotlin/org/cicadaturn/decisions/quarantine/Verdict.kt
@@ -96,15 +96,22 @@
  * Returns what is done with requests that crash their endpoints with probability [confidence]; null if nothing.
  *
  * @param kind what the evidence is against; that against a request concerns no other
+ * @param crashes number of outages that the evidence explains
  */
 internal fun stateAt(
     confidence: Double,
     kind: SuspectKind = SuspectKind.SEGMENT,
+    crashes: Int = 1,
 ): SegmentState? {
     val isRequest = kind == SuspectKind.REQUEST
+    val quarantineConfidence =
+        when {
+            !isRequest -> QUARANTINE_CONFIDENCE
+            crashes > 1 -> REPEATED_REQUEST_QUARANTINE_CONFIDENCE
+            else -> REQUEST_QUARANTINE_CONFIDENCE
+        }
     return when {
-        confidence >= (if (isRequest) REQUEST_QUARANTINE_CONFIDENCE else QUARANTINE_CONFIDENCE) ->
-            SegmentState.QUARANTINED
+        confidence >= quarantineConfidence -> SegmentState.QUARANTINED
         confidence >= (if (isRequest) REQUEST_SUSPICION_CONFIDENCE else SUSPICION_CONFIDENCE) ->
             SegmentState.SUSPECTED
         else -> null
@@ -120,6 +127,12 @@
  */
 private const val REQUEST_QUARANTINE_CONFIDENCE = 0.5
 
+/**
+ * The same after several outages with no whole answer to the request in between. The requests that are lost beside it
+ * share the evidence, and a trial would be one more crash.
+ */
+private const val REPEATED_REQUEST_QUARANTINE_CONFIDENCE = 0.2
+
 /**
  * Confidence from which a request is sent as the only suspect for itself. Above that of segments, as each of the requests
  * that are lost in an ordinary crash has a few hundredths.
--- a/decisions/src/test/kotlin/org/cicadaturn/decisions/quarantine/RequestQuarantineTest.kt
+++ b/decisions/src/test/kotlin/org/cicadaturn/decisions/quarantine/RequestQuarantineTest.kt
@@ -88,6 +88,30 @@
         assertClear(Request("", "third"), start + 2.seconds)
     }
 
+    /** Guards against a third crash, as those that were lost beside the request share the evidence. */
+    @Test
+    fun `a request that two crashes found beside many others is held back, and none of the others is`() {
+        val bad = Request("", "bad")
+        val company = (1..2 * MAX_COMPANY).map { Request("", "company $it") }
+        company.chunked(MAX_COMPANY).forEachIndexed { i, lost ->
+            quarantine.crash(start + 2.seconds * i, bad to WEAK, *lost.map { it to WEAK }.toTypedArray())
+        }
+        assertQuarantined(bad, start + 2.seconds)
+        company.forEach { assertClear(it, start + 2.seconds) }
+    }
+
+    /** Guards against a request that is held back until its entry expires, as its review is below no limit. */
+    @Test
+    fun `a listed request that two crashes found is tried in its review`() {
+        val bad = Request("", "bad")
+        listOf(start, start + 2.seconds).forEach { quarantine.crash(it, bad to WEAK, Request("", "$it") to WEAK) }
+        val listed = quarantine.changes(start + 2.seconds, start).added
+        val late = segmentQuarantine()
+        late.listed(listed, start, start)
+        assertTrue(late.verdict(bad, start + 13.hours) is Verdict.Quarantined)
+        assertTrue(late.verdict(bad, start + 14.hours) is Verdict.Suspected)
+    }
+
     /** Guards against more crashes by a shared segment because each request with it is blamed for itself. */
     @Test
     fun `a segment without an answer is held back after one crash although the request is a suspect too`() {
@@ -211,6 +235,9 @@
         /** Likelihood ratio of a request that is answered whole, at any time. */
         const val WEAK = 20.0
 
+        /** Others in progress at an endpoint that crashes. */
+        const val MAX_COMPANY = 16
+
         /** Likelihood ratio of a request that waited for its stream, the highest seen in crashes on the bench. */
         const val WAITING = 40.0
 
