Send requests at the time at which a group can run again

Callers waited for 0.21 to 0.30 s after a group of ranks could run again: gateways learned of it from a report, which is 0.2 s old and asked for every 0.15 s. The start of the new rank and the time that the group takes to form are known before.

The balancer notes both at the entry of a rank; the group tracker allows one request of this process from that time on, with 60 ms for the delay by which groups were seen to accept. A group that does not run refuses at once, so the group counts as running if no refusal has come within 50 ms, and its new epoch is asked for. While such requests are refused, as another rank is missing, the interval doubles, up to the usual second. The time to form comes from the platform's configuration; an entry whose start does not agree with the time of day counts from when it is listed.

GroupReturnTest plays this in virtual time; its four cases failed with the start of ranks not noted: no request was sent until a report. A case that was added with the rule on missing refusals failed without it.

--- a/decisions/src/main/kotlin/org/cicadaturn/decisions/gateway/BalancerTypes.kt
+++ b/decisions/src/main/kotlin/org/cicadaturn/decisions/gateway/BalancerTypes.kt
@@ -5,6 +5,7 @@
 import org.cicadaturn.schema.generated.LiveEndpoint
 import org.cicadaturn.schema.generated.ProcessId
 import org.cicadaturn.schema.generated.ServiceId
+import kotlin.time.Clock
 import kotlin.time.Duration
 import kotlin.time.Instant
 
@@ -129,6 +130,7 @@
  * @property retryRatio retries per request
  * @property retrySlack retries in a window that are allowed in addition to that ratio
  * @property retryWindow window of the retry budget
+ * @property wallClock time of day, by which endpoints state their start; null if it is not known
  */
 public data class BalancerOptions(
     val self: ProcessId,
@@ -138,4 +140,5 @@
     val retryRatio: Double,
     val retrySlack: Double,
     val retryWindow: Duration,
+    val wallClock: Clock? = null,
 )
--- a/decisions/src/main/kotlin/org/cicadaturn/decisions/gateway/GroupRoom.kt
+++ b/decisions/src/main/kotlin/org/cicadaturn/decisions/gateway/GroupRoom.kt
@@ -6,8 +6,11 @@
 import org.cicadaturn.decisions.dispatch.groupLimit
 import org.cicadaturn.schema.generated.EndpointId
 import org.cicadaturn.schema.generated.ExpertProfile
+import org.cicadaturn.schema.generated.LiveEndpoint
 import org.cicadaturn.schema.generated.RoutingConfiguration
 import org.cicadaturn.schema.generated.ServiceId
+import kotlin.time.Clock
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Instant
 
@@ -15,6 +18,7 @@
 internal class GroupRoom(
     private val groups: GroupTracker,
     private val gateways: GatewayCount,
+    private val wallClock: Clock?,
     private val find: (EndpointId) -> BalancedEndpoint?,
 ) {
     /** Profiles of the services whose endpoints are ranks of groups. */
@@ -29,6 +33,24 @@
         profiles = configuration.services.mapNotNull { s -> s.experts?.let { s.id to it } }.toMap()
     }
 
+    /**
+     * Returns when the group of [endpoint], which was listed at [now] after a start, can run at the earliest; null if its
+     * service states no time to form.
+     */
+    fun opensAt(
+        endpoint: LiveEndpoint,
+        now: Instant,
+    ): Instant? {
+        val formTime = profiles[endpoint.service]?.formTime ?: return null
+        return if (formTime > Duration.ZERO) now - timeSinceStart(endpoint) + formTime else null
+    }
+
+    /** Returns how long ago [endpoint] started; zero if the time of day of this process or of the endpoint is wrong. */
+    private fun timeSinceStart(endpoint: LiveEndpoint): Duration {
+        val time = wallClock?.let { it.now() - Instant.fromEpochMilliseconds(endpoint.startedAt) } ?: Duration.ZERO
+        return if (time in Duration.ZERO..MAX_LISTING_DELAY) time else Duration.ZERO
+    }
+
     /** Forgets the groups that have no rank among [endpoints]. */
     fun retain(endpoints: Set<EndpointId>) {
         limits.keys.retainAll(endpoints.mapTo(HashSet()) { groups.groupOf(it) })
@@ -85,6 +107,9 @@
         /** Time after an outage for which a process keeps to an even share of the slots; reports follow meanwhile. */
         val RETURN_TIME = 500.milliseconds
 
+        /** Longest time from the start of an endpoint until this process has its entry; watches are answered within it. */
+        val MAX_LISTING_DELAY = 500.milliseconds
+
         /** Share of the room up to which late requests are placed; about what a group uses without an overload. */
         const val LATE_SHARE = 0.65
     }
--- a/decisions/src/main/kotlin/org/cicadaturn/decisions/gateway/LeastLoadBalancer.kt
+++ b/decisions/src/main/kotlin/org/cicadaturn/decisions/gateway/LeastLoadBalancer.kt
@@ -40,7 +40,7 @@
     override val notices: EndpointNotices = KnownNotices(departures, pauses) { serving.update(members.values) }
     private val groups = groupTracker { ASK_INTERVAL * maxOf(1, gateways.listed / GATEWAYS_PER_ASK) }
 
-    private val room = GroupRoom(groups, gateways) { members[it] }
+    private val room = GroupRoom(groups, gateways, options.wallClock) { members[it] }
 
     override fun update(
         view: FleetView,
@@ -79,6 +79,7 @@
         if (known == null || known.endpoint.startedAt != endpoint.startedAt) {
             members[endpoint.id] = lapsed.listed(endpoint, now)
             groups.forget(endpoint.id)
+            room.opensAt(endpoint, now)?.let { groups.started(endpoint.id, it) }
             pool(endpoint.service, now)
             return
         }
@@ -277,11 +278,7 @@
     }
 
     override fun isIsolated(now: Instant): Boolean =
-        room.profiles.keys.any { service ->
-            val healths = serving.of(service).map { groups.health(it.endpoint.id, now) }
-            healths.any { it == GroupHealth.UNREACHABLE } &&
-                healths.all { it == GroupHealth.UNREACHABLE || it == GroupHealth.DOWN }
-        }
+        room.profiles.keys.any { service -> groups.areIsolated(serving.of(service), now) }
 
     override fun accepted(
         endpoint: EndpointId,
@@ -304,11 +301,14 @@
 
     override fun nextAsk(now: Instant): Instant? = groups.nextAsk(now)
 
-    override fun downSince(service: ServiceId): Instant? {
-        val endpoints = members.values.map { it.endpoint }.filter { it.service == service }
-        val times = endpoints.map { groups.downSince(it.id) ?: return null }
-        return times.maxOrNull()
-    }
+    override fun downSince(service: ServiceId): Instant? = groups.downSince(membersOf(service))
+
+    override fun expectedReturn(
+        service: ServiceId,
+        now: Instant,
+    ): Instant? = groups.expectedReturn(membersOf(service), now)
+
+    private fun membersOf(service: ServiceId) = members.values.filter { it.endpoint.service == service }
 
     override fun loadReported(
         endpoint: EndpointId,
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/GatewayNode.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/GatewayNode.kt
@@ -204,6 +204,7 @@
             retryRatio = settings.retryRatio,
             retrySlack = settings.retrySlack,
             retryWindow = settings.retryWindow,
+            wallClock = dependencies.wallClock,
         )
 
     private fun startPool(): ConnectionPool =
