Count only a reset behind the handshake as an accepted connection

A local address that cannot be used fails with a subclass of SocketException as well, which says nothing about the back end and counted as a reset.

--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/endpoint/BodyAtClose.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/endpoint/BodyAtClose.kt
@@ -9,9 +9,7 @@
 import kotlinx.serialization.json.JsonObject
 import org.cicadaturn.schema.generated.NetworkAddress
 import java.io.ByteArrayOutputStream
-import java.net.ConnectException
 import java.net.InetSocketAddress
-import java.net.NoRouteToHostException
 import java.net.Socket
 import java.net.SocketException
 import java.net.SocketTimeoutException
@@ -106,9 +104,11 @@
     return failure == null || isReset(failure)
 }
 
-/** Returns true if [failure] is a reset behind the handshake; a refusal and a missing route have types of their own. */
-private fun isReset(failure: IOException): Boolean =
-    failure is SocketException && failure !is ConnectException && failure !is NoRouteToHostException
+/**
+ * Returns true if [failure] to connect is a reset behind the handshake. A refusal, a time-out, a missing route to the host
+ * and a local address that cannot be used have types of their own.
+ */
+private fun isReset(failure: IOException): Boolean = failure.javaClass == SocketException::class.java
 
 /** Waits until the peer ends the connection; throws a [SocketTimeoutException] if it stays open. */
 private fun Socket.awaitEnd() {
