--- a/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/CutSecondAnswerTest.kt
+++ b/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/CutSecondAnswerTest.kt
@@ -1,8 +1,10 @@
 package org.cicadaturn.tasks.gateway
 
+import org.cicadaturn.schema.generated.RequestLine
 import org.junit.jupiter.api.Assertions.assertTrue
 import org.junit.jupiter.params.ParameterizedTest
 import org.junit.jupiter.params.provider.MethodSource
+import java.util.concurrent.CopyOnWriteArrayList
 
 /** Tests what callers get if an endpoint sends the beginning of its answer once more, late. */
 internal class CutSecondAnswerTest {
@@ -52,11 +54,13 @@
                 val answer = if (r.id == "b") second.textFor("b") else first.textFor("a")
                 out.text(textFor(r.id, answer, copy))
             }.use { endpoint ->
-                TestGateway(listOf(endpoint)).use { gateway ->
+                val lines = CopyOnWriteArrayList<String>()
+                val journal = { line: RequestLine -> lines += "${line.request} ${line.event}: ${line.detail}" }
+                TestGateway(listOf(endpoint), journal = journal).use { gateway ->
                     // The deadline ends the wait of a request that the endpoint refuses.
                     exchange(gateway.port, request("/${case.route}/x", "X-Deadline: 80\r\n", id = "a"))
                     val answer = exchange(gateway.port, request("/${case.route}/x", "X-Deadline: 900\r\n", id = "b"))
-                    check(answer, "after $length bytes: ${answer.status} ${answer.body}, not ${second.status}")
+                    check(answer, "after $length bytes: ${answer.status} ${answer.body}, not ${second.status}; $lines")
                     val runs = endpoint.requests.count { it.id == "b" }
                     assertTrue(runs <= 1 || isRefusal(second), "sent $runs times after $length bytes")
                 }
