Probe more neighbours of an endpoint before its crash is passed over

Cause: three neighbours were asked, those of the same service first, and the failure domain counted as lost if all of them refused. Endpoints that leave were asked too, although they refuse once they have left.

Change: up to 12 neighbours that are in service are asked, one after the other until one accepts. In an ordinary crash the first one accepts, as before.

--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/CrashProbe.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/CrashProbe.kt
@@ -3,8 +3,11 @@
 import org.cicadaturn.schema.generated.AdmissionState
 import org.cicadaturn.schema.generated.LiveEndpoint
 
-/** Endpoints of a failure domain that are probed; several may have crashed for the same reason. */
-private const val MAX_NEIGHBOURS = 3
+/**
+ * Endpoints of a failure domain that are probed, one after the other until one accepts the connection. Several may have
+ * crashed for the same reason; the limit bounds the connections that are attempted as a failure domain is lost.
+ */
+private const val MAX_NEIGHBOURS = 12
 
 /**
  * Returns true if [endpoint] refuses connections and another endpoint of its failure domain does not. If all of them
@@ -15,6 +18,7 @@
     val neighbours =
         fleet.state.value.view.endpoints
             .filter { it.failureDomain == endpoint.failureDomain && it.id != endpoint.id }
+            .filter { it.state == AdmissionState.IN_SERVICE }
             .shuffled(random)
             .sortedByDescending { it.service == endpoint.service }
             .take(MAX_NEIGHBOURS)
--- a/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/QuarantineFleet.kt
+++ b/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/QuarantineFleet.kt
@@ -60,10 +60,11 @@
     coldFor = Duration.ZERO,
 )
 
-/** Processes that reach each other and one store, unless they are cut off. */
+/** Processes that reach each other and one store, unless they are cut off, and [endpointCount] endpoints, from e1 on. */
 @OptIn(ExperimentalCoroutinesApi::class)
 internal class QuarantineFleet(
     private val test: TestScope,
+    endpointCount: Int = 4,
 ) {
     val cutOff = mutableSetOf<String>()
     var crashed = setOf("e1", "e2", "e3")
@@ -78,7 +79,7 @@
     val stored = LinkedHashMap<ServiceSegment, QuarantinedSegment>()
     private val processes = LinkedHashMap<String, Process>()
     private val leaving = endpoint("leaving", AdmissionState.DRAINED)
-    private val endpoints = listOf("e1", "e2", "e3", "e4").map { endpoint(it) } + leaving
+    private val endpoints = List(endpointCount) { endpoint("e${it + 1}") } + leaving
 
     inner class Process(
         val name: String,
--- a/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/QuarantineTaskTest.kt
+++ b/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/QuarantineTaskTest.kt
@@ -194,6 +194,17 @@
             assertTrue(fleet.probed.size in 2..4, "probed ${fleet.probed}")
         }
 
+    /** Guards against a crash that is passed over because many endpoints of the failure domain crashed with it. */
+    @Test
+    fun `a crash counts while one of ten endpoints of the failure domain accepts connections`() =
+        runTest {
+            val fleet = QuarantineFleet(this, endpointCount = 10)
+            val process = fleet.start("g1")
+            fleet.crashed = (1..9).mapTo(HashSet()) { "e$it" } + "leaving"
+            process.lose("e1", "bad own1")
+            assertQuarantined(process, "bad own2")
+        }
+
     /** Guards against several processes that try a suspected segment at the same time. */
     @Test
     fun `one process at a time tries a suspected segment`() =
