--- a/decisions/src/test/kotlin/org/cicadaturn/decisions/quarantine/RequestQuarantineTest.kt
+++ b/decisions/src/test/kotlin/org/cicadaturn/decisions/quarantine/RequestQuarantineTest.kt
@@ -238,7 +238,7 @@
         /** Others in progress at an endpoint that crashes. */
         const val MAX_COMPANY = 16
 
-        /** Likelihood ratio of a request that waited for its stream, the highest seen in crashes on the bench. */
+        /** Likelihood ratio of a request that waited for its stream, a state in which many are lost in ordinary crashes. */
         const val WAITING = 40.0
 
         /** Likelihood ratio of a request whose stream had a head and no event. */
