Test that late requests are placed after the return of a group

Since the test "requests wait without cost while all groups are down" places requests that return in time, so none told any more that late requests are placed while no request in time competes.

The earlier statement, that all of them are placed at once, does not hold: late requests get 0.65 of the room by design, here 6 of 8 places, also if nobody else wants the rest. The new test states what holds: 6 at the return, and the others as places become free, before their wait ends.

--- a/decisions/src/test/kotlin/org/cicadaturn/decisions/dispatch/DispatcherTest.kt
+++ b/decisions/src/test/kotlin/org/cicadaturn/decisions/dispatch/DispatcherTest.kt
@@ -166,6 +166,26 @@
         assertEquals(tickets.toSet(), placed(dispatcher.advance(back)).toSet())
     }
 
+    /** Guards against late requests that wait in vain at the return of a group that no other request uses. */
+    @Test
+    fun `late requests are all placed after the return of a group while none in time competes`() {
+        val balancer = balancer()
+        val dispatcher = dispatcher(balancer) { 0.5 }
+        listOf(ids[0], ids[2]).forEach { balancer.finished(it, EndpointUse.Refused(hadFreePlaces = true), start) }
+        val tickets = List(8) { ticket() }
+        tickets.forEach { dispatcher.submit(it, request(), start) }
+        val back = start + 500.milliseconds
+        balancer.groupReported(ids[1], GroupReport("a", 2, isOpen = true), back)
+        // The group has 8 places, of which late requests get 0.65; the others follow as places become free.
+        val first = dispatcher.advance(back)
+        assertEquals(6, placed(first).size)
+        assertEquals(emptyList<DispatchTicket>(), placed(dispatcher.advance(back + 50.milliseconds)))
+        val used = first.filterIsInstance<DispatchDecision.Place>().map { it.choice.endpoint.id }
+        val next = back + 100.milliseconds
+        used.take(2).forEach { balancer.finished(it, EndpointUse.Answered(50.milliseconds), next) }
+        assertEquals(tickets.toSet(), (placed(first) + placed(dispatcher.advance(next))).toSet())
+    }
+
     /** Guards against requests that wait until their time is over although the service will not be back by then. */
     @Test
     fun `a request is rejected at once if the outage is expected to outlast its wait`() {
