Keep the expected return of a group inside its tracker

No change of behaviour: GroupReturnTest, GroupTrackerTest, DispatcherTest and the tests of the endpoint balancer pass.

--- a/decisions/src/main/kotlin/org/cicadaturn/decisions/dispatch/GroupTracker.kt
+++ b/decisions/src/main/kotlin/org/cicadaturn/decisions/dispatch/GroupTracker.kt
@@ -117,12 +117,6 @@
     /** Returns since when the group of [endpoint] has been down, or null if it is not. */
     public fun downSince(endpoint: EndpointId): Instant?
 
-    /** Returns when the group of [endpoint], which is down, can run after the start of a rank; null if none has started. */
-    public fun expectedReturn(
-        endpoint: EndpointId,
-        now: Instant,
-    ): Instant?
-
     /** Returns when the last outage of the group of [endpoint] ended; long ago if it had none. */
     public fun upSince(endpoint: EndpointId): Instant
 
--- a/decisions/src/main/kotlin/org/cicadaturn/decisions/dispatch/ReportingGroupTracker.kt
+++ b/decisions/src/main/kotlin/org/cicadaturn/decisions/dispatch/ReportingGroupTracker.kt
@@ -249,11 +249,7 @@
         markAccepting(group, now)
     }
 
-    override fun expectedReturn(
-        endpoint: EndpointId,
-        now: Instant,
-    ): Instant? = knownGroup(endpoint)?.let { expectedReturn(it, now) }
-
+    /** Returns when [group], which is down, can run after the start of a rank; null if none has started, or long ago. */
     private fun expectedReturn(
         group: Group,
         now: Instant,
--- a/decisions/src/main/kotlin/org/cicadaturn/decisions/gateway/EndpointBalancer.kt
+++ b/decisions/src/main/kotlin/org/cicadaturn/decisions/gateway/EndpointBalancer.kt
@@ -92,12 +92,6 @@
     /** Returns since when all groups of [service] have been down, or null if at least one is not. */
     public fun downSince(service: ServiceId): Instant?
 
-    /** Returns when a group of [service] that is down can run after the start of a rank; null if none has started. */
-    public fun expectedReturn(
-        service: ServiceId,
-        now: Instant,
-    ): Instant?
-
     /** Records the load that [endpoint] reported. */
     public fun loadReported(
         endpoint: EndpointId,
--- a/decisions/src/main/kotlin/org/cicadaturn/decisions/gateway/GroupOutages.kt
+++ b/decisions/src/main/kotlin/org/cicadaturn/decisions/gateway/GroupOutages.kt
@@ -10,12 +10,6 @@
     return times.maxOrNull()
 }
 
-/** Returns when the first group of [members] that is down can run after the start of a rank; null if none has started. */
-internal fun GroupTracker.expectedReturn(
-    members: List<BalancedEndpoint>,
-    now: Instant,
-): Instant? = members.mapNotNull { expectedReturn(it.endpoint.id, now) }.minOrNull()
-
 /** Returns true if a group of [members] is unreachable and none runs, as far as is known. */
 internal fun GroupTracker.areIsolated(
     members: List<BalancedEndpoint>,
--- a/decisions/src/main/kotlin/org/cicadaturn/decisions/gateway/LeastLoadBalancer.kt
+++ b/decisions/src/main/kotlin/org/cicadaturn/decisions/gateway/LeastLoadBalancer.kt
@@ -303,11 +303,6 @@
 
     override fun downSince(service: ServiceId): Instant? = groups.downSince(membersOf(service))
 
-    override fun expectedReturn(
-        service: ServiceId,
-        now: Instant,
-    ): Instant? = groups.expectedReturn(membersOf(service), now)
-
     private fun membersOf(service: ServiceId) = members.values.filter { it.endpoint.service == service }
 
     override fun loadReported(
