--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/CrashProbe.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/CrashProbe.kt
@@ -2,6 +2,7 @@
 
 import org.cicadaturn.decisions.gateway.EndpointExit
 import org.cicadaturn.decisions.gateway.FleetState
+import org.cicadaturn.schema.generated.AdmissionState
 import org.cicadaturn.schema.generated.LiveEndpoint
 
 /**
