Return to a silent endpoint also if it refuses or no other one is left

A reviewer showed two streams that were still cut with about 7 s left: one whose route allows a third endpoint, of which there is none, and one whose silent endpoint refuses once as it is asked again, as the run that was given up still holds its place there.

The request may return to a silent endpoint as soon as no other one takes it, and a refusal does not end that. It waits between refusals as before.

--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/RequestAttempts.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/RequestAttempts.kt
@@ -31,6 +31,9 @@
 
     /** Endpoints in [excluded] that were given up for their silence alone, so that they may still serve the request. */
     private val silenced = HashSet<EndpointId>()
+
+    /** True once no other endpoint takes the request, so that it may return to one of [silenced]. */
+    private var isReturnAllowed = false
     private var unsent = 0
 
     /** True if an endpoint may have run the request. */
@@ -91,7 +94,12 @@
             excluded += endpoint.id
             mayHaveRun = true
         }
-        if (result.end == AttemptEnd.STALLED) silenced += endpoint.id else silenced -= endpoint.id
+        when (result.end) {
+            AttemptEnd.STALLED -> silenced += endpoint.id
+            // The run that was given up may still hold the place of the request.
+            AttemptEnd.NOT_EXECUTED -> Unit
+            else -> silenced -= endpoint.id
+        }
         result.failure?.let { lastFailure = it }
         return result
     }
@@ -120,7 +128,7 @@
         val others =
             when {
                 progress.sends <= 1 -> tried + excluded
-                isLimitReached && silent == null -> excluded - silenced
+                (isLimitReached || isReturnAllowed) && silent == null -> excluded - silenced
                 else -> excluded
             }
         return EndpointRequest(
@@ -132,6 +140,16 @@
         )
     }
 
+    /**
+     * Lets a request that no other endpoint takes return to one that was only silent; returns false if there is none, or
+     * if this was allowed before.
+     */
+    fun allowReturn(): Boolean {
+        if (isReturnAllowed || silenced.isEmpty()) return false
+        isReturnAllowed = true
+        return true
+    }
+
     fun history(
         isAnswerBegun: Boolean,
         remaining: Duration,
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/RequestExecution.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/RequestExecution.kt
@@ -278,7 +278,7 @@
 
     /** Returns true if an answer that has begun waits for a place, as a cut is worse for its caller than the wait. */
     private fun canAwaitPlace(cause: Unavailability): Boolean =
-        answer.isBegun && cause.mayPass && holdTime() > Duration.ZERO
+        answer.isBegun && holdTime() > Duration.ZERO && (attempts.allowReturn() || cause.mayPass)
 
     private data class EndedAttempt(
         val endpoint: LiveEndpoint,
--- a/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/ReplacedEndpointTest.kt
+++ b/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/ReplacedEndpointTest.kt
@@ -45,11 +45,19 @@
             }
         }
 
-    private fun answerOf(script: (RawRequest, OutputStream) -> Boolean): RawAnswer =
+    private fun finish(
+        request: RawRequest,
+        out: OutputStream,
+    ): Boolean = out.text(streamAnswer(request, "t", event(5) + event(6)))
+
+    private fun answerOf(
+        path: String = "/long-stream/x",
+        script: (RawRequest, OutputStream) -> Boolean,
+    ): RawAnswer =
         ScriptedEndpoint(script).use { first ->
             ScriptedEndpoint(script).use { second ->
                 TestGateway(listOf(first, second), retrySlack = 10_000.0, journal = { lines += it }).use { gateway ->
-                    exchange(gateway.port, request("/long-stream/x"))
+                    exchange(gateway.port, request(path))
                 }
             }
         }
@@ -57,7 +65,7 @@
     /** Guards against a stream that is cut although the endpoint that was only silent could go on with it. */
     @Test
     fun `a stream goes on at its silent endpoint after the one that replaced it breaks off`() {
-        val answer = answerOf(script { r, out -> out.text(streamAnswer(r, "t", event(5) + event(6))) })
+        val answer = answerOf(script = script(::finish))
         assertTrue(answer.isComplete, "$lines")
         assertEquals((1..6).joinToString("") { event(it) }, answer.body, "$lines")
         assertEquals(listOf(null, "2", "4"), sends.map { it.header("Last-Event-Id") })
@@ -68,13 +76,42 @@
     fun `a stream that its silent endpoint breaks off as well is cut`() {
         val answer =
             answerOf(
-                script { r, out ->
-                    out.begin(r, 5..5)
-                    false
-                },
+                script =
+                    script { r, out ->
+                        out.begin(r, 5..5)
+                        false
+                    },
             )
         assertTrue(!answer.isComplete, "$lines")
         assertEquals((1..5).joinToString("") { event(it) }, answer.body, "$lines")
         assertEquals(3, sends.size)
     }
+
+    /** Guards against a stream that is cut as it may be sent to a further endpoint, but there is none. */
+    @Test
+    fun `a stream goes on at its silent endpoint if no other one is left`() {
+        val answer = answerOf("/three-stream/x", script(::finish))
+        assertTrue(answer.isComplete, "$lines")
+        assertEquals((1..6).joinToString("") { event(it) }, answer.body, "$lines")
+    }
+
+    /** Guards against a stream that is cut as the run that was given up still holds its place. */
+    @Test
+    fun `a silent endpoint that refuses at first is asked again`() {
+        val answer =
+            answerOf(
+                script =
+                    script { r, out ->
+                        if (sends.size == 3) {
+                            out.text(
+                                "HTTP/1.1 503 Full\r\nX-Id: ${r.id}\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n",
+                            )
+                        } else {
+                            finish(r, out)
+                        }
+                    },
+            )
+        assertTrue(answer.isComplete, "$lines")
+        assertEquals((1..6).joinToString("") { event(it) }, answer.body, "$lines")
+    }
 }
--- a/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/TestGateway.kt
+++ b/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/TestGateway.kt
@@ -286,6 +286,14 @@
                 service = streamService,
                 timeout = 9.seconds,
             ),
+            route(
+                "three-stream",
+                RouteKind.STREAM,
+                attempts = 3,
+                resumable = true,
+                service = streamService,
+                timeout = 9.seconds,
+            ),
             route("stream-once", RouteKind.STREAM, attempts = 2, service = streamService),
         )
     val configuration =
