Take a removal that the store confirms for a planned end

An entry that a peer's view lacked first counted as lapsed for good, also once the store had removed it, and so did one that had drained before. The last whole answer of such an endpoint, which refuses connections by then, was cut if it could not be asked for again.

EndpointEntries now remembers removals that only a peer told until the store confirms them while it is stable, and takes an entry that drained for one of an endpoint that leaves.

--- a/decisions/src/main/kotlin/org/cicadaturn/decisions/gateway/EndpointEntries.kt
+++ b/decisions/src/main/kotlin/org/cicadaturn/decisions/gateway/EndpointEntries.kt
@@ -32,9 +32,12 @@
     private val withheld = HashMap<EndpointId, Withheld>()
 
     private val removedWhileStable = boundedMap()
+
+    /** Start times of the endpoints in service that only a peer's view lacks; the store may confirm their removal. */
+    private val unconfirmed = boundedMap()
     private var removedCopy: Map<EndpointId, Long>? = null
 
-    /** Start times of the endpoints in service that the store removed while it was stable; copied once after a change. */
+    /** Start times of the endpoints that drained or that the store removed while it was stable; copied once after a change. */
     val removedByStore: Map<EndpointId, Long>
         get() = removedCopy ?: removedWhileStable.toMap().also { removedCopy = it }
 
@@ -82,6 +85,13 @@
             .filter { keepUntil != null || it !in kept }
             .forEach { remove(it, keepUntil, isFromStore) }
         content.forEach { put(it, isRestored, now) }
+        if (isFromStore && keepUntil == null) unconfirmed.keys.toList().forEach { confirmRemoval(it) }
+    }
+
+    private fun confirmRemoval(id: EndpointId) {
+        val startedAt = unconfirmed.remove(id) ?: return
+        removedWhileStable[id] = startedAt
+        removedCopy = null
     }
 
     /** Applies an entry that its endpoint has written in this era. */
@@ -99,6 +109,7 @@
     ) {
         val id = endpoint.id
         removed.remove(id)
+        unconfirmed.remove(id)
         if (removedWhileStable.remove(id) != null) removedCopy = null
         if (leftBefore[id].let { it != null && it != endpoint.startedAt }) leftBefore.remove(id)
         if (endpoint.state == AdmissionState.DRAINED) left[id] = endpoint.startedAt else left.remove(id)
@@ -117,7 +128,11 @@
         keepUntil: Instant?,
         isFromStore: Boolean = true,
     ) {
-        val entry = entries[id] ?: return
+        val entry = entries[id]
+        if (entry == null) {
+            if (isFromStore && keepUntil == null) confirmRemoval(id)
+            return
+        }
         val wasWithheld = withheld.remove(id) != null
         if (keepUntil != null && entry.state == AdmissionState.IN_SERVICE) {
             entries.keep(id, keepUntil)
@@ -125,10 +140,10 @@
         }
         entries.remove(id)
         if (entry.state == AdmissionState.IN_SERVICE || wasWithheld) removed[id] = entry.startedAt
-        if (isFromStore && entry.state == AdmissionState.IN_SERVICE) {
-            removedWhileStable[id] = entry.startedAt
-            removedCopy = null
-        }
+        unconfirmed[id] = entry.startedAt
+        // An endpoint that was drained has announced its end, whoever tells of the removal.
+        val wasAnnounced = entry.state == AdmissionState.DRAINED && !wasWithheld
+        if (isFromStore || wasAnnounced) confirmRemoval(id)
     }
 
     /** Removes the entries that were kept until [now] and returns them. */
--- a/decisions/src/main/kotlin/org/cicadaturn/decisions/gateway/FleetTracker.kt
+++ b/decisions/src/main/kotlin/org/cicadaturn/decisions/gateway/FleetTracker.kt
@@ -23,7 +23,7 @@
  * store lists an older configuration than the one in force, so that a newer configuration may be in force elsewhere
  * @property isKnown true once the configuration and the endpoints have been read
  * @property missingQuarantine quarantined segments that a restored store does not list
- * @property removedEndpoints start times of the endpoints in service whose entries were removed while the store was stable
+ * @property removedEndpoints start times of the endpoints that drained, or that the store removed while it was stable
  */
 public data class FleetState(
     val view: FleetView,
--- a/decisions/src/test/kotlin/org/cicadaturn/decisions/gateway/EndpointExitTest.kt
+++ b/decisions/src/test/kotlin/org/cicadaturn/decisions/gateway/EndpointExitTest.kt
@@ -99,4 +99,38 @@
         change(11, FleetChange.EndpointListed(endpoint.copy(state = AdmissionState.DRAINED)))
         assertEquals(EndpointExit.ANNOUNCED, exitAt())
     }
+
+    /** Guards against an endpoint that announces its end, leaves the list, and counts as crashed. */
+    @Test
+    fun `an entry that is removed after it has drained announces an end`() {
+        list(10, listOf(endpoint), 0.seconds)
+        change(11, FleetChange.EndpointListed(endpoint.copy(state = AdmissionState.DRAINED)))
+        change(12, FleetChange.EndpointGone(endpoint.id))
+        assertEquals(EndpointExit.REMOVED, exitAt())
+    }
+
+    /** Guards against a removal that counts as a lapse because a peer told of it before the store did. */
+    @Test
+    fun `a removal that the store confirms announces an end`() {
+        val relayed =
+            tracker.run {
+                list(10, listOf(endpoint), 0.seconds)
+                state(start).view.copy(endpoints = emptyList(), endpointsPosition = StorePosition(0, 11))
+            }
+        tracker.relayed(relayed, start)
+        assertEquals(EndpointExit.LAPSED, exitAt())
+        change(12, FleetChange.EndpointGone(endpoint.id))
+        assertEquals(EndpointExit.REMOVED, exitAt())
+    }
+
+    /** Guards against a lapse in an outage that the next list of the store seems to confirm as a removal. */
+    @Test
+    fun `a list after an outage does not confirm a removal`() {
+        list(10, listOf(endpoint), 0.seconds)
+        tracker.failed(FleetPart.ENDPOINTS, start)
+        val relayed = tracker.state(start).view.copy(endpoints = emptyList(), endpointsPosition = StorePosition(0, 11))
+        tracker.relayed(relayed, start)
+        list(12, emptyList(), 1.seconds)
+        assertEquals(EndpointExit.LAPSED, exitAt(1.seconds))
+    }
 }
