Take only a reset for a connection that the back end has accepted

A lack of file descriptors in the endpoint process fails with the same class of exception as a reset (shown by a reviewer with a program of its own), so a back end that has crashed could pass for one that accepts connections.

--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/endpoint/BodyAtClose.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/endpoint/BodyAtClose.kt
@@ -105,10 +105,11 @@
 }
 
 /**
- * Returns true if [failure] to connect is a reset behind the handshake. A refusal, a time-out, a missing route to the host
- * and a local address that cannot be used have types of their own.
+ * Returns true if [failure] to connect is a reset behind the handshake. Only its message tells it from failures without a
+ * type of their own, such as a lack of file descriptors, which say nothing about the back end.
  */
-private fun isReset(failure: IOException): Boolean = failure.javaClass == SocketException::class.java
+private fun isReset(failure: IOException): Boolean =
+    failure is SocketException && failure.message?.startsWith("Connection reset") == true
 
 /** Waits until the peer ends the connection; throws a [SocketTimeoutException] if it stays open. */
 private fun Socket.awaitEnd() {
