Wait for the failure of the second endpoint in a test of resumed streams

ChatResumeTest expected the second endpoint to be asked within 0.5 s, which only the load of the machine decides. The first endpoint now goes on once the second one has failed. What is asserted is unchanged.

--- a/daemons/src/test/kotlin/org/cicadaturn/daemons/system/ChatResumeTest.kt
+++ b/daemons/src/test/kotlin/org/cicadaturn/daemons/system/ChatResumeTest.kt
@@ -9,6 +9,8 @@
 import java.net.ServerSocket
 import java.net.Socket
 import java.util.concurrent.CopyOnWriteArrayList
+import java.util.concurrent.CountDownLatch
+import java.util.concurrent.TimeUnit
 import java.util.concurrent.atomic.AtomicInteger
 import kotlin.concurrent.thread
 import kotlin.time.Duration
@@ -38,10 +40,13 @@
         flush()
     }
 
-    /** Pauses behind its first token for so long that another endpoint is asked, sends two others and breaks off. */
+    private val hasFailed = CountDownLatch(1)
+
+    /** Pauses behind its first token until another endpoint was asked and has failed, sends two others and breaks off. */
     private fun pauseAndBreakOff(out: OutputStream) {
         out.send(streamHead + chunk(token(1)))
-        Thread.sleep((STALL * 2).inWholeMilliseconds)
+        hasFailed.await(8, TimeUnit.SECONDS)
+        Thread.sleep((STALL / 2).inWholeMilliseconds)
         out.send(chunk(token(2)) + chunk(token(3)))
         Thread.sleep((STALL / 2).inWholeMilliseconds)
     }
@@ -50,6 +55,7 @@
         val body = """{"error":"no memory"}"""
         val headers = "Content-Type: application/json\r\nContent-Length: ${body.length}"
         out.send("HTTP/1.1 500 Internal Server Error\r\n$headers\r\n\r\n$body")
+        hasFailed.countDown()
     }
 
     private fun finish(
