Take one loss of an answer under way for no evidence

If the request that caused the crash weighs no more than others that wait (25:1), 64 such streams bring its confidence from 0.20 down to 0.07, so it is not even a suspect, and its copies are sent side by side.

A request that was lost under way in one outage alone has no odds now. From the second outage on it counts as before: LossWeightsTest is unchanged.

The new case of RequestQuarantineTest failed before (Clear).

--- a/decisions/src/main/kotlin/org/cicadaturn/decisions/quarantine/Explanations.kt
+++ b/decisions/src/main/kotlin/org/cicadaturn/decisions/quarantine/Explanations.kt
@@ -148,6 +148,9 @@
     outages: List<Outage>,
     now: Instant,
 ): Double {
+    // Dozens of sound streams are under way at a crash; together they would hide the request that caused it.
+    val isUnderWay = outages.size == 1 && outages.single().likelihoodRatio(segment) <= UNDER_WAY_RATIO
+    if (isUnderWay && segment.kind == SuspectKind.REQUEST) return 0.0
     val prior = PRIOR_ODDS * crashes.maxOf { it.shareOf(segment) }
     val wasAnswered = crashes.any { it.open[segment] == SegmentHistory.ANSWERED_BEFORE }
     val halfLife = halfLife(segment.kind, outages.size)
--- a/decisions/src/main/kotlin/org/cicadaturn/decisions/quarantine/LossWeights.kt
+++ b/decisions/src/main/kotlin/org/cicadaturn/decisions/quarantine/LossWeights.kt
@@ -62,9 +62,10 @@
 
 /**
  * Likelihood ratio of a request that is lost while its answer is under way, as most answers at an endpoint are at any
- * time. A sound stream that two ordinary crashes have ended is not held back by it, a request that three have ended is.
+ * time. One loss of this kind is no evidence. A sound stream that two ordinary crashes have ended is not held back by it,
+ * a request that three have ended is.
  */
-private const val UNDER_WAY_RATIO = 4.0
+internal const val UNDER_WAY_RATIO = 4.0
 
 private class ObservedLossWeights : LossWeights {
     private class Observations {
--- a/decisions/src/test/kotlin/org/cicadaturn/decisions/quarantine/RequestQuarantineTest.kt
+++ b/decisions/src/test/kotlin/org/cicadaturn/decisions/quarantine/RequestQuarantineTest.kt
@@ -88,6 +88,23 @@
         assertClear(Request("", "third"), start + 2.seconds)
     }
 
+    /** Guards against several copies of a request that crash endpoints at once, as sound streams beside it hide it. */
+    @Test
+    fun `a request that waited for its answer is suspected beside many streams that were under way`() {
+        val bad = Request("a 1", "bad")
+        val underWay = (1..64).map { Request("", "stream $it") }
+        answer(Request("a 0", "sound"), start - 1.seconds)
+        underWay.chunked(8).forEachIndexed { i, lost ->
+            val prompts = lost.map { LostPrompt(emptyList(), UNDER_WAY_RATIO, it.digest) }
+            val report = CrashReport(ProcessId("g$i"), service, EndpointId("e"), 0L, Duration.ZERO, prompts)
+            quarantine.crashed(report, start)
+        }
+        val lost = listOf(LostPrompt(bad.segments.dropLast(1), 25.0, bad.digest))
+        quarantine.crashed(CrashReport(ProcessId("g9"), service, EndpointId("e"), 0L, Duration.ZERO, lost), start)
+        assertTrue(quarantine.verdict(bad, start) is Verdict.Suspected, "${quarantine.verdict(bad, start)}")
+        underWay.forEach { assertClear(it, start) }
+    }
+
     /** Guards against a third crash, as those that were lost beside the request share the evidence. */
     @Test
     fun `a request that two crashes found beside many others is held back, and none of the others is`() {
