Block the reader in the test of log lines at the end of a process

Its reader slept 1 ms for each line; on a busy machine that took over 4.5 ms, and the process waits for 300 ms at most, as it is meant to. So the test measured the machine.

The reader is blocked now until 100 ms after the end of the process begins, so none of the 100 lines is written before it waits, and all must be written within the rest of the time.

--- a/daemons/src/test/kotlin/org/cicadaturn/daemons/LogSetupTest.kt
+++ b/daemons/src/test/kotlin/org/cicadaturn/daemons/LogSetupTest.kt
@@ -11,6 +11,9 @@
 import java.io.ByteArrayOutputStream
 import java.io.FilterOutputStream
 import java.io.PrintStream
+import java.util.concurrent.CompletableFuture
+import java.util.concurrent.CountDownLatch
+import java.util.concurrent.TimeUnit
 
 class LogSetupTest {
     /** Guards against text lines on standard output, a wrong level, and info and debug lines of libraries. */
@@ -106,25 +109,29 @@
     @Test
     fun `queued lines are written before the process exits`() {
         val out = ByteArrayOutputStream()
-        val slow =
+        val isRead = CountDownLatch(1)
+        val blocked =
             object : FilterOutputStream(out) {
                 override fun write(
                     bytes: ByteArray,
                     offset: Int,
                     length: Int,
                 ) {
-                    Thread.sleep(1)
+                    isRead.await(5, TimeUnit.SECONDS)
                     out.write(bytes, offset, length)
                 }
             }
         val standardOutput = System.out
-        System.setOut(PrintStream(slow, true))
+        System.setOut(PrintStream(blocked, true))
         try {
             setUpLogs("info", "json")
             repeat(100) { LogManager.getLogger("org.cicadaturn.tasks").info("line {}", it) }
+            // A third of the longest wait, so that no line is written before the end of the process waits for it.
+            CompletableFuture.delayedExecutor(100, TimeUnit.MILLISECONDS).execute(isRead::countDown)
             writeQueuedLogs()
             assertEquals(100, out.toString().lines().count { it.isNotEmpty() })
         } finally {
+            isRead.countDown()
             setUpLogs("error", "text")
             System.setOut(standardOutput)
         }
