Decode one request of a caller at a time, and a head once it is whole

Seen: 200 connections that send requests ahead at paths without a route, with bodies, with 2,600 short header lines or with Expect, and read no answer, ended a gateway with exit code 3 (full heap of 64 MB). So did valid requests sent ahead, trailers without end, 1,000 heads of 3,900 short lines that never end, and a head without end.

Cause: one read of 16 kB was decoded at once, into up to 900 requests or 4,000 header lines, each of which takes up to a hundred times its bytes, and the header lines of an incomplete head or trailer were kept as objects. Each request also asked for another read.

Change: the next request is decoded when the present one has been answered; a head is kept as bytes, in a buffer of its own size, until its empty line has arrived; trailers are dropped; content of one read is delivered as one part; a read is not requested while input waits. A head may have twice the header_bytes of the configuration, with line ends, as that limit may be meant without the request line (65,536 bytes before, whatever the configuration).

--- /dev/null
+++ b/daemons/src/test/kotlin/org/cicadaturn/daemons/crowd/CrowdedGateway.kt
@@ -0,0 +1,126 @@
+package org.cicadaturn.daemons.crowd
+
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.asCoroutineDispatcher
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.runBlocking
+import kotlinx.serialization.json.Json
+import org.cicadaturn.daemons.site.BOUNDS
+import org.cicadaturn.daemons.site.GatewayAddresses
+import org.cicadaturn.daemons.site.GatewayProcess
+import org.cicadaturn.daemons.site.OK
+import org.cicadaturn.daemons.site.ObjectKey
+import org.cicadaturn.daemons.site.Roughness
+import org.cicadaturn.daemons.site.SITE_HOST
+import org.cicadaturn.daemons.site.SiteEndpoint
+import org.cicadaturn.daemons.site.SiteJournal
+import org.cicadaturn.daemons.site.StoreServer
+import org.cicadaturn.daemons.site.ZONES
+import org.cicadaturn.daemons.site.gatewayAddresses
+import org.cicadaturn.daemons.site.keyOf
+import org.cicadaturn.daemons.site.plainBehaviour
+import org.cicadaturn.daemons.site.plainBodyOf
+import org.cicadaturn.daemons.site.readHead
+import org.cicadaturn.daemons.site.readWhole
+import org.cicadaturn.daemons.site.shapeChoice
+import org.cicadaturn.daemons.site.siteConfiguration
+import org.cicadaturn.daemons.site.write
+import java.io.IOException
+import java.net.InetSocketAddress
+import java.net.Socket
+import java.nio.file.Path
+import java.util.concurrent.Executors
+import kotlin.random.Random
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.TimeSource
+
+/** Gateway process with the options of the deploy file, a store and two sound endpoints, on loopback. */
+internal class CrowdedGateway(
+    directory: Path,
+) : AutoCloseable {
+    private val dispatcher = Executors.newCachedThreadPool().asCoroutineDispatcher()
+    private val scope = CoroutineScope(SupervisorJob() + dispatcher)
+    private val store = StoreServer(scope)
+    val addresses: GatewayAddresses = gatewayAddresses(1).single()
+    private val gateway = GatewayProcess(addresses, directory, store.address, "127.0.0.1:${addresses.control}", BOUNDS)
+    private val endOfJvm = Thread { gateway.kill() }
+
+    val isAlive: Boolean get() = gateway.isAlive
+    val exitCode: Int? get() = gateway.exitCode
+    val usage: ProcessUsage by lazy { ProcessUsage(gateway.pid) }
+
+    fun start(): CrowdedGateway {
+        Runtime.getRuntime().addShutdownHook(endOfJvm)
+        store.start()
+        runBlocking {
+            val configuration = Json.parseToJsonElement(siteConfiguration(version = 1))
+            store.update { it.write(ObjectKey("config", "main"), configuration) }
+        }
+        val journal = SiteJournal()
+        repeat(ENDPOINTS) {
+            val behaviour = plainBehaviour(Random(it), Roughness.of(0.0))
+            val shapes = shapeChoice(0.0, Random(it))
+            SiteEndpoint("i-$it", ZONES[it], behaviour, store, journal, Random(it), shapes, scope).start()
+        }
+        gateway.start()
+        check(awaitAnswer(START_LIMIT)) { "the gateway served no request within $START_LIMIT" }
+        return this
+    }
+
+    /** Sends ordinary requests, each on a new connection, until one is answered; returns false if none is in [limit]. */
+    fun awaitAnswer(limit: Duration): Boolean {
+        val start = TimeSource.Monotonic.markNow()
+        while (gateway.isAlive && start.elapsedNow() < limit) {
+            if (isServed(CALL_TIMEOUT)) return true
+            Thread.sleep(RETRY_MILLIS)
+        }
+        return false
+    }
+
+    /** Returns true if an ordinary request on a new connection gets the whole answer of an endpoint in [limit]. */
+    fun isServed(limit: Duration): Boolean =
+        try {
+            Socket().use { socket ->
+                socket.connect(InetSocketAddress("127.0.0.1", addresses.front), limit.inWholeMilliseconds.toInt())
+                socket.soTimeout = limit.inWholeMilliseconds.toInt()
+                isServedOn(socket)
+            }
+        } catch (_: IOException) {
+            false
+        }
+
+    /** Returns true if an ordinary request on [socket] gets the whole answer of an endpoint. */
+    fun isServedOn(socket: Socket): Boolean {
+        socket.getOutputStream().write(ordinaryRequest())
+        val input = socket.getInputStream()
+        val head = input.readHead() ?: return false
+        val body = input.readWhole(head["Content-Length"]?.toInt() ?: 0).decodeToString()
+        return head.start.split(' ')[1] == "$OK" && body == plainBodyOf(ORDINARY_PATH)
+    }
+
+    override fun close() {
+        gateway.kill()
+        Runtime.getRuntime().removeShutdownHook(endOfJvm)
+        scope.cancel()
+        dispatcher.close()
+    }
+
+    private companion object {
+        const val ENDPOINTS = 2
+        const val RETRY_MILLIS = 200L
+        val START_LIMIT = 60.seconds
+        val CALL_TIMEOUT = 10.seconds
+    }
+}
+
+/** Path of the route whose requests are `safe`. */
+internal const val ORDINARY_PATH = "/status-read/1"
+
+/** Returns a request that the configuration of the site admits, whose answer has 800 bytes. */
+internal fun ordinaryRequest(): ByteArray =
+    (
+        "GET $ORDINARY_PATH HTTP/1.1\r\nHost: $SITE_HOST\r\nCicadaturn-Request-Id: r${Random.nextInt(1 shl 30)}\r\n" +
+            "Cicadaturn-Deadline-Ms: 1000\r\nAuthorization: Bearer ${keyOf(1)}\r\n\r\n"
+    ).encodeToByteArray()
--- a/daemons/src/test/kotlin/org/cicadaturn/daemons/site/GatewayProcesses.kt
+++ b/daemons/src/test/kotlin/org/cicadaturn/daemons/site/GatewayProcesses.kt
@@ -122,6 +122,11 @@
 
     val isAlive: Boolean get() = process?.isAlive == true
 
+    val pid: Long get() = checkNotNull(process) { "${addresses.node} has not been started" }.pid()
+
+    /** Exit code of the process, or null while it runs. */
+    val exitCode: Int? get() = process?.takeUnless { it.isAlive }?.exitValue()
+
     /** Returns true if the process says that it is ready. */
     fun isReady(): Boolean =
         try {
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/GatewayNode.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/GatewayNode.kt
@@ -244,16 +244,17 @@
         PeerService(fleet::ownView, ::pledge, quarantine::receive, limitExchange::receive, fleet::storeReport)
 
     suspend fun start() {
-        callerListener = listen(dependencies.runtime, scope, settings.listen, HEADER_BYTES) { serveCaller(it) }
-        readyListener = listen(dependencies.runtime, scope, settings.readyListen, HEADER_BYTES) { serveReady(it) }
+        callerListener = listen(dependencies.runtime, scope, settings.listen, ::callerHeadBytes) { serveCaller(it) }
+        readyListener = listen(dependencies.runtime, scope, settings.readyListen, { HEAD_BYTES }) { serveReady(it) }
         peerListener =
             listen(
                 dependencies.runtime,
                 scope,
                 settings.peerListen,
-                HEADER_BYTES,
+                { HEAD_BYTES },
             ) { servePeer(it, peerService()) }
-        adminListener = listen(dependencies.runtime, scope, file.process.adminListen, HEADER_BYTES) { admin.serve(it) }
+        adminListener =
+            listen(dependencies.runtime, scope, file.process.adminListen, { HEAD_BYTES }) { admin.serve(it) }
         startExpertBalancer(scope, fleet, lease, rankClient, dependencies.clock, supervisor)
         logger.info("gateway: {} listens on {}", file.process.id, settings.listen)
     }
@@ -293,6 +294,9 @@
         fleet.state.value.view.configuration
             ?.limits ?: CallerLimits()
 
+    /** The limit of the configuration may be meant without the request line and the line ends. */
+    private fun callerHeadBytes(): Int = 2 * limits().headerBytes
+
     private suspend fun serveCaller(link: HttpLink) {
         CallerConnection(
             link,
@@ -358,7 +362,8 @@
         /** Longest wait for the end of cancelled tasks, none of which waits for another process. */
         val MAX_CANCEL_TIME = 100.milliseconds
 
-        const val HEADER_BYTES = 65_536
+        /** Maximum size of the head of a request on the listeners that callers do not use. */
+        const val HEAD_BYTES = 16_384
         const val OK = 200
         const val UNAVAILABLE = 503
     }
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/http/HttpLink.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/http/HttpLink.kt
@@ -31,14 +31,15 @@
 import org.cicadaturn.schema.generated.Header
 import org.cicadaturn.tasks.FatalErrorHandler
 import org.cicadaturn.tasks.fatalErrorIn
+import java.io.ByteArrayOutputStream
 import java.net.SocketException
 import kotlinx.coroutines.channels.Channel as Inbox
 
 /**
  * HTTP/1.1 connection of a client or a server.
  *
- * The socket is read on demand, so that at most the content of one read buffer is decoded but not yet received. A link
- * is used by one coroutine at a time.
+ * The socket is read on demand, so that at most the content of one read buffer is decoded but not yet received, and of a
+ * client's requests at most one. A link is used by one coroutine at a time, on the event loop.
  */
 public interface HttpLink {
     /** Completes when the connection has ended for any reason. */
@@ -109,10 +110,10 @@
     private val onFatalError: FatalErrorHandler,
     private val decoder: AnswerDecoder? = null,
     private val encoder: AnswerEncoder? = null,
-    private val requestDecoder: StrictRequestDecoder? = null,
+    private val requestDecoder: RequestDecoder? = null,
 ) : ChannelInboundHandlerAdapter(),
     HttpLink {
-    // Unbounded, but filled by one read of the socket at a time, which is requested when the inbox is empty.
+    // Unbounded, but filled by one read of the socket, or with the next request, when the inbox is empty.
     private val inbox = Inbox<HttpPart>(Inbox.UNLIMITED)
 
     // A cancelled receive from a channel may lose its element, so a wait only takes a signal and never a part.
@@ -120,6 +121,9 @@
     private val ended = CompletableDeferred<Unit>()
     private var pending = 0
 
+    /** Content that has arrived but was not delivered yet. */
+    private var pieces = ByteArrayOutputStream(0)
+
     /** How the connection has ended, if not by the other side closing it. */
     private var otherEnd: ConnectionEnd? = null
 
@@ -143,11 +147,19 @@
             val ready = inbox.tryReceive()
             ready.getOrNull()?.let { return received(it) }
             if (ready.isClosed) return null
+            decodeNext()
+            if (pending > 0) continue
             channel.read()
             arrivals.receiveCatching()
         }
     }
 
+    /** Decodes what has arrived of the next request of a client. */
+    private fun decodeNext() {
+        requestDecoder?.decodeNext(channel.pipeline().context(requestDecoder))
+        deliverData()
+    }
+
     private fun received(part: HttpPart): HttpPart {
         pending -= 1
         if (part is HttpPart.Request) encoder?.isHeadRequest = part.head.method == "HEAD"
@@ -155,7 +167,8 @@
     }
 
     override fun readAhead() {
-        channel.read()
+        // Further requests that have arrived are not added to while they wait.
+        if (requestDecoder?.isWithinRequest != true) channel.read()
     }
 
     override fun channelRead(
@@ -171,9 +184,8 @@
 
     private fun handle(message: HttpObject) {
         val failure = message.decoderResult().cause()
-        if (failure !=
-            null
-        ) {
+        if (failure != null) {
+            deliverData()
             return deliver(HttpPart.Malformed(failure.message ?: failure.toString(), statusOf(failure)))
         }
         if (message is HttpRequest) deliver(HttpPart.Request(requestHead(message)))
@@ -182,12 +194,26 @@
     }
 
     private fun handleContent(message: HttpContent) {
-        if (message.content().isReadable) deliver(HttpPart.Data(ByteBufUtil.getBytes(message.content())))
+        if (message.content().isReadable) pieces.writeBytes(ByteBufUtil.getBytes(message.content()))
         if (message is LastHttpContent) deliverEnd()
     }
 
+    override fun channelReadComplete(context: ChannelHandlerContext) {
+        deliverData()
+    }
+
+    /** Delivers the content that has arrived as one part, as chunks may have one byte each. */
+    private fun deliverData() {
+        if (pieces.size() == 0) return
+        val bytes = pieces.toByteArray()
+        // The next piece may be small, and a buffer does not shrink.
+        pieces = ByteArrayOutputStream(0)
+        deliver(HttpPart.Data(bytes))
+    }
+
     /** The decoder also reports an end if a body without a length is cut, by a reset or as this process ends it. */
     private fun deliverEnd() {
+        deliverData()
         when {
             decoder == null || !decoder.hasEnded -> deliver(HttpPart.End)
             end == ConnectionEnd.CLOSED_BY_ENDPOINT -> deliver(HttpPart.EndByClose)
@@ -209,6 +235,7 @@
     }
 
     override fun channelInactive(context: ChannelHandlerContext) {
+        deliverData()
         inbox.close()
         arrivals.close()
         ended.complete(Unit)
--- /dev/null
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/http/RequestDecoder.kt
@@ -0,0 +1,151 @@
+package org.cicadaturn.tasks.http
+
+import io.netty.buffer.ByteBuf
+import io.netty.buffer.Unpooled
+import io.netty.channel.ChannelHandlerContext
+import io.netty.handler.codec.DecoderResult
+import io.netty.handler.codec.http.DefaultHttpHeaders
+import io.netty.handler.codec.http.HttpDecoderConfig
+import io.netty.handler.codec.http.HttpHeaders
+import io.netty.handler.codec.http.HttpHeadersFactory
+import io.netty.handler.codec.http.HttpMessage
+import io.netty.handler.codec.http.HttpRequestDecoder
+import io.netty.handler.codec.http.LastHttpContent
+import io.netty.handler.codec.http.TooLongHttpHeaderException
+import io.netty.util.ByteProcessor
+
+/**
+ * Decoder of the requests on a connection. It refuses requests with an ambiguous length, which would allow request
+ * smuggling.
+ *
+ * One request is decoded at a time, and the next one only after [decodeNext]: bytes of requests that were sent ahead
+ * become many times as large when they are decoded. A head is decoded once all of it has arrived.
+ *
+ * @param headBytes returns the maximum size of a head in bytes, with its line ends
+ */
+internal class RequestDecoder(
+    private val headBytes: () -> Int,
+) : HttpRequestDecoder(
+        HttpDecoderConfig()
+            .setMaxInitialLineLength(MAX_DECODED_HEAD_BYTES)
+            .setMaxHeaderSize(MAX_DECODED_HEAD_BYTES)
+            .setChunkedSupported(true)
+            .setTrailersFactory(DroppedHeadersFactory)
+            .setAllowDuplicateContentLengths(false),
+    ) {
+    private enum class Stage {
+        HEAD,
+        BODY,
+
+        /** A request has been decoded, and the next one is not wanted yet. */
+        COMPLETE,
+
+        /** The input is not a request, and what follows cannot be told from it. */
+        UNREADABLE,
+    }
+
+    private val scan = HeadScan()
+    private var stage = Stage.HEAD
+    private var blankBytes = 0
+    private var hasDecoded = false
+
+    init {
+        setCumulator(CompactCumulator)
+    }
+
+    /** True if bytes of a request have arrived, but not its end. */
+    val isWithinRequest: Boolean
+        get() = stage == Stage.BODY || (actualReadableBytes() > 0 && hasRequestBytes(internalBuffer()))
+
+    /** Decodes the next request as far as it has arrived; called when the present one has been taken. */
+    fun decodeNext(context: ChannelHandlerContext) {
+        if (stage != Stage.COMPLETE) return
+        stage = Stage.HEAD
+        blankBytes = 0
+        if (actualReadableBytes() > 0) channelRead(context, Unpooled.EMPTY_BUFFER)
+    }
+
+    override fun channelReadComplete(context: ChannelHandlerContext) {
+        discardSomeReadBytes()
+        // Bytes of a request that is not complete are followed by others. More bytes than those of one read do not
+        // accumulate behind a request that is in progress.
+        if (!hasDecoded && stage != Stage.COMPLETE) context.read()
+        hasDecoded = false
+        context.fireChannelReadComplete()
+    }
+
+    override fun decode(
+        context: ChannelHandlerContext,
+        buffer: ByteBuf,
+        out: MutableList<Any>,
+    ) {
+        when (stage) {
+            Stage.HEAD -> decodeHead(context, buffer, out)
+            Stage.BODY -> super.decode(context, buffer, out)
+            Stage.COMPLETE -> return
+            Stage.UNREADABLE -> buffer.skipBytes(buffer.readableBytes())
+        }
+        if (out.isNotEmpty()) hasDecoded = true
+        if (out.lastOrNull() is LastHttpContent) stage = Stage.COMPLETE
+    }
+
+    private fun decodeHead(
+        context: ChannelHandlerContext,
+        buffer: ByteBuf,
+        out: MutableList<Any>,
+    ) {
+        skipLineEnds(buffer)
+        val length = scan.lengthIn(buffer)
+        val limit = headBytes()
+        if (maxOf(length, blankBytes) > limit || (length < 0 && buffer.readableBytes() > limit)) {
+            return refuse(buffer, out, TooLongHttpHeaderException("head over $limit bytes"))
+        }
+        if (length < 0) return
+        scan.reset()
+        val head = buffer.readSlice(length)
+        stage = Stage.BODY
+        super.decode(context, head, out)
+        // Blanks and control characters before a request line form no head of their own.
+        if (out.isEmpty()) stage = Stage.HEAD
+    }
+
+    /** Skips line ends before a request, which older clients send after a body. */
+    private fun skipLineEnds(buffer: ByteBuf) {
+        val first = buffer.forEachByte(ByteProcessor.FIND_NON_CRLF)
+        val count = if (first < 0) buffer.readableBytes() else first - buffer.readerIndex()
+        buffer.skipBytes(count)
+        blankBytes += count
+    }
+
+    private fun refuse(
+        buffer: ByteBuf,
+        out: MutableList<Any>,
+        cause: Exception,
+    ) {
+        stage = Stage.UNREADABLE
+        buffer.skipBytes(buffer.readableBytes())
+        out += createInvalidMessage().also { it.decoderResult = DecoderResult.failure(cause) }
+    }
+
+    private fun hasRequestBytes(buffer: ByteBuf): Boolean = buffer.forEachByte(ByteProcessor.FIND_NON_CRLF) >= 0
+
+    override fun handleTransferEncodingChunkedWithContentLength(message: HttpMessage): Unit =
+        throw IllegalArgumentException("both Transfer-Encoding and Content-Length; send one of them")
+}
+
+/** Headers that keep nothing. Trailers are not passed on, and thousands of short ones would take memory until their end. */
+private class DroppedHeaders : DefaultHttpHeaders() {
+    override fun add(
+        name: CharSequence?,
+        value: Any?,
+    ): HttpHeaders = this
+}
+
+private object DroppedHeadersFactory : HttpHeadersFactory {
+    override fun newHeaders(): HttpHeaders = DroppedHeaders()
+
+    override fun newEmptyHeaders(): HttpHeaders = DroppedHeaders()
+}
+
+/** Limit of the decoder for a line and for all lines of a head; heads that are longer are refused before. */
+private const val MAX_DECODED_HEAD_BYTES = 131_072
--- a/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/ForeignPeerAnswerTest.kt
+++ b/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/ForeignPeerAnswerTest.kt
@@ -162,7 +162,7 @@
             runBlocking(runtime.dispatcher) {
                 val scope = CoroutineScope(SupervisorJob() + runtime.dispatcher)
                 val listener =
-                    listen(runtime, scope, NetworkAddress("127.0.0.1", 0), HEADER_BYTES) { servePeer(it, service) }
+                    listen(runtime, scope, NetworkAddress("127.0.0.1", 0), { HEADER_BYTES }) { servePeer(it, service) }
                 val peer = GatewayPeer(ProcessId("g"), listener.address, FailureDomainId("a"))
                 calls.filter { it.isBelieved(peer) }.map { it.name }.also {
                     listener.close()
@@ -194,7 +194,7 @@
             runBlocking(runtime.dispatcher) {
                 val scope = CoroutineScope(SupervisorJob() + runtime.dispatcher)
                 val listener =
-                    listen(runtime, scope, NetworkAddress("127.0.0.1", 0), HEADER_BYTES) { servePeer(it, service) }
+                    listen(runtime, scope, NetworkAddress("127.0.0.1", 0), { HEADER_BYTES }) { servePeer(it, service) }
                 withContext(Dispatchers.IO) { requests.map { headOf(listener.address.port, it) } }.also {
                     listener.close()
                     scope.cancel()
