Limit what the connections of callers hold together

Seen: 1,000 callers that each send a legal head of 3,900 short lines and no body ended a gateway with exit code 3. 200 callers that send a body in chunks of one byte kept it busy: no request was served while they lasted, and their connections were open a minute after they had left.

Cause: nothing limited connections, heads and input over all connections. A head that had begun had the idle time and the header time, a body had no time of its own, and an answer that nobody reads was awaited for ever. A body for which there was no memory was still decoded to its end.

Change: ConnectionBudget decides on connections, input, heads and small bodies of all callers within the settings connection-memory (16 MB) and descriptors (a caller gets a connection while half of them, without 200 for files, are not used up). The connection that holds most is closed first; a quarter of the memory is left to requests of usual size; a connection whose request is in progress is not closed; new connections replace only those without an admitted request. A head must be complete within header_timeout_ms of its first byte, a body within the longest time-out of a route, and an answer that is not read for idle_timeout_ms ends its connection. A request without memory gets 503 with Retry-After, and the rest of its body is dropped without being decoded. Losses are counted by reason and logged once in 10 s.

The header that fills in descriptors is a new field of the settings template; GatewayTemplateTest tests it with fractions as the bounds.

--- a/daemons/src/test/kotlin/org/cicadaturn/daemons/crowd/CrowdedGateway.kt
+++ b/daemons/src/test/kotlin/org/cicadaturn/daemons/crowd/CrowdedGateway.kt
@@ -36,10 +36,17 @@
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.TimeSource
 
-/** Gateway process with the options of the deploy file, a store and two sound endpoints, on loopback. */
+/**
+ * Gateway process with the options of the deploy file, a store and two sound endpoints, on loopback.
+ *
+ * @param configuration content of the object config/main
+ * @param faultyAnswer what an endpoint of the service of streams sends on each connection; null if there is none
+ */
 internal class CrowdedGateway(
-    directory: Path,
+    private val configuration: String = siteConfiguration(version = 1),
+    private val faultyAnswer: CrowdScript? = null,
 ) : AutoCloseable {
+    val directory: Path = CrowdCheck.emptyDirectory()
     private val dispatcher = Executors.newCachedThreadPool().asCoroutineDispatcher()
     private val scope = CoroutineScope(SupervisorJob() + dispatcher)
     private val store = StoreServer(scope)
@@ -55,9 +62,10 @@
         Runtime.getRuntime().addShutdownHook(endOfJvm)
         store.start()
         runBlocking {
-            val configuration = Json.parseToJsonElement(siteConfiguration(version = 1))
-            store.update { it.write(ObjectKey("config", "main"), configuration) }
+            val document = Json.parseToJsonElement(configuration)
+            store.update { it.write(ObjectKey("config", "main"), document) }
         }
+        faultyAnswer?.let { FaultyEndpoint(it, store, scope).start() }
         val journal = SiteJournal()
         repeat(ENDPOINTS) {
             val behaviour = plainBehaviour(Random(it), Roughness.of(0.0))
--- a/daemons/src/test/kotlin/org/cicadaturn/daemons/site/GatewayProcesses.kt
+++ b/daemons/src/test/kotlin/org/cicadaturn/daemons/site/GatewayProcesses.kt
@@ -53,6 +53,9 @@
         false
     }
 
+/** Descriptors of a machine of the deployment premia-ne. */
+internal const val MACHINE_DESCRIPTORS = 4_100
+
 /** Gateway that runs as the process that the deploy file starts, with its log in [directory]. */
 internal class GatewayProcess(
     val addresses: GatewayAddresses,
@@ -74,6 +77,7 @@
                         "ip" to "127.0.0.1",
                         "internal_ports.0" to "${addresses.admin}",
                         "provider.address" to storeAddress,
+                        "limits.max_fds" to "$MACHINE_DESCRIPTORS",
                         "listen.front" to "127.0.0.1:${addresses.front}",
                         "listen.ready" to "127.0.0.1:${addresses.ready}",
                         "listen.control" to "127.0.0.1:${addresses.control}",
--- a/daemons/src/test/kotlin/org/cicadaturn/daemons/site/SiteConfiguration.kt
+++ b/daemons/src/test/kotlin/org/cicadaturn/daemons/site/SiteConfiguration.kt
@@ -27,9 +27,13 @@
         "budget_window_s" to "10",
     )
 
-/** Returns the content of the object config/main with all routes. */
-internal fun siteConfiguration(version: Int): String {
-    val routes = DEMANDS.joinToString(",", transform = ::routeOf)
+/** Returns the content of the object config/main with all routes, and [extraRoutes] that no caller uses. */
+internal fun siteConfiguration(
+    version: Int,
+    extraRoutes: Int = 0,
+): String {
+    val extra = List(extraRoutes) { DEMANDS.last().copy(route = "extra-$it") }
+    val routes = (DEMANDS + extra).joinToString(",", transform = ::routeOf)
     val tenants = (0 until TENANTS).joinToString(",") { """{"name":"tenant-$it","api_keys":["${keyOf(it)}"]}""" }
     val engine =
         """{"sets":$SETS,"experts":$EXPERTS,"placements":8,"spare":8,""" +
--- a/decisions/src/main/kotlin/org/cicadaturn/decisions/gateway/RouteTable.kt
+++ b/decisions/src/main/kotlin/org/cicadaturn/decisions/gateway/RouteTable.kt
@@ -3,12 +3,16 @@
 import org.cicadaturn.schema.generated.OrganisationId
 import org.cicadaturn.schema.generated.Route
 import org.cicadaturn.schema.generated.RoutingConfiguration
+import kotlin.time.Duration
 
 /** Index of one configuration that decides which requests are admitted. */
 public interface RouteTable {
     /** Configuration that the index was built from. */
     public val configuration: RoutingConfiguration
 
+    /** Longest time-out of a route; zero if there are none. */
+    public val longestTimeout: Duration
+
     /**
      * Returns whether a request to [path] of [host] with bearer key [key] is served, and by which route.
      *
@@ -54,6 +58,8 @@
         val priority: Int?,
     )
 
+    override val longestTimeout: Duration = configuration.routes.maxOfOrNull { it.timeout } ?: Duration.ZERO
+
     private val routes: Map<String, List<Route>> =
         configuration.routes
             .groupBy { it.host.lowercase() }
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/CallerConnection.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/CallerConnection.kt
@@ -5,23 +5,34 @@
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.selects.select
 import kotlinx.coroutines.withTimeoutOrNull
+import org.cicadaturn.decisions.connection.ConnectionUse
 import org.cicadaturn.schema.generated.CallerLimits
+import org.cicadaturn.schema.generated.Header
+import org.cicadaturn.tasks.http.ConnectionLoss
 import org.cicadaturn.tasks.http.HttpLink
 import org.cicadaturn.tasks.http.HttpPart
 import org.cicadaturn.tasks.http.RequestHead
 import org.cicadaturn.tasks.http.ResponseHead
+import org.cicadaturn.tasks.http.receiveRequest
 import org.cicadaturn.tasks.http.valueOf
 import java.io.ByteArrayOutputStream
 import kotlin.time.Clock
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.DurationUnit
 
-/** Serves the requests of one caller connection in sequence. */
+/**
+ * Serves the requests of one caller connection in sequence.
+ *
+ * @param longestRequest returns the longest time that a request may take
+ */
 internal class CallerConnection(
     private val link: HttpLink,
     private val handler: RequestHandler,
     private val ends: RequestEndLog,
     private val clock: Clock,
     private val limits: () -> CallerLimits,
+    private val longestRequest: () -> Duration,
     private val tracker: RequestTracker,
     private val memory: BodyMemory,
 ) {
@@ -62,14 +73,15 @@
     private suspend fun awaitRequest(): HttpPart? {
         val bounds = limits()
         val isClosing = tracker.drainStarted.isCompleted && !link.hasRequest
-        val part = if (isClosing) withTimeoutOrNull(LAST_REQUEST_TIME) { link.receive() } else null
-        // A request of which the beginning has arrived meanwhile is still read.
-        if (part != null || (isClosing && !link.hasRequest)) return part
-        return withTimeoutOrNull(bounds.idleTimeout + bounds.headerTimeout) { link.receive() }
+        // A request of which the beginning has arrived in time is still read.
+        val idleTimeout = if (isClosing) LAST_REQUEST_TIME else bounds.idleTimeout + bounds.headerTimeout
+        return link.receiveRequest(idleTimeout, bounds.headerTimeout)
     }
 
     private suspend fun sendError(status: Int) {
-        link.sendResponse(ResponseHead(status, emptyList(), closesConnection = true), ByteArray(0))
+        val retry = Header("Retry-After", DEFAULT_RETRY_DELAY.toDouble(DurationUnit.SECONDS).toString())
+        val headers = if (status == UNAVAILABLE) listOf(retry) else emptyList()
+        link.sendResponse(ResponseHead(status, headers, closesConnection = true), ByteArray(0))
     }
 
     /** Returns true if the connection can be used for another request. */
@@ -80,7 +92,7 @@
         ) {
             return false.also { sendError(BAD_REQUEST) }
         }
-        if (head.headers.valueOf("Expect") != null) link.sendContinue()
+        if (head.headers.valueOf("Expect") != null && !link.sendContinue()) return false
         val answer = CallerAnswer(link, tracker::asksToReconnect, head.closesConnection, clock)
         val progress = RequestProgress(arrivedAt = clock.now())
         val onStop =
@@ -101,19 +113,47 @@
         progress: RequestProgress,
         reservation: BodyMemory.Reservation,
     ): Boolean =
-        when (val received = receiveBody(head, limits(), reservation)) {
+        when (val received = receiveInTime(head, reservation)) {
             is ReceivedBody.Complete ->
                 answer(CallerRequest(head, received.bytes, progress.arrivedAt), answer, progress)
             ReceivedBody.TooLong -> false.also { sendError(TOO_LARGE) }
             ReceivedBody.NoMemory -> {
-                val end = answer.refuse(DEFAULT_RETRY_DELAY, "the memory for bodies is used up")
-                ends.record(head, progress, answer.sentEvents, end)
-                end.keepsConnection
+                reservation.close()
+                refuseBody(head, progress)
+                false
             }
             is ReceivedBody.Malformed -> false.also { sendError(received.status) }
             ReceivedBody.Cut -> false
         }
 
+    /**
+     * Refuses a request for whose body there is no memory. The rest of the body is read without being decoded, as a
+     * connection that is closed with unread input may take the answer with it.
+     */
+    private suspend fun refuseBody(
+        head: RequestHead,
+        progress: RequestProgress,
+    ) {
+        link.account?.lost(ConnectionLoss.NO_MEMORY)
+        link.discardInput()
+        val answer = CallerAnswer(link, tracker::asksToReconnect, callerCloses = true, clock)
+        val end = answer.refuse(DEFAULT_RETRY_DELAY, "the memory for bodies is used up")
+        ends.record(head, progress, answer.sentEvents, end)
+        withTimeoutOrNull(limits().idleTimeout) { link.closed.await() }
+    }
+
+    /** A body that takes longer than the longest request may take is not awaited, as its memory would be held for ever. */
+    private suspend fun receiveInTime(
+        head: RequestHead,
+        reservation: BodyMemory.Reservation,
+    ): ReceivedBody {
+        val bounds = limits()
+        val limit = maxOf(bounds.idleTimeout, longestRequest())
+        val received = withTimeoutOrNull(limit) { receiveBody(head, bounds, reservation) }
+        if (received == null) link.account?.lost(ConnectionLoss.SLOW_BODY)
+        return received ?: ReceivedBody.Cut
+    }
+
     private suspend fun receiveBody(
         head: RequestHead,
         bounds: CallerLimits,
@@ -121,7 +161,7 @@
     ): ReceivedBody {
         val length = head.headers.valueOf("Content-Length")?.toIntOrNull() ?: 0
         val expected = length.coerceAtMost(bounds.bodyBytes)
-        if (!reservation.growTo(expected, MEMORY_WAIT)) return discardBody(bounds)
+        if (!reservation.growTo(expected, MEMORY_WAIT)) return ReceivedBody.NoMemory
         val body = BodyBuffer(expected)
         while (body.size() <= bounds.bodyBytes) {
             when (val part = withTimeoutOrNull(bounds.idleTimeout) { link.receive() }) {
@@ -129,7 +169,7 @@
                     if (reservation.tryGrowTo(body.size() + part.bytes.size)) {
                         body.write(part.bytes)
                     } else {
-                        return discardBody(bounds)
+                        return ReceivedBody.NoMemory
                     }
                 HttpPart.End -> return ReceivedBody.Complete(body.bytes())
                 is HttpPart.Malformed -> return ReceivedBody.Malformed(part.status)
@@ -139,20 +179,6 @@
         return ReceivedBody.TooLong
     }
 
-    /** Reads the rest of a body without keeping it, as a connection closed before would take the answer with it. */
-    private suspend fun discardBody(bounds: CallerLimits): ReceivedBody {
-        var discarded = 0
-        while (discarded <= bounds.bodyBytes) {
-            when (val part = withTimeoutOrNull(bounds.idleTimeout) { link.receive() }) {
-                is HttpPart.Data -> discarded += part.bytes.size
-                HttpPart.End -> return ReceivedBody.NoMemory
-                is HttpPart.Malformed -> return ReceivedBody.Malformed(part.status)
-                else -> return ReceivedBody.Cut
-            }
-        }
-        return ReceivedBody.TooLong
-    }
-
     /** Answers [request] and cancels the work for it as soon as the caller closes the connection. */
     private suspend fun answer(
         request: CallerRequest,
@@ -161,6 +187,7 @@
     ): Boolean =
         coroutineScope {
             link.readAhead()
+            link.account?.use = ConnectionUse.SERVING
             val work = async { handler.handle(request, answer, progress) }
             val end =
                 select {
@@ -168,12 +195,15 @@
                     link.closed.onAwait { null }
                 } ?: callerLeft().also { work.cancel() }
             ends.record(request.head, progress, answer.sentEvents, end)
+            link.account?.use = ConnectionUse.WAITING
+            if (end.outcome == RequestOutcome.ANSWERED && progress.service != null) link.account?.admitted()
             end.keepsConnection
         }
 
     private companion object {
         const val BAD_REQUEST = 400
         const val TOO_LARGE = 413
+        const val UNAVAILABLE = 503
 
         /**
          * Time for which a connection stays open after an answer that began before the stop and did not announce its
@@ -194,7 +224,7 @@
 
     data object TooLong : ReceivedBody
 
-    /** The body was read but not kept, as the memory for bodies was used up. */
+    /** The memory for bodies is used up. */
     data object NoMemory : ReceivedBody
 
     class Malformed(
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/GatewayAdmin.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/GatewayAdmin.kt
@@ -16,7 +16,6 @@
 import org.cicadaturn.schema.generated.Header
 import org.cicadaturn.schema.generated.SegmentStatus
 import org.cicadaturn.tasks.http.HttpLink
-import org.cicadaturn.tasks.http.HttpPart
 import org.cicadaturn.tasks.http.ResponseHead
 import java.io.ByteArrayOutputStream
 
@@ -32,12 +31,10 @@
     /** Answers the requests on [link] until the connection ends. */
     suspend fun serve(link: HttpLink) {
         while (true) {
-            val request = link.receive() ?: return
-            if (request is HttpPart.Malformed) return
-            if (request !is HttpPart.Request) continue
-            val (status, type, body) = answerTo(request.head.path)
-            val head = ResponseHead(status, listOf(Header("Content-Type", type)), request.head.closesConnection)
-            if (!link.sendResponse(head, body) || request.head.closesConnection) return
+            val request = link.receiveInternalRequest()?.head ?: return
+            val (status, type, body) = answerTo(request.path)
+            val head = ResponseHead(status, listOf(Header("Content-Type", type)), request.closesConnection)
+            if (!link.sendResponse(head, body) || request.closesConnection) return
         }
     }
 
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/GatewayNode.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/GatewayNode.kt
@@ -10,6 +10,7 @@
 import kotlinx.coroutines.withContext
 import kotlinx.coroutines.withTimeoutOrNull
 import org.apache.logging.log4j.LogManager
+import org.cicadaturn.decisions.connection.ConnectionLimits
 import org.cicadaturn.decisions.dispatch.GroupReport
 import org.cicadaturn.decisions.dispatch.dispatcher
 import org.cicadaturn.decisions.experts.placementLease
@@ -28,6 +29,7 @@
 import org.cicadaturn.schema.generated.FailureDomainId
 import org.cicadaturn.schema.generated.GatewayFile
 import org.cicadaturn.schema.generated.GatewayPeer
+import org.cicadaturn.schema.generated.GatewaySettings
 import org.cicadaturn.schema.generated.LiveEndpoint
 import org.cicadaturn.schema.generated.NetworkAddress
 import org.cicadaturn.schema.generated.PledgeAnswer
@@ -45,13 +47,15 @@
 import org.cicadaturn.tasks.http.HttpConnector
 import org.cicadaturn.tasks.http.HttpLink
 import org.cicadaturn.tasks.http.HttpListener
-import org.cicadaturn.tasks.http.HttpPart
 import org.cicadaturn.tasks.http.HttpRuntime
+import org.cicadaturn.tasks.http.ListenerBounds
 import org.cicadaturn.tasks.http.ResponseHead
+import org.cicadaturn.tasks.http.connectionAccounts
 import org.cicadaturn.tasks.http.httpConnector
 import org.cicadaturn.tasks.http.listen
 import kotlin.random.Random
 import kotlin.time.Clock
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.Instant
@@ -91,6 +95,19 @@
     return node
 }
 
+/** Returns the limits on the connections of callers; the other half of the descriptors is for connections to endpoints. */
+private fun callerLimits(settings: GatewaySettings): ConnectionLimits =
+    ConnectionLimits(
+        connections = ((settings.descriptors.toInt() - FILE_DESCRIPTORS) / 2).coerceAtLeast(MIN_CALLER_CONNECTIONS),
+        bytes = settings.connectionMemory.toLong(),
+    )
+
+/** Descriptors for files and listeners. */
+private const val FILE_DESCRIPTORS = 200
+
+/** Connections of callers that a process takes however few descriptors it is said to have. */
+private const val MIN_CALLER_CONNECTIONS = 16
+
 private class GatewayNode(
     private val file: GatewayFile,
     private val dependencies: GatewayDependencies,
@@ -172,6 +189,12 @@
             ),
         )
     private var routes: RouteTable? = null
+    private val connectionMetrics = ConnectionMetrics(registry, dependencies.clock)
+    private val callerAccounts =
+        connectionAccounts(callerLimits(settings)) { connectionMetrics.lost("callers", it) }
+
+    // Platform, peers and operators connect to these listeners, so they have little of the memory to themselves.
+    private val otherAccounts = connectionAccounts(OTHER_LIMITS) { connectionMetrics.lost("others", it) }
     private lateinit var callerListener: HttpListener
     private lateinit var readyListener: HttpListener
     private lateinit var peerListener: HttpListener
@@ -244,17 +267,13 @@
         PeerService(fleet::ownView, ::pledge, quarantine::receive, limitExchange::receive, fleet::storeReport)
 
     suspend fun start() {
-        callerListener = listen(dependencies.runtime, scope, settings.listen, ::callerHeadBytes) { serveCaller(it) }
-        readyListener = listen(dependencies.runtime, scope, settings.readyListen, { HEAD_BYTES }) { serveReady(it) }
-        peerListener =
-            listen(
-                dependencies.runtime,
-                scope,
-                settings.peerListen,
-                { HEAD_BYTES },
-            ) { servePeer(it, peerService()) }
-        adminListener =
-            listen(dependencies.runtime, scope, file.process.adminListen, { HEAD_BYTES }) { admin.serve(it) }
+        val runtime = dependencies.runtime
+        val forCallers = ListenerBounds(::callerHeadBytes, { limits().idleTimeout }, callerAccounts)
+        val forOthers = ListenerBounds({ HEAD_BYTES }, { OTHER_TIMEOUT }, otherAccounts)
+        callerListener = listen(runtime, scope, settings.listen, forCallers) { serveCaller(it) }
+        readyListener = listen(runtime, scope, settings.readyListen, forOthers) { serveReady(it) }
+        peerListener = listen(runtime, scope, settings.peerListen, forOthers) { servePeer(it, peerService()) }
+        adminListener = listen(runtime, scope, file.process.adminListen, forOthers) { admin.serve(it) }
         startExpertBalancer(scope, fleet, lease, rankClient, dependencies.clock, supervisor)
         logger.info("gateway: {} listens on {}", file.process.id, settings.listen)
     }
@@ -294,6 +313,8 @@
         fleet.state.value.view.configuration
             ?.limits ?: CallerLimits()
 
+    private fun longestRequest(): Duration = table()?.longestTimeout ?: Duration.ZERO
+
     /** The limit of the configuration may be meant without the request line and the line ends. */
     private fun callerHeadBytes(): Int = 2 * limits().headerBytes
 
@@ -304,6 +325,7 @@
             requestEnds,
             dependencies.clock,
             ::limits,
+            ::longestRequest,
             shutdown,
             memory,
         ).serve()
@@ -311,18 +333,16 @@
 
     private suspend fun serveReady(link: HttpLink) {
         while (true) {
-            val request = link.receive() ?: return
-            if (request is HttpPart.Malformed) return
-            if (request !is HttpPart.Request) continue
+            val request = link.receiveInternalRequest()?.head ?: return
             val status = if (isReady()) OK else UNAVAILABLE
             if (!link.sendResponse(
-                    ResponseHead(status, emptyList(), request.head.closesConnection),
+                    ResponseHead(status, emptyList(), request.closesConnection),
                     ByteArray(0),
                 )
             ) {
                 return
             }
-            if (request.head.closesConnection) return
+            if (request.closesConnection) return
         }
     }
 
@@ -364,6 +384,15 @@
 
         /** Maximum size of the head of a request on the listeners that callers do not use. */
         const val HEAD_BYTES = 16_384
+
+        /**
+         * Connections to these listeners: 349 peers at the design size, each with a watch and a message at a time, and
+         * those of the platform and of operators.
+         */
+        val OTHER_LIMITS = ConnectionLimits(connections = 1_024, bytes = 8L * 1024 * 1024)
+
+        /** Longest time for which a client of these listeners may read nothing of an answer. */
+        val OTHER_TIMEOUT = 10.seconds
         const val OK = 200
         const val UNAVAILABLE = 503
     }
--- /dev/null
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/InternalRequests.kt
@@ -0,0 +1,43 @@
+package org.cicadaturn.tasks.gateway
+
+import kotlinx.coroutines.withTimeoutOrNull
+import org.cicadaturn.tasks.http.HttpLink
+import org.cicadaturn.tasks.http.HttpPart
+import org.cicadaturn.tasks.http.RequestHead
+import org.cicadaturn.tasks.http.receiveRequest
+import java.io.ByteArrayOutputStream
+import kotlin.time.Duration.Companion.seconds
+
+/** Request of the platform, a peer or an operator. */
+internal class InternalRequest(
+    val head: RequestHead,
+    val body: ByteArray,
+)
+
+/** Returns the next request of the platform, a peer or an operator; null if there is none or it cannot be read. */
+internal suspend fun HttpLink.receiveInternalRequest(): InternalRequest? {
+    val part = receiveRequest(IDLE_TIMEOUT, REQUEST_TIMEOUT) as? HttpPart.Request ?: return null
+    return withTimeoutOrNull(REQUEST_TIMEOUT) { receiveBody() }?.let { InternalRequest(part.head, it) }
+}
+
+/** Returns the body of a request, or null if it is incomplete or too long. */
+private suspend fun HttpLink.receiveBody(): ByteArray? {
+    val body = ByteArrayOutputStream()
+    while (true) {
+        when (val part = receive()) {
+            HttpPart.End -> return body.toByteArray()
+            is HttpPart.Data -> body.write(part.bytes)
+            else -> return null
+        }
+        if (body.size() > MAX_BODY_BYTES) return null
+    }
+}
+
+/** Longest body of a request in bytes; news about a crash with 16 prompts of 64 long segments have 70 kB. */
+private const val MAX_BODY_BYTES = 256 * 1024
+
+/** Time after which an idle connection is closed; metrics are usually collected each minute. */
+private val IDLE_TIMEOUT = 90.seconds
+
+/** Time for the head of a request, and for its body; a peer gives up earlier. */
+private val REQUEST_TIMEOUT = 3.seconds
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/PeerRelay.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/PeerRelay.kt
@@ -21,7 +21,6 @@
 import org.cicadaturn.schema.generated.StoreReportRequest
 import org.cicadaturn.tasks.http.HttpConnector
 import org.cicadaturn.tasks.http.HttpLink
-import org.cicadaturn.tasks.http.HttpPart
 import org.cicadaturn.tasks.http.RequestHead
 import org.cicadaturn.tasks.http.ResponseHead
 import org.cicadaturn.tasks.http.call
@@ -54,12 +53,12 @@
     service: PeerService,
 ) {
     while (true) {
-        val request = link.receive() as? HttpPart.Request ?: return
-        val body = receiveBody(link) ?: return
-        val answer = answerTo(request.head.path, body, service)
+        val request = link.receiveInternalRequest() ?: return
+        val path = request.head.path
+        val answer = answerTo(path, request.body, service)
         val status = if (answer != null) OK else NOT_FOUND
         // Only the path of a document that this process knows has an answer, so no other path gets into the head.
-        val headers = if (answer != null) listOf(Header("Content-Type", typeOf(request.head.path))) else emptyList()
+        val headers = if (answer != null) listOf(Header("Content-Type", typeOf(path))) else emptyList()
         val head = ResponseHead(status, headers)
         if (!link.sendResponse(head, answer ?: ByteArray(0))) return
     }
@@ -120,19 +119,6 @@
     callPeer(connector, peer.address, "POST", LIMITS_PATH, encode(LimitNews.serializer(), news))
         ?.let { decode(LimitNews.serializer(), it) }
 
-/** Returns the body of a request, or null if it is incomplete or too long. */
-private suspend fun receiveBody(link: HttpLink): ByteArray? {
-    var body = ByteArray(0)
-    while (true) {
-        when (val part = link.receive()) {
-            HttpPart.End -> return body
-            is HttpPart.Data -> body += part.bytes
-            else -> return null
-        }
-        if (body.size > MAX_REQUEST_BYTES) return null
-    }
-}
-
 /**
  * Returns a function that requests the fleet view from a few peers, one after the other in random order, and returns
  * the first that it receives, or null if no peer answers.
@@ -250,9 +236,6 @@
 /** Longest answer in bytes; a view of 3,800 endpoints, the largest fleet planned for, has about 1 MB. */
 private const val MAX_ANSWER_BYTES = 8 * 1024 * 1024
 
-/** Longest body of a request in bytes; news about a crash with 16 prompts of 64 long segments have 70 kB. */
-private const val MAX_REQUEST_BYTES = 256 * 1024
-
 /** Number of peers that are called in one round, which must end within about a second. */
 private const val MAX_PEERS_PER_ROUND = 3
 private val PEER_TIMEOUT = 400.milliseconds
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/http/HttpLink.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/http/HttpLink.kt
@@ -1,7 +1,6 @@
 package org.cicadaturn.tasks.http
 
 import io.netty.buffer.ByteBuf
-import io.netty.buffer.ByteBufUtil
 import io.netty.buffer.Unpooled
 import io.netty.channel.Channel
 import io.netty.channel.ChannelFuture
@@ -27,12 +26,15 @@
 import io.netty.util.ReferenceCountUtil
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.Deferred
+import kotlinx.coroutines.withTimeoutOrNull
+import org.cicadaturn.decisions.connection.ConnectionUse
 import org.cicadaturn.decisions.gateway.ConnectionEnd
 import org.cicadaturn.schema.generated.Header
 import org.cicadaturn.tasks.FatalErrorHandler
 import org.cicadaturn.tasks.fatalErrorIn
 import java.io.ByteArrayOutputStream
 import java.net.SocketException
+import kotlin.time.Duration
 import kotlinx.coroutines.channels.Channel as Inbox
 
 /**
@@ -63,12 +65,21 @@
     /** True if bytes of a request have arrived from a client that were not received yet. */
     public val hasRequest: Boolean get() = false
 
+    /** Account of the connection of a client, or null if the other side is a server. */
+    public val account: ConnectionAccount? get() = null
+
+    /** Waits until bytes of a request have arrived from a client; returns false if the connection has ended before. */
+    public suspend fun awaitRequest(): Boolean
+
     /**
      * Returns the next part, or null if the connection has ended. A truncated message has neither [HttpPart.End] nor
      * [HttpPart.EndByClose].
      */
     public suspend fun receive(): HttpPart?
 
+    /** Reads and drops all that a client sends from now on; the connection cannot be used for another request. */
+    public fun discardInput() {}
+
     /** Requests a read from the socket, so that the end of the connection is detected while no part is awaited. */
     public fun readAhead()
 
@@ -79,7 +90,7 @@
     ): Deferred<Boolean>
 
     /** Sends the interim answer 100 Continue, after which the caller sends the body. */
-    public fun sendContinue()
+    public suspend fun sendContinue(): Boolean
 
     /** Sends a complete answer; returns true if it was written to the socket. */
     public suspend fun sendResponse(
@@ -100,17 +111,27 @@
     public fun close()
 }
 
+/**
+ * Parts of a connection whose other side is a client.
+ *
+ * @property writeTimeout returns the time after which the connection is closed if the client reads nothing of an answer
+ */
+internal class ServerSide(
+    val encoder: AnswerEncoder,
+    val decoder: RequestDecoder,
+    val account: ConnectionAccount,
+    val writeTimeout: () -> Duration,
+)
+
 /**
  * @property decoder decoder of the answers, or null if the other side is a client
- * @property encoder encoder of the answers, or null if the other side is a server
- * @property requestDecoder decoder of the requests, or null if the other side is a server
+ * @property server parts for a client on the other side, or null if that is a server
  */
 internal class NettyLink(
     private val channel: Channel,
     private val onFatalError: FatalErrorHandler,
     private val decoder: AnswerDecoder? = null,
-    private val encoder: AnswerEncoder? = null,
-    private val requestDecoder: RequestDecoder? = null,
+    private val server: ServerSide? = null,
 ) : ChannelInboundHandlerAdapter(),
     HttpLink {
     // Unbounded, but filled by one read of the socket, or with the next request, when the inbox is empty.
@@ -139,7 +160,8 @@
     override val hasSurplus: Boolean get() = decoder?.hasSurplus == true
     override val isWithinHead: Boolean get() = decoder?.isWithinHead == true
     override val hasRequest: Boolean
-        get() = requestDecoder != null && (pending > 0 || requestDecoder.isWithinRequest)
+        get() = server != null && (pending > 0 || server.decoder.isWithinRequest)
+    override val account: ConnectionAccount? get() = server?.account
     override val isIdle: Boolean get() = channel.isActive && pending == 0 && !hasSurplus
 
     override suspend fun receive(): HttpPart? {
@@ -154,21 +176,36 @@
         }
     }
 
+    override suspend fun awaitRequest(): Boolean {
+        while (!hasRequest) {
+            if (ended.isCompleted) return false
+            decodeNext()
+            if (hasRequest) return true
+            channel.read()
+            arrivals.receiveCatching()
+        }
+        return true
+    }
+
     /** Decodes what has arrived of the next request of a client. */
     private fun decodeNext() {
-        requestDecoder?.decodeNext(channel.pipeline().context(requestDecoder))
+        server?.decoder?.let { it.decodeNext(channel.pipeline().context(it)) }
         deliverData()
     }
 
     private fun received(part: HttpPart): HttpPart {
         pending -= 1
-        if (part is HttpPart.Request) encoder?.isHeadRequest = part.head.method == "HEAD"
+        if (part is HttpPart.Request) server?.encoder?.isHeadRequest = part.head.method == "HEAD"
         return part
     }
 
     override fun readAhead() {
         // Further requests that have arrived are not added to while they wait.
-        if (requestDecoder?.isWithinRequest != true) channel.read()
+        if (server?.decoder?.isWithinRequest != true) channel.read()
+    }
+
+    override fun discardInput() {
+        server?.decoder?.let { it.discard(channel.pipeline().context(it)) }
     }
 
     override fun channelRead(
@@ -194,12 +231,14 @@
     }
 
     private fun handleContent(message: HttpContent) {
-        if (message.content().isReadable) pieces.writeBytes(ByteBufUtil.getBytes(message.content()))
+        val content = message.content()
+        if (content.isReadable) content.readBytes(pieces, content.readableBytes())
         if (message is LastHttpContent) deliverEnd()
     }
 
     override fun channelReadComplete(context: ChannelHandlerContext) {
         deliverData()
+        if (server?.decoder?.isWithinRequest == true) arrivals.trySend(Unit)
     }
 
     /** Delivers the content that has arrived as one part, as chunks may have one byte each. */
@@ -276,9 +315,10 @@
         return sent
     }
 
-    override fun sendContinue() {
-        channel.writeAndFlush(DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE))
-    }
+    override suspend fun sendContinue(): Boolean =
+        awaitWrite(
+            channel.writeAndFlush(DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE)),
+        )
 
     override suspend fun sendResponse(
         head: ResponseHead,
@@ -294,7 +334,7 @@
             )
         fill(response.headers(), head.headers)
         // The length of the body that a GET would get is not known.
-        val isHead = encoder?.isHeadRequest == true
+        val isHead = server?.encoder?.isHeadRequest == true
         if (!isHead || body.isNotEmpty()) HttpUtil.setContentLength(response, body.size.toLong())
         if (head.closesConnection) HttpUtil.setKeepAlive(response, false)
         return awaitWrite(channel.writeAndFlush(response))
@@ -321,19 +361,65 @@
     /**
      * Waits for [write] and returns true if it succeeded; if not [isAwaited], returns true if the connection is open.
      *
-     * Waiting for writes limits the memory used for a peer that does not read.
+     * Waiting for writes limits the memory used for a peer that does not read. A client that reads nothing for the write
+     * timeout is cut off, as it would hold its connection and its request for ever.
      */
     private suspend fun awaitWrite(
         write: ChannelFuture,
         isAwaited: Boolean = true,
     ): Boolean {
         if (!isAwaited) return channel.isActive
+        if (write.isDone) return write.isSuccess
         val done = CompletableDeferred<Boolean>()
         write.addListener { done.complete(it.isSuccess) }
-        return done.await()
+        if (server == null) return done.await()
+        val use = server.account.use
+        server.account.use = ConnectionUse.STALLED
+        try {
+            return awaitReader(done, server)
+        } finally {
+            server.account.use = use
+        }
+    }
+
+    private suspend fun awaitReader(
+        done: Deferred<Boolean>,
+        server: ServerSide,
+    ): Boolean {
+        var unread = unreadBytes()
+        while (true) {
+            withTimeoutOrNull(server.writeTimeout()) { done.await() }?.let { return it }
+            val left = unreadBytes()
+            if (left >= unread) {
+                server.account.lost(ConnectionLoss.UNREAD_ANSWER)
+                close()
+                return false
+            }
+            unread = left
+        }
+    }
+
+    /** Returns the number of bytes that were written but not taken by the socket yet. */
+    private fun unreadBytes(): Long {
+        val buffer = channel.unsafe().outboundBuffer() ?: return 0
+        return buffer.totalPendingWriteBytes() - buffer.currentProgress()
     }
 }
 
+/**
+ * Returns the head of the next request or an unreadable one; returns null if the connection ends, if no request begins
+ * within [idleTimeout], or if its head is not complete within [headTimeout] from then on.
+ */
+public suspend fun HttpLink.receiveRequest(
+    idleTimeout: Duration,
+    headTimeout: Duration,
+): HttpPart? {
+    if (withTimeoutOrNull(idleTimeout) { awaitRequest() } != true) return null
+    val part = withTimeoutOrNull(headTimeout) { receive() }
+    if (part == null && !closed.isCompleted) account?.lost(ConnectionLoss.SLOW_HEAD)
+    return part
+}
+
 private fun buffer(bytes: ByteArray): ByteBuf =
     if (bytes.isEmpty()) Unpooled.EMPTY_BUFFER else Unpooled.wrappedBuffer(bytes)
 
@@ -359,7 +445,12 @@
     return list
 }
 
-private fun statusOf(failure: Throwable): Int = if (failure is TooLongFrameException) HEADERS_TOO_LARGE else BAD_REQUEST
+private fun statusOf(failure: Throwable): Int =
+    when (failure) {
+        is TooLongFrameException -> HEADERS_TOO_LARGE
+        is MemoryShortageException -> UNAVAILABLE
+        else -> BAD_REQUEST
+    }
 
 /** Headers without validation, as their values were validated when they were decoded. */
 private val unvalidated = DefaultHttpHeadersFactory.headersFactory().withValidation(false)
@@ -367,3 +458,4 @@
 private val METHODS_WITH_BODY = setOf("POST", "PUT", "PATCH")
 private const val BAD_REQUEST = 400
 private const val HEADERS_TOO_LARGE = 431
+private const val UNAVAILABLE = 503
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/http/HttpListener.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/http/HttpListener.kt
@@ -13,6 +13,7 @@
 import kotlinx.coroutines.launch
 import org.cicadaturn.schema.generated.NetworkAddress
 import java.net.InetSocketAddress
+import kotlin.time.Duration
 
 /** Listening socket. */
 public interface HttpListener {
@@ -24,24 +25,42 @@
 }
 
 /**
- * Listens on [address] and runs [serve] in [scope] for each connection, which is closed when [serve] returns.
+ * Bounds on the connections of a listener.
  *
- * @param headBytes returns the maximum size of the head of a request in bytes, with its line ends
+ * @property headBytes returns the maximum size of the head of a request in bytes, with its line ends
+ * @property writeTimeout returns the time after which a connection is closed whose client reads nothing of an answer
+ * @property accounts accounts of the connections, which several listeners may share
+ */
+public data class ListenerBounds(
+    val headBytes: () -> Int,
+    val writeTimeout: () -> Duration,
+    val accounts: ConnectionAccounts,
+)
+
+/**
+ * Listens on [address] and runs [serve] in [scope] for each connection within [bounds], which is closed when [serve] returns.
  */
 public suspend fun listen(
     runtime: HttpRuntime,
     scope: CoroutineScope,
     address: NetworkAddress,
-    headBytes: () -> Int,
+    bounds: ListenerBounds,
     serve: suspend (HttpLink) -> Unit,
 ): HttpListener {
     val initializer =
         object : ChannelInitializer<SocketChannel>() {
             override fun initChannel(channel: SocketChannel) {
+                val account = bounds.accounts.open { channel.close() }
+                if (account == null) {
+                    channel.close()
+                    return
+                }
                 val encoder = AnswerEncoder()
-                val decoder = RequestDecoder(headBytes)
-                val link = NettyLink(channel, runtime.onFatalError, encoder = encoder, requestDecoder = decoder)
+                val decoder = RequestDecoder(bounds.headBytes, account)
+                val server = ServerSide(encoder, decoder, account, bounds.writeTimeout)
+                val link = NettyLink(channel, runtime.onFatalError, server = server)
                 channel.pipeline().addLast(decoder, encoder, link)
+                channel.closeFuture().addListener { account.close() }
                 scope.launch {
                     try {
                         serve(link)
@@ -58,6 +77,7 @@
             .option(ChannelOption.SO_BACKLOG, BACKLOG)
             .option(ChannelOption.SO_REUSEADDR, true)
             .option(ChannelOption.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+            .childOption(ChannelOption.SO_SNDBUF, SEND_BUFFER_BYTES)
             .childOption(ChannelOption.TCP_NODELAY, true)
             .childOption(ChannelOption.AUTO_READ, false)
             .childOption(ChannelOption.RCVBUF_ALLOCATOR, oneBufferPerRead)
@@ -97,5 +117,8 @@
  */
 private const val RECEIVE_BUFFER_BYTES = 65_536
 
+/** Send buffer of a connection. Without this limit, the system keeps several megabytes of answers that are not read. */
+private const val SEND_BUFFER_BYTES = 131_072
+
 /** Length of the accept queue; a restart of callers opens many connections at once. */
 private const val BACKLOG = 512
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/http/RequestDecoder.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/http/RequestDecoder.kt
@@ -13,6 +13,7 @@
 import io.netty.handler.codec.http.LastHttpContent
 import io.netty.handler.codec.http.TooLongHttpHeaderException
 import io.netty.util.ByteProcessor
+import org.cicadaturn.decisions.connection.headMemory
 
 /**
  * Decoder of the requests on a connection. It refuses requests with an ambiguous length, which would allow request
@@ -22,9 +23,11 @@
  * become many times as large when they are decoded. A head is decoded once all of it has arrived.
  *
  * @param headBytes returns the maximum size of a head in bytes, with its line ends
+ * @param account account of the connection, for its input and for the request that was decoded last
  */
 internal class RequestDecoder(
     private val headBytes: () -> Int,
+    private val account: ConnectionAccount,
 ) : HttpRequestDecoder(
         HttpDecoderConfig()
             .setMaxInitialLineLength(MAX_DECODED_HEAD_BYTES)
@@ -40,7 +43,7 @@
         /** A request has been decoded, and the next one is not wanted yet. */
         COMPLETE,
 
-        /** The input is not a request, and what follows cannot be told from it. */
+        /** The input is not a request, or was dropped, so what follows cannot be read. */
         UNREADABLE,
     }
 
@@ -49,6 +52,9 @@
     private var blankBytes = 0
     private var hasDecoded = false
 
+    /** Memory for the head and a small body of the request that was decoded last. */
+    private var requestMemory = 0L
+
     init {
         setCumulator(CompactCumulator)
     }
@@ -59,14 +65,25 @@
 
     /** Decodes the next request as far as it has arrived; called when the present one has been taken. */
     fun decodeNext(context: ChannelHandlerContext) {
+        if (stage == Stage.UNREADABLE) context.close()
         if (stage != Stage.COMPLETE) return
         stage = Stage.HEAD
         blankBytes = 0
+        requestMemory = 0
         if (actualReadableBytes() > 0) channelRead(context, Unpooled.EMPTY_BUFFER)
+        holdInput(context)
+    }
+
+    /** Drops the input that has arrived and all that follows. */
+    fun discard(context: ChannelHandlerContext) {
+        stage = Stage.UNREADABLE
+        channelRead(context, Unpooled.EMPTY_BUFFER)
+        context.read()
     }
 
     override fun channelReadComplete(context: ChannelHandlerContext) {
         discardSomeReadBytes()
+        holdInput(context)
         // Bytes of a request that is not complete are followed by others. More bytes than those of one read do not
         // accumulate behind a request that is in progress.
         if (!hasDecoded && stage != Stage.COMPLETE) context.read()
@@ -98,15 +115,36 @@
         val length = scan.lengthIn(buffer)
         val limit = headBytes()
         if (maxOf(length, blankBytes) > limit || (length < 0 && buffer.readableBytes() > limit)) {
+            account.lost(ConnectionLoss.LONG_HEAD)
             return refuse(buffer, out, TooLongHttpHeaderException("head over $limit bytes"))
         }
         if (length < 0) return
+        val memory = headMemory(length, scan.lines)
         scan.reset()
+        if (!account.hold(buffer.capacity() + memory)) {
+            account.lost(ConnectionLoss.NO_MEMORY)
+            return refuse(buffer, out, MemoryShortageException())
+        }
+        requestMemory = memory
         val head = buffer.readSlice(length)
         stage = Stage.BODY
         super.decode(context, head, out)
         // Blanks and control characters before a request line form no head of their own.
         if (out.isEmpty()) stage = Stage.HEAD
+        if (out.isNotEmpty() && out.last() !is LastHttpContent) requestMemory += SMALL_BODY_BYTES
+    }
+
+    /** Requests memory for the input that is kept; without it, the input is dropped and the connection closed. */
+    private fun holdInput(context: ChannelHandlerContext) {
+        if (stage == Stage.UNREADABLE || account.hold(internalBuffer().capacity() + requestMemory)) return
+        account.lost(ConnectionLoss.NO_MEMORY)
+        // The request in progress is answered before the connection is closed.
+        if (stage != Stage.COMPLETE) {
+            context.close()
+        } else {
+            stage = Stage.UNREADABLE
+            channelRead(context, Unpooled.EMPTY_BUFFER)
+        }
     }
 
     /** Skips line ends before a request, which older clients send after a body. */
@@ -147,5 +185,11 @@
     override fun newEmptyHeaders(): HttpHeaders = DroppedHeaders()
 }
 
+/** Failure of a request for whose head there is not enough memory at present. */
+internal class MemoryShortageException : Exception("the memory for connections is used up", null, false, false)
+
+/** Size up to which bodies are not charged to the memory for bodies. */
+private const val SMALL_BODY_BYTES = 4_096
+
 /** Limit of the decoder for a line and for all lines of a head; heads that are longer are refused before. */
 private const val MAX_DECODED_HEAD_BYTES = 131_072
--- a/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/ForeignPeerAnswerTest.kt
+++ b/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/ForeignPeerAnswerTest.kt
@@ -9,6 +9,7 @@
 import kotlinx.serialization.ExperimentalSerializationApi
 import kotlinx.serialization.SerializationStrategy
 import kotlinx.serialization.cbor.Cbor
+import org.cicadaturn.decisions.connection.ConnectionLimits
 import org.cicadaturn.schema.generated.FailureDomainId
 import org.cicadaturn.schema.generated.FleetView
 import org.cicadaturn.schema.generated.GatewayPeer
@@ -22,6 +23,8 @@
 import org.cicadaturn.schema.generated.StoreReport
 import org.cicadaturn.schema.generated.StoreReportRequest
 import org.cicadaturn.tasks.http.HttpRuntime
+import org.cicadaturn.tasks.http.ListenerBounds
+import org.cicadaturn.tasks.http.connectionAccounts
 import org.cicadaturn.tasks.http.httpConnector
 import org.cicadaturn.tasks.http.httpRuntime
 import org.cicadaturn.tasks.http.listen
@@ -34,6 +37,7 @@
 import java.net.Socket
 import kotlin.random.Random
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
 
 /** Tests calls to the address of a peer that is answered by something else, or by a part of an answer. */
 @OptIn(ExperimentalSerializationApi::class)
@@ -162,7 +166,7 @@
             runBlocking(runtime.dispatcher) {
                 val scope = CoroutineScope(SupervisorJob() + runtime.dispatcher)
                 val listener =
-                    listen(runtime, scope, NetworkAddress("127.0.0.1", 0), { HEADER_BYTES }) { servePeer(it, service) }
+                    listen(runtime, scope, NetworkAddress("127.0.0.1", 0), bounds) { servePeer(it, service) }
                 val peer = GatewayPeer(ProcessId("g"), listener.address, FailureDomainId("a"))
                 calls.filter { it.isBelieved(peer) }.map { it.name }.also {
                     listener.close()
@@ -194,7 +198,7 @@
             runBlocking(runtime.dispatcher) {
                 val scope = CoroutineScope(SupervisorJob() + runtime.dispatcher)
                 val listener =
-                    listen(runtime, scope, NetworkAddress("127.0.0.1", 0), { HEADER_BYTES }) { servePeer(it, service) }
+                    listen(runtime, scope, NetworkAddress("127.0.0.1", 0), bounds) { servePeer(it, service) }
                 withContext(Dispatchers.IO) { requests.map { headOf(listener.address.port, it) } }.also {
                     listener.close()
                     scope.cancel()
@@ -237,6 +241,6 @@
 
     private companion object {
         const val NOISE_BODIES = 200
-        const val HEADER_BYTES = 16_384
+        val bounds = ListenerBounds({ 16_384 }, { 5.seconds }, connectionAccounts(ConnectionLimits(100, 1_000_000)))
     }
 }
--- a/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/LastingLossTest.kt
+++ b/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/LastingLossTest.kt
@@ -166,7 +166,9 @@
             body: ByteArray,
         ) = CompletableDeferred(true)
 
-        override fun sendContinue() = Unit
+        override suspend fun awaitRequest() = false
+
+        override suspend fun sendContinue() = true
 
         override suspend fun sendResponse(
             head: ResponseHead,
--- a/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/TestGateway.kt
+++ b/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/TestGateway.kt
@@ -260,8 +260,10 @@
             0.2,
             retrySlack,
             10.seconds,
-            16 * 1024 * 1024,
-            eventNumbers,
+            bodyMemory = 16 * 1024 * 1024,
+            connectionMemory = 16 * 1024 * 1024,
+            descriptors = 4_096.0,
+            eventNumbers = eventNumbers,
         ),
 )
 
