Limit what endpoints' answers and the other listeners of a gateway hold

Seen: a gateway ended with exit code 3 when an endpoint answered 200 requests at once with heads of 7,000 short lines that never end, with a head without end or with trailers without end. It also ended when 200 to 1,000 connections to its admin, peer or ready listener asked for /dump without reading, sent bodies of 250 kB that do not end, or heads of 3,900 lines.

Heads and trailers of answers were decoded line by line and interim answers were queued; the other listeners had no limits; documents of the state dump were built side by side, as their parts were awaited in between.

Change: AnswerDecoder decodes whole heads and drops trailers and interim answers; heads of all answers share 8 MB. The other listeners share 1,024 connections and 6 MB for input, requests and answers, with times for heads, bodies and idle connections. One dump is under construction at a time. A connection counts 6 kB, as measured, and a request of usual size takes the memory of idle connections without an admitted request.

--- a/daemons/src/test/kotlin/org/cicadaturn/daemons/crowd/CallerCrowdTest.kt
+++ b/daemons/src/test/kotlin/org/cicadaturn/daemons/crowd/CallerCrowdTest.kt
@@ -10,7 +10,8 @@
     /** Guards against a crowd that fills the heap, leaves connections behind or stops the event loop. */
     @ParameterizedTest
     @MethodSource("scripts")
-    fun `a crowd leaves a process that serves`(script: CrowdScript) = CrowdCheck.run(script) { it.addresses.front }
+    fun `a crowd leaves a process that serves`(script: CrowdScript) =
+        CrowdCheck.run(script, CrowdedGateway()) { it.addresses.front }
 
     companion object {
         private const val SMALL = 200
--- a/daemons/src/test/kotlin/org/cicadaturn/daemons/crowd/CrowdCheck.kt
+++ b/daemons/src/test/kotlin/org/cicadaturn/daemons/crowd/CrowdCheck.kt
@@ -5,11 +5,40 @@
 import java.nio.file.Files
 import java.nio.file.Path
 import kotlin.io.path.createDirectories
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.TimeSource
 
+/** Process of the system that a crowd connects to. */
+internal interface CrowdedProcess : AutoCloseable {
+    /** Folder of its log. */
+    val directory: Path
+    val isAlive: Boolean
+    val exitCode: Int?
+    val usage: ProcessUsage
+
+    /** Starts the process with all that it needs, and waits until it serves. */
+    fun start()
+
+    /** Returns true if an ordinary request on a new connection gets the whole answer of an endpoint in [limit]. */
+    fun isServed(limit: Duration): Boolean
+}
+
+/** Sends ordinary requests, each on a new connection, until one is answered; returns false if none is in [limit]. */
+internal fun CrowdedProcess.awaitAnswer(limit: Duration): Boolean {
+    val start = TimeSource.Monotonic.markNow()
+    while (isAlive && start.elapsedNow() < limit) {
+        if (isServed(CALL_TIMEOUT)) return true
+        Thread.sleep(RETRY_MILLIS)
+    }
+    return false
+}
+
+private const val RETRY_MILLIS = 200L
+private val CALL_TIMEOUT = 10.seconds
+
 /**
- * Checks that a gateway process serves after a crowd.
+ * Checks that a process serves after a crowd.
  *
  * The figures that are printed are for reports. Only the process, its memory, its descriptors and one ordinary request
  * after the crowd decide.
@@ -21,21 +50,21 @@
     /** Returns the [scripts] that the property `crowd.script` chooses. */
     fun chosenOf(scripts: List<CrowdScript>): List<CrowdScript> = scripts.filter { chosen in it.name }
 
-    /** Runs the crowd of [script] at the port that [portOf] returns, before [gateway], which this function starts. */
-    fun run(
+    /** Runs the crowd of [script] at the port that [portOf] returns, before [process], which this function starts. */
+    fun <T : CrowdedProcess> run(
         script: CrowdScript,
-        gateway: CrowdedGateway = CrowdedGateway(),
-        portOf: (CrowdedGateway) -> Int,
-    ) = gateway.use {
-        gateway.start()
-        val before = gateway.usage.descriptors()
-        val seen = observe(gateway, Crowd(portOf(gateway), script))
-        val end = "$script, opened again ${seen.reopened} times, log in ${gateway.directory}"
-        assertTrue(gateway.isAlive, "exit code ${gateway.exitCode} in the crowd, $end")
-        val isServed = gateway.awaitAnswer(AFTERWARDS)
-        assertTrue(gateway.isAlive, "exit code ${gateway.exitCode} after the crowd, $end")
-        val left = awaitDescriptors(gateway, before + OTHER_DESCRIPTORS)
-        val peak = gateway.usage.peakMegabytes()
+        process: T,
+        portOf: (T) -> Int,
+    ) = process.use {
+        process.start()
+        val before = process.usage.descriptors()
+        val seen = observe(process, Crowd(portOf(process), script))
+        val end = "$script, opened again ${seen.reopened} times, log in ${process.directory}"
+        assertTrue(process.isAlive, "exit code ${process.exitCode} in the crowd, $end")
+        val isServed = process.awaitAnswer(AFTERWARDS)
+        assertTrue(process.isAlive, "exit code ${process.exitCode} after the crowd, $end")
+        val left = awaitDescriptors(process, before + OTHER_DESCRIPTORS)
+        val peak = process.usage.peakMegabytes()
         println(
             "crowd $script: peak $peak MB, descriptors $before before, ${seen.mostDescriptors} at most, " +
                 "$left after, ${seen.served} of ${seen.asked} requests served meanwhile, " +
@@ -55,7 +84,7 @@
     )
 
     private fun observe(
-        gateway: CrowdedGateway,
+        process: CrowdedProcess,
         crowd: Crowd,
     ): Observation {
         var most = 0
@@ -63,12 +92,12 @@
         var asked = 0
         val start = TimeSource.Monotonic.markNow()
         crowd.start().use {
-            while (gateway.isAlive && start.elapsedNow() < CROWD_TIME) {
+            while (process.isAlive && start.elapsedNow() < CROWD_TIME) {
                 Thread.sleep(SAMPLE_MILLIS)
-                most = maxOf(most, runCatching { gateway.usage.descriptors() }.getOrDefault(0))
+                most = maxOf(most, runCatching { process.usage.descriptors() }.getOrDefault(0))
                 if (start.elapsedNow() < PROBE_INTERVAL * (asked + 1)) continue
                 asked += 1
-                if (gateway.isServed(PROBE_TIMEOUT)) served += 1
+                if (process.isServed(PROBE_TIMEOUT)) served += 1
             }
         }
         return Observation(most, served, asked, crowd.reopened)
@@ -76,12 +105,12 @@
 
     /** Waits until at most [bound] descriptors are open, and returns the number that is open then. */
     private fun awaitDescriptors(
-        gateway: CrowdedGateway,
+        process: CrowdedProcess,
         bound: Int,
     ): Int {
         val start = TimeSource.Monotonic.markNow()
-        while (start.elapsedNow() < AFTERWARDS && gateway.usage.descriptors() > bound) Thread.sleep(SAMPLE_MILLIS)
-        return gateway.usage.descriptors()
+        while (start.elapsedNow() < AFTERWARDS && process.usage.descriptors() > bound) Thread.sleep(SAMPLE_MILLIS)
+        return process.usage.descriptors()
     }
 
     /** Memory of a machine of the deployment premia-ne. */
--- a/daemons/src/test/kotlin/org/cicadaturn/daemons/crowd/CrowdedGateway.kt
+++ b/daemons/src/test/kotlin/org/cicadaturn/daemons/crowd/CrowdedGateway.kt
@@ -34,7 +34,6 @@
 import kotlin.random.Random
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
-import kotlin.time.TimeSource
 
 /**
  * Gateway process with the options of the deploy file, a store and two sound endpoints, on loopback.
@@ -45,8 +44,8 @@
 internal class CrowdedGateway(
     private val configuration: String = siteConfiguration(version = 1),
     private val faultyAnswer: CrowdScript? = null,
-) : AutoCloseable {
-    val directory: Path = CrowdCheck.emptyDirectory()
+) : CrowdedProcess {
+    override val directory: Path = CrowdCheck.emptyDirectory()
     private val dispatcher = Executors.newCachedThreadPool().asCoroutineDispatcher()
     private val scope = CoroutineScope(SupervisorJob() + dispatcher)
     private val store = StoreServer(scope)
@@ -54,11 +53,11 @@
     private val gateway = GatewayProcess(addresses, directory, store.address, "127.0.0.1:${addresses.control}", BOUNDS)
     private val endOfJvm = Thread { gateway.kill() }
 
-    val isAlive: Boolean get() = gateway.isAlive
-    val exitCode: Int? get() = gateway.exitCode
-    val usage: ProcessUsage by lazy { ProcessUsage(gateway.pid) }
+    override val isAlive: Boolean get() = gateway.isAlive
+    override val exitCode: Int? get() = gateway.exitCode
+    override val usage: ProcessUsage by lazy { ProcessUsage(gateway.pid) }
 
-    fun start(): CrowdedGateway {
+    override fun start() {
         Runtime.getRuntime().addShutdownHook(endOfJvm)
         store.start()
         runBlocking {
@@ -74,21 +73,9 @@
         }
         gateway.start()
         check(awaitAnswer(START_LIMIT)) { "the gateway served no request within $START_LIMIT" }
-        return this
     }
 
-    /** Sends ordinary requests, each on a new connection, until one is answered; returns false if none is in [limit]. */
-    fun awaitAnswer(limit: Duration): Boolean {
-        val start = TimeSource.Monotonic.markNow()
-        while (gateway.isAlive && start.elapsedNow() < limit) {
-            if (isServed(CALL_TIMEOUT)) return true
-            Thread.sleep(RETRY_MILLIS)
-        }
-        return false
-    }
-
-    /** Returns true if an ordinary request on a new connection gets the whole answer of an endpoint in [limit]. */
-    fun isServed(limit: Duration): Boolean =
+    override fun isServed(limit: Duration): Boolean =
         try {
             Socket().use { socket ->
                 socket.connect(InetSocketAddress("127.0.0.1", addresses.front), limit.inWholeMilliseconds.toInt())
@@ -117,9 +104,7 @@
 
     private companion object {
         const val ENDPOINTS = 2
-        const val RETRY_MILLIS = 200L
         val START_LIMIT = 60.seconds
-        val CALL_TIMEOUT = 10.seconds
     }
 }
 
--- a/decisions/src/main/kotlin/org/cicadaturn/decisions/connection/ConnectionBudget.kt
+++ b/decisions/src/main/kotlin/org/cicadaturn/decisions/connection/ConnectionBudget.kt
@@ -43,9 +43,10 @@
 /**
  * Budget of the connections of clients. Has one owner and is not safe for concurrent use.
  *
- * If memory runs short, the connection that holds most is closed first, and a request for memory is refused if its own
- * connection would hold most. If connections run short, those without an admitted request so far are closed first, the
- * oldest first. A connection that serves a request is not closed.
+ * If memory runs short, the connection that holds most is closed first. If the connection that asks for memory would
+ * itself hold most, it is refused, but a request of usual size gets the memory of connections without an admitted request
+ * so far, the oldest first. Those are also closed if connections run short. A connection that serves a request is not
+ * closed.
  */
 public interface ConnectionBudget {
     /** Memory that all connections hold, in bytes. */
@@ -80,7 +81,7 @@
 public fun connectionBudget(limits: ConnectionLimits): ConnectionBudget = SharedBudget(limits)
 
 /** Memory of an open connection without input: its socket, handlers and coroutine. */
-public const val CONNECTION_BYTES: Long = 5_120
+public const val CONNECTION_BYTES: Long = 6_144
 
 private class SharedBudget(
     private val limits: ConnectionLimits,
@@ -114,7 +115,7 @@
 
     private fun nextForPlace(): Holder? {
         if (holders.size < limits.connections) largestAbove(CONNECTION_BYTES)?.let { return it }
-        return holders.values.firstOrNull { it.mayClose && !it.isAdmitted }
+        return oldestUnknown(apartFrom = null)
     }
 
     override fun hold(
@@ -126,15 +127,23 @@
         val limit = if (wanted > LARGE_BYTES) limits.bytes - limits.bytes / RESERVED_PART else limits.bytes
         val closed = mutableListOf<ConnectionNumber>()
         while (wanted > holder.bytes && usedBytes - holder.bytes + wanted > limit) {
-            val largest = largestAbove(wanted) ?: return ConnectionDecision(false, closed)
-            close(largest.number)
-            closed += largest.number
+            val next = nextForMemory(holder, wanted) ?: return ConnectionDecision(false, closed)
+            close(next.number)
+            closed += next.number
         }
         usedBytes += wanted - holder.bytes
         holder.bytes = wanted
         return ConnectionDecision(true, closed)
     }
 
+    private fun nextForMemory(
+        holder: Holder,
+        wanted: Long,
+    ): Holder? = largestAbove(wanted) ?: if (wanted <= LARGE_BYTES) oldestUnknown(holder) else null
+
+    private fun oldestUnknown(apartFrom: Holder?): Holder? =
+        holders.values.firstOrNull { it.mayClose && !it.isAdmitted && it !== apartFrom }
+
     private fun largestAbove(bytes: Long): Holder? =
         holders.values.filter { it.mayClose && it.bytes > bytes }.maxByOrNull { it.bytes }
 
--- a/decisions/src/test/kotlin/org/cicadaturn/decisions/connection/ConnectionBudgetTest.kt
+++ b/decisions/src/test/kotlin/org/cicadaturn/decisions/connection/ConnectionBudgetTest.kt
@@ -68,6 +68,17 @@
         assertTrue(hold(3, 50_000).isGranted)
     }
 
+    /** Guards against connections that hold little each, but all of the memory together. */
+    @Test
+    fun `a request of usual size gets the memory of connections without an admitted request`() {
+        val full = connectionBudget(ConnectionLimits(connections = 100, bytes = 10 * CONNECTION_BYTES))
+        val numbers = (1L..10).map(::ConnectionNumber).onEach { assertTrue(full.open(it).isGranted) }
+        full.admitted(numbers[0])
+        assertEquals(listOf(2L, 3L), closed(full.hold(numbers[9], 2 * CONNECTION_BYTES)))
+        numbers.forEach(full::admitted)
+        assertEquals(ConnectionDecision(false), full.hold(numbers[8], 2 * CONNECTION_BYTES))
+    }
+
     /** Guards against a request in progress that is cut to make room for another one. */
     @Test
     fun `a connection that serves a request is not closed`() {
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/AnswerParts.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/AnswerParts.kt
@@ -23,7 +23,7 @@
     data object Stalled : WaitResult
 }
 
-/** Parts of the answer to [attempt], as they arrive on [connection], without interim and surplus answers. */
+/** Parts of the answer to [attempt], as they arrive on [connection], without surplus answers. */
 internal class AnswerParts(
     private val attempt: AttemptRequest,
     private val connection: EndpointConnection,
@@ -44,7 +44,7 @@
         private set
 
     /**
-     * Returns the head of the final answer, skipping interim answers and surplus answers to earlier requests.
+     * Returns the head of the answer, skipping surplus answers to earlier requests.
      *
      * The time limit and the number of surplus answers are bounded, as an endpoint may send them without end.
      */
@@ -54,7 +54,6 @@
             val part = (received as? WaitResult.Part)?.part
             when {
                 part == null -> return received
-                isInterim(part) -> continue
                 !isSurplus(part) || surplusAnswers == MAX_SURPLUS_ANSWERS -> return received
             }
             surplusAnswers += 1
@@ -73,9 +72,6 @@
         return awaitPartOrStall(attempt.silenceLimit - (clock.now() - start), hasBegun = false)
     }
 
-    private fun isInterim(part: HttpPart): Boolean =
-        part == HttpPart.End || (part is HttpPart.Response && part.head.status in INTERIM_STATUSES)
-
     private fun isSurplus(part: HttpPart): Boolean =
         part is HttpPart.Response && part.head.headers.valueOf(dialect.requestId) in connection.requestIds
 
@@ -143,6 +139,5 @@
 
         /** Time between two checks whether a request without data should be sent to another endpoint as well. */
         val STALL_CHECK_INTERVAL = 200.milliseconds
-        val INTERIM_STATUSES = 100..199
     }
 }
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/GatewayAdmin.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/GatewayAdmin.kt
@@ -34,7 +34,7 @@
             val request = link.receiveInternalRequest()?.head ?: return
             val (status, type, body) = answerTo(request.path)
             val head = ResponseHead(status, listOf(Header("Content-Type", type)), request.closesConnection)
-            if (!link.sendResponse(head, body) || request.closesConnection) return
+            if (!link.sendInternalAnswer(head, body) || request.closesConnection) return
         }
     }
 
@@ -65,13 +65,17 @@
      * endpoints that get no requests.
      */
     private suspend fun dump(): ByteArray {
+        val segments = segments()
+        val limits = balancer.limits.status()
+        val withheldNow = balancer.notices.withheld()
+        // Nothing below waits, so only one document is under construction, which takes many times its size.
         val view = state().view
         val tenancies = view.configuration?.tenancies?.map { it.copy(keys = emptyList()) }
         val shown = view.copy(configuration = view.configuration?.copy(tenancies = tenancies))
         val fleet = Json.encodeToJsonElement(FleetView.serializer(), shown).jsonObject
-        val suspected = Json.encodeToJsonElement(ListSerializer(SegmentStatus.serializer()), segments())
-        val limited = JsonArray(balancer.limits.status().map { jsonOf(it) })
-        val withheld = JsonArray(balancer.notices.withheld().map { jsonOf(it) })
+        val suspected = Json.encodeToJsonElement(ListSerializer(SegmentStatus.serializer()), segments)
+        val limited = JsonArray(limits.map { jsonOf(it) })
+        val withheld = JsonArray(withheldNow.map { jsonOf(it) })
         val added = mapOf("suspectedSegments" to suspected, "endpointLimits" to limited, "withheld" to withheld)
         return JsonObject(fleet + added).toString().encodeToByteArray()
     }
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/GatewayNode.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/GatewayNode.kt
@@ -389,7 +389,7 @@
          * Connections to these listeners: 349 peers at the design size, each with a watch and a message at a time, and
          * those of the platform and of operators.
          */
-        val OTHER_LIMITS = ConnectionLimits(connections = 1_024, bytes = 8L * 1024 * 1024)
+        val OTHER_LIMITS = ConnectionLimits(connections = 1_024, bytes = 6L * 1024 * 1024)
 
         /** Longest time for which a client of these listeners may read nothing of an answer. */
         val OTHER_TIMEOUT = 10.seconds
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/InternalRequests.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/InternalRequests.kt
@@ -1,9 +1,11 @@
 package org.cicadaturn.tasks.gateway
 
 import kotlinx.coroutines.withTimeoutOrNull
+import org.cicadaturn.tasks.http.ConnectionLoss
 import org.cicadaturn.tasks.http.HttpLink
 import org.cicadaturn.tasks.http.HttpPart
 import org.cicadaturn.tasks.http.RequestHead
+import org.cicadaturn.tasks.http.ResponseHead
 import org.cicadaturn.tasks.http.receiveRequest
 import java.io.ByteArrayOutputStream
 import kotlin.time.Duration.Companion.seconds
@@ -14,12 +16,26 @@
     val body: ByteArray,
 )
 
-/** Returns the next request of the platform, a peer or an operator; null if there is none or it cannot be read. */
+/**
+ * Returns the next request of the platform, a peer or an operator; null if there is none, it cannot be read or there is no
+ * memory for its body.
+ */
 internal suspend fun HttpLink.receiveInternalRequest(): InternalRequest? {
+    account?.holdBody(0)
     val part = receiveRequest(IDLE_TIMEOUT, REQUEST_TIMEOUT) as? HttpPart.Request ?: return null
     return withTimeoutOrNull(REQUEST_TIMEOUT) { receiveBody() }?.let { InternalRequest(part.head, it) }
 }
 
+/** Sends an answer to a request of the platform, a peer or an operator, or refuses that if there is no memory for [body]. */
+internal suspend fun HttpLink.sendInternalAnswer(
+    head: ResponseHead,
+    body: ByteArray,
+): Boolean {
+    if (account?.holdBody(body.size.toLong()) != false) return sendResponse(head, body)
+    account?.lost(ConnectionLoss.NO_MEMORY)
+    return sendResponse(ResponseHead(UNAVAILABLE, emptyList(), closesConnection = true), ByteArray(0))
+}
+
 /** Returns the body of a request, or null if it is incomplete or too long. */
 private suspend fun HttpLink.receiveBody(): ByteArray? {
     val body = ByteArrayOutputStream()
@@ -29,10 +45,12 @@
             is HttpPart.Data -> body.write(part.bytes)
             else -> return null
         }
-        if (body.size() > MAX_BODY_BYTES) return null
+        if (body.size() > MAX_BODY_BYTES || account?.holdBody(body.size().toLong()) == false) return null
     }
 }
 
+private const val UNAVAILABLE = 503
+
 /** Longest body of a request in bytes; news about a crash with 16 prompts of 64 long segments have 70 kB. */
 private const val MAX_BODY_BYTES = 256 * 1024
 
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/PeerRelay.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/PeerRelay.kt
@@ -60,7 +60,7 @@
         // Only the path of a document that this process knows has an answer, so no other path gets into the head.
         val headers = if (answer != null) listOf(Header("Content-Type", typeOf(path))) else emptyList()
         val head = ResponseHead(status, headers)
-        if (!link.sendResponse(head, answer ?: ByteArray(0))) return
+        if (!link.sendInternalAnswer(head, answer ?: ByteArray(0))) return
     }
 }
 
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/http/AnswerDecoder.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/http/AnswerDecoder.kt
@@ -9,26 +9,40 @@
 import io.netty.handler.codec.http.HttpMessage
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpResponseDecoder
+import io.netty.handler.codec.http.HttpResponseStatus
 import io.netty.handler.codec.http.HttpStatusClass
 import io.netty.handler.codec.http.HttpVersion
 import io.netty.handler.codec.http.LastHttpContent
+import org.cicadaturn.decisions.connection.headMemory
 
 /**
  * Decoder of the answers on a connection, which detects bytes that belong to no request.
  *
  * A server may send its answer a second time and stop within it. What follows on the connection then completes the
  * copy: two heads become one, with the status of the first answer and the headers of the second.
+ *
+ * A head is decoded once all of it has arrived. Interim answers are dropped, as a server may send them without end.
+ *
+ * @param account account of the connection, for its input and for the head of the answer
  */
 internal class AnswerDecoder(
     config: HttpDecoderConfig,
-) : HttpResponseDecoder(config) {
+    private val account: ConnectionAccount,
+) : HttpResponseDecoder(config.setTrailersFactory(DroppedHeadersFactory)) {
+    private val scan = HeadScan()
     private var isAwaitingAnswer = false
     private var isHeadRequest = false
     private var isInterim = false
     private var isWithinBody = false
+    private var hasDecoded = false
+    private var headMemory = 0L
 
-    // The decoder drops parts of lines that it cannot read, so a second status line is looked for in the bytes.
-    private val head = StringBuilder()
+    /** Text of the head that is decoded, as the decoder drops parts of lines that it cannot read. */
+    private var head = ""
+
+    init {
+        setCumulator(CompactCumulator)
+    }
 
     /** True if bytes have arrived while no request was waiting for its answer, even if they form no message yet. */
     var hasSurplus = false
@@ -43,12 +57,13 @@
         private set
 
     /** True if a part of a head has arrived, but not its end. */
-    val isWithinHead: Boolean get() = !isWithinBody && (head.isNotEmpty() || actualReadableBytes() > 0)
+    val isWithinHead: Boolean get() = !isWithinBody && actualReadableBytes() > 0
 
     /** Records that a request with [method] is sent, so that the bytes that follow may be its answer. */
     fun requestSent(method: String) {
         isAwaitingAnswer = true
         isHeadRequest = method == "HEAD"
+        headMemory = 0
     }
 
     override fun userEventTriggered(
@@ -68,6 +83,15 @@
         super.channelInactive(context)
     }
 
+    override fun channelReadComplete(context: ChannelHandlerContext) {
+        discardSomeReadBytes()
+        if (!account.hold(internalBuffer().capacity() + headMemory)) context.close()
+        // Bytes behind an answer are not read on, as they belong to no request.
+        if (!hasDecoded && isAwaitingAnswer) context.read()
+        hasDecoded = false
+        context.fireChannelReadComplete()
+    }
+
     override fun decode(
         context: ChannelHandlerContext,
         buffer: ByteBuf,
@@ -75,28 +99,57 @@
     ) {
         if (!isAwaitingAnswer) hasSurplus = true
         val begin = out.size
-        val start = buffer.readerIndex()
-        super.decode(context, buffer, out)
-        if (!isWithinBody && head.length < MAX_HEAD_CHARACTERS) {
-            head.append(buffer.toString(start, buffer.readerIndex() - start, Charsets.ISO_8859_1))
-        }
+        if (isWithinBody) super.decode(context, buffer, out) else decodeHead(context, buffer, out)
         for (i in begin until out.size) {
             val message = out[i]
             if (message is HttpResponse) headDecoded(message)
             if (message is LastHttpContent) bodyDecoded()
         }
+        if (isInterim) while (out.size > begin) out.removeAt(out.size - 1)
+        isInterim = false
+        if (out.isNotEmpty()) hasDecoded = true
+    }
+
+    private fun decodeHead(
+        context: ChannelHandlerContext,
+        buffer: ByteBuf,
+        out: MutableList<Any>,
+    ) {
+        val length = scan.lengthIn(buffer)
+        if (length < 0 && buffer.readableBytes() <= MAX_HEAD_BYTES) return
+        val lines = scan.lines
+        scan.reset()
+        if (length !in 0..MAX_HEAD_BYTES) return refuse(buffer, out, "head over $MAX_HEAD_BYTES bytes")
+        headMemory = headMemory(length, lines)
+        if (!account.hold(buffer.capacity() + headMemory)) return refuse(buffer, out, "no memory for its head")
+        head = buffer.toString(buffer.readerIndex(), length, Charsets.ISO_8859_1)
+        super.decode(context, buffer.readSlice(length), out)
+    }
+
+    private fun refuse(
+        buffer: ByteBuf,
+        out: MutableList<Any>,
+        defect: String,
+    ) {
+        buffer.skipBytes(buffer.readableBytes())
+        out +=
+            createInvalidMessage().also { it.decoderResult = DecoderResult.failure(IllegalArgumentException(defect)) }
     }
 
     private fun headDecoded(response: HttpResponse) {
-        isInterim = response.status().codeClass() == HttpStatusClass.INFORMATIONAL
         val defect = defectOf(response)
         if (response.decoderResult().isSuccess && defect != null) {
             response.decoderResult = DecoderResult.failure(IllegalArgumentException(defect))
         }
-        head.clear()
+        isInterim = response.decoderResult().isSuccess && isInterim(response)
         isWithinBody = true
     }
 
+    /** No request asks for another protocol, so an answer that switches to one is not interim. */
+    private fun isInterim(response: HttpResponse): Boolean =
+        response.status().codeClass() == HttpStatusClass.INFORMATIONAL &&
+            response.status() != HttpResponseStatus.SWITCHING_PROTOCOLS
+
     private fun bodyDecoded() {
         isWithinBody = false
         if (!isInterim) isAwaitingAnswer = false
@@ -138,8 +191,8 @@
     }
 }
 
-/** Above the limit of a head, so that only bytes which are no answer are left out. */
-private const val MAX_HEAD_CHARACTERS = 65_536
+/** Longest head of an answer, with its line ends. */
+private const val MAX_HEAD_BYTES = 65_536
 
 /** Longest status line that is found across two pieces; servers put one blank before the status. */
 private const val MAX_STATUS_LINE_CHARACTERS = 32
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/http/ConnectionAccounts.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/http/ConnectionAccounts.kt
@@ -58,9 +58,12 @@
     /** What the connection is in use for. */
     public var use: ConnectionUse
 
-    /** Requests to hold [bytes] in total; returns false if there is not enough memory. */
+    /** Requests to hold [bytes] for input and heads; returns false if there is not enough memory. */
     public fun hold(bytes: Long): Boolean
 
+    /** Requests to hold [bytes] for a body; returns false if there is not enough memory. */
+    public fun holdBody(bytes: Long): Boolean
+
     /** Records that a request of the connection was admitted, after which new connections do not replace it. */
     public fun admitted()
 
@@ -111,14 +114,23 @@
     private inner class Account(
         private val number: ConnectionNumber,
     ) : ConnectionAccount {
+        private var input = 0L
+        private var body = 0L
         override var use: ConnectionUse = ConnectionUse.WAITING
             set(value) {
                 field = value
                 budget.use(number, value)
             }
 
-        override fun hold(bytes: Long): Boolean {
-            val decision = budget.hold(number, bytes)
+        override fun hold(bytes: Long): Boolean = holdAll(bytes, body).also { if (it) input = bytes }
+
+        override fun holdBody(bytes: Long): Boolean = holdAll(input, bytes).also { if (it) body = bytes }
+
+        private fun holdAll(
+            input: Long,
+            body: Long,
+        ): Boolean {
+            val decision = budget.hold(number, input + body)
             carryOut(decision)
             return decision.isGranted
         }
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/http/HttpConnector.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/http/HttpConnector.kt
@@ -11,6 +11,8 @@
 import kotlinx.coroutines.currentCoroutineContext
 import kotlinx.coroutines.ensureActive
 import kotlinx.coroutines.withTimeoutOrNull
+import org.cicadaturn.decisions.connection.ConnectionLimits
+import org.cicadaturn.decisions.connection.ConnectionUse
 import org.cicadaturn.schema.generated.NetworkAddress
 import org.cicadaturn.tasks.FatalErrorHandler
 import java.io.ByteArrayOutputStream
@@ -61,9 +63,12 @@
     return opening == Opening.Refused
 }
 
-/** Returns a connector whose connections run on [runtime]. */
-public fun httpConnector(runtime: HttpRuntime): HttpConnector {
-    val initializer = ClientInitializer(runtime.onFatalError)
+/** Returns a connector whose connections run on [runtime] and have [accounts] for the heads of their answers. */
+public fun httpConnector(
+    runtime: HttpRuntime,
+    accounts: ConnectionAccounts = connectionAccounts(ANSWER_LIMITS),
+): HttpConnector {
+    val initializer = ClientInitializer(runtime.onFatalError, accounts)
     return HttpConnector { address, timeout ->
         val client =
             Bootstrap()
@@ -83,7 +88,7 @@
         val connecting = client.connect(InetSocketAddress(address.ip, address.port))
         try {
             connecting.awaitDone()
-            Opening.Opened(connecting.channel().pipeline().last() as NettyLink)
+            (connecting.channel().pipeline().last() as? NettyLink)?.let { Opening.Opened(it) } ?: Opening.Failed
         } catch (e: ConnectTimeoutException) {
             Opening.Failed
         } catch (e: ConnectException) {
@@ -101,12 +106,21 @@
 
 private class ClientInitializer(
     private val onFatalError: FatalErrorHandler,
+    private val accounts: ConnectionAccounts,
 ) : ChannelInitializer<SocketChannel>() {
     override fun isSharable(): Boolean = true
 
     override fun initChannel(channel: SocketChannel) {
+        val account = accounts.open { channel.close() }
+        if (account == null) {
+            channel.close()
+            return
+        }
+        // The request of a connection is known to its caller, who closes it.
+        account.use = ConnectionUse.SERVING
+        channel.closeFuture().addListener { account.close() }
         val config = HttpDecoderConfig().setMaxInitialLineLength(MAX_LINE_BYTES).setMaxHeaderSize(MAX_HEADER_BYTES)
-        val decoder = AnswerDecoder(config)
+        val decoder = AnswerDecoder(config, account)
         channel.pipeline().addLast(decoder, HttpRequestEncoder(), NettyLink(channel, onFatalError, decoder))
     }
 }
@@ -153,5 +167,8 @@
     }
 }
 
+/** Limits on the heads of answers: a faulty server may send thousands of header lines on each connection. */
+private val ANSWER_LIMITS = ConnectionLimits(connections = Int.MAX_VALUE, bytes = 8L * 1024 * 1024)
+
 private const val MAX_LINE_BYTES = 4096
 private const val MAX_HEADER_BYTES = 32_768
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/http/RequestDecoder.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/http/RequestDecoder.kt
@@ -4,10 +4,7 @@
 import io.netty.buffer.Unpooled
 import io.netty.channel.ChannelHandlerContext
 import io.netty.handler.codec.DecoderResult
-import io.netty.handler.codec.http.DefaultHttpHeaders
 import io.netty.handler.codec.http.HttpDecoderConfig
-import io.netty.handler.codec.http.HttpHeaders
-import io.netty.handler.codec.http.HttpHeadersFactory
 import io.netty.handler.codec.http.HttpMessage
 import io.netty.handler.codec.http.HttpRequestDecoder
 import io.netty.handler.codec.http.LastHttpContent
@@ -171,20 +168,6 @@
         throw IllegalArgumentException("both Transfer-Encoding and Content-Length; send one of them")
 }
 
-/** Headers that keep nothing. Trailers are not passed on, and thousands of short ones would take memory until their end. */
-private class DroppedHeaders : DefaultHttpHeaders() {
-    override fun add(
-        name: CharSequence?,
-        value: Any?,
-    ): HttpHeaders = this
-}
-
-private object DroppedHeadersFactory : HttpHeadersFactory {
-    override fun newHeaders(): HttpHeaders = DroppedHeaders()
-
-    override fun newEmptyHeaders(): HttpHeaders = DroppedHeaders()
-}
-
 /** Failure of a request for whose head there is not enough memory at present. */
 internal class MemoryShortageException : Exception("the memory for connections is used up", null, false, false)
 
--- a/tasks/src/test/kotlin/org/cicadaturn/tasks/http/AnswerDecoderTest.kt
+++ b/tasks/src/test/kotlin/org/cicadaturn/tasks/http/AnswerDecoderTest.kt
@@ -15,7 +15,7 @@
 import org.junit.jupiter.params.provider.ValueSource
 
 class AnswerDecoderTest {
-    private val decoder = AnswerDecoder(HttpDecoderConfig())
+    private val decoder = AnswerDecoder(HttpDecoderConfig(), testAccount())
     private val channel = EmbeddedChannel(decoder)
 
     /** Feeds [text] to the decoder in pieces of [size] bytes and returns the messages that come out. */
@@ -36,7 +36,7 @@
     @ValueSource(ints = [1, 7, 1000])
     fun `bytes after an answer are surplus although they form no message`(size: Int) {
         for (length in 1..ANSWER.length) {
-            val decoder = AnswerDecoder(HttpDecoderConfig())
+            val decoder = AnswerDecoder(HttpDecoderConfig(), testAccount())
             val channel = EmbeddedChannel(decoder)
             decoder.requestSent("GET")
             (ANSWER + ANSWER.take(length)).chunked(size).forEach {
@@ -83,7 +83,7 @@
     fun `a head that is joined with the next answer is unreadable at each length`() {
         val headLength = ANSWER.indexOf(HEAD_END)
         for (length in 1 until headLength + HEAD_END.length) {
-            val decoder = AnswerDecoder(HttpDecoderConfig())
+            val decoder = AnswerDecoder(HttpDecoderConfig(), testAccount())
             val channel = EmbeddedChannel(decoder)
             decoder.requestSent("GET")
             channel.writeInbound(Unpooled.copiedBuffer((ANSWER.take(length) + NEXT).encodeToByteArray()))
--- a/tasks/src/test/kotlin/org/cicadaturn/tasks/http/JoinedHeadTest.kt
+++ b/tasks/src/test/kotlin/org/cicadaturn/tasks/http/JoinedHeadTest.kt
@@ -83,7 +83,7 @@
         method: String,
         text: String,
     ): List<HttpResponse> {
-        val decoder = AnswerDecoder(HttpDecoderConfig())
+        val decoder = AnswerDecoder(HttpDecoderConfig(), testAccount())
         val channel = EmbeddedChannel(decoder)
         decoder.requestSent(method)
         channel.writeInbound(Unpooled.copiedBuffer(text.encodeToByteArray()))
