Pass on only answers whose status has three digits and exists

Seen: an endpoint's signed answer with the status 0200, +200 or 00200 reached callers of a gateway as 200, and +404 as 404, on safe and unsafe routes and on streams. An entry process passed the status 000 of a plain service on, which its caller could not read.

Cause: the decoder reads the status with a parser for numbers, and nothing compared what it had read. The entry process and the endpoint process did not check the status of plain services at all.

Change: an answer whose status line has no status of three digits is unreadable, which holds for endpoints, ranks, the store and peers. isFinalStatus states in one place which statuses may reach a caller (200 to 599); gateway, entry and endpoint process use it. The endpoint process reports the result of such a call as unknown, so it is not confirmed.

--- a/daemons/src/test/kotlin/org/cicadaturn/daemons/system/PlainAnswerTest.kt
+++ b/daemons/src/test/kotlin/org/cicadaturn/daemons/system/PlainAnswerTest.kt
@@ -39,6 +39,26 @@
         }
     }
 
+    /** Guards against a failure of a back end that is confirmed as a success, or passed on with a status that does not exist. */
+    @Test
+    fun `an answer whose status does not exist is unknown`() {
+        val statuses =
+            listOf("000 X", "099 X", "20 X", "600 X", "999 X", "0200 OK", "+200 OK", "-20 OK", "200OK", "2000 OK")
+        val answers =
+            statuses.associateWith {
+                scriptedAnswer(BOOKED.encodeToByteArray(), Framing.LENGTH, listOf(JSON), status = it)
+            }
+        withBackend(answers) { system, _ ->
+            val results =
+                statuses.associateWith {
+                    val keyed = mapOf("Idempotency-Key" to "k $it", "X-Deadline-Ms" to "3000")
+                    runCatching { system.callers.call(system.entry("entry-1"), "POST", "/$ORDERS", keyed, "#$it#") }
+                        .fold({ "${it.status / 100} ${it.result.substringAfter('/')}" }, { "${it.message}" })
+                }
+            assertEquals(statuses.associateWith { "5 unknown" }, results)
+        }
+    }
+
     /** Guards against a part of an answer that a caller takes for the whole. */
     @Test
     fun `an answer whose end is unproven is no success`() {
--- a/decisions/src/main/kotlin/org/cicadaturn/decisions/answer/RequestedAnswer.kt
+++ b/decisions/src/main/kotlin/org/cicadaturn/decisions/answer/RequestedAnswer.kt
@@ -69,6 +69,7 @@
     status: Int,
     headers: List<Header>,
 ): Either<String, BodyHandling> {
+    if (!isFinalStatus(status)) return "status $status, which does not exist".left()
     val type = mediaTypeIn(headers)
     if (form == AnswerForm.PLAIN) {
         val isStreamed = acceptsEventStream && type == EVENT_STREAM
--- a/decisions/src/main/kotlin/org/cicadaturn/decisions/gateway/ExpectedAnswer.kt
+++ b/decisions/src/main/kotlin/org/cicadaturn/decisions/gateway/ExpectedAnswer.kt
@@ -1,5 +1,7 @@
 package org.cicadaturn.decisions.gateway
 
+import org.cicadaturn.decisions.answer.isFinalStatus
+
 /** What marks the end of the body of an answer. */
 public enum class BodyFraming {
     /** Its length. */
@@ -96,7 +98,7 @@
     isSuccess: Boolean,
 ): String? =
     when {
-        head.status !in FINAL_STATUSES -> "status ${head.status}, which does not exist"
+        !isFinalStatus(head.status) -> "status ${head.status}, which does not exist"
         head.framing == BodyFraming.UNKNOWN -> "answer with an unknown transfer encoding"
         requestId != null && head.requestId != null && head.requestId != requestId ->
             "answer to another request ${head.requestId}"
@@ -127,7 +129,6 @@
             ?.trim()
             .equals(EVENT_STREAM, ignoreCase = true)
 
-private val FINAL_STATUSES = 200..599
 private val SUCCESS_STATUSES = 200..299
 
 /**
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/endpoint/Backend.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/endpoint/Backend.kt
@@ -23,6 +23,7 @@
 import org.cicadaturn.decisions.answer.BodyEnd
 import org.cicadaturn.decisions.answer.bodyEndOf
 import org.cicadaturn.decisions.answer.contentCodingsIn
+import org.cicadaturn.decisions.answer.isFinalStatus
 import org.cicadaturn.decisions.answer.isJson
 import org.cicadaturn.schema.generated.Frame
 import org.cicadaturn.schema.generated.Header
@@ -172,6 +173,7 @@
     isAccepting: suspend () -> Boolean,
 ): BackendResult {
     val status = response.status.value
+    if (!isFinalStatus(status)) return BackendResult.Unknown("status $status, which does not exist")
     val headers = response.headers.entries().flatMap { (name, values) -> values.map { Header(name, it) } }
     val end =
         bodyEndOf(open.method, status, headers)
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/http/AnswerDecoder.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/http/AnswerDecoder.kt
@@ -163,6 +163,7 @@
         val version = response.protocolVersion()
         return when {
             version !in VERSIONS -> "protocol $version"
+            !WHOLE_STATUS_LINE.matchesAt(head.trimStart(), 0) -> "a status that is not of three digits"
             STATUS_LINE.find(head.trimStart(), startIndex = 1) != null -> "a status line within a head"
             version == HttpVersion.HTTP_1_0 && response.headers().contains(HttpHeaderNames.TRANSFER_ENCODING) ->
                 "a transfer encoding in HTTP/1.0"
@@ -198,5 +199,8 @@
 private const val MAX_STATUS_LINE_CHARACTERS = 32
 private val VERSIONS = setOf(HttpVersion.HTTP_1_0, HttpVersion.HTTP_1_1)
 
+/** Beginning of a status line. The decoder also accepts a sign and more or fewer digits (RFC 9112, section 4). */
+private val WHOLE_STATUS_LINE = Regex("""\S+[ \t]+\d{3}(?!\S)""")
+
 /** Status line in any form that the decoder accepts. */
 private val STATUS_LINE = Regex("""HTTP/\d\.\d\s+\d{3}""", RegexOption.IGNORE_CASE)
