Limit the lines and the identifiers that callers bring into the log

Seen: each request without a route or a key got a line, so callers use up the 50 lines a second of the log and those of other requests are dropped. An identifier of 16 kB stood whole in its line, and 2,048 lines may wait in memory.

Change: at most 10 lines a second for requests that were not admitted, which the metrics still count; identifiers are cut at 128 characters and prompts at 1,024.

--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/RequestEnd.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/RequestEnd.kt
@@ -8,6 +8,7 @@
 import org.cicadaturn.tasks.http.RequestHead
 import org.cicadaturn.tasks.http.valueOf
 import kotlin.time.Clock
+import kotlin.time.Duration.Companion.seconds
 import kotlin.time.Instant
 
 /** Who ended a request. */
@@ -73,6 +74,9 @@
     private val shutdown: Shutdown,
     private val times: RequestTimeRecord,
 ) {
+    /** Limit on the lines of requests without a route or a key, whose number is up to callers. */
+    private val notAdmitted = LineLimit()
+
     /** Records that the request with [head] ended with [end] after [sentEvents] events were passed on. */
     fun record(
         head: RequestHead,
@@ -82,9 +86,10 @@
     ) {
         val now = clock.now()
         metrics.ended(progress.service, end, now - progress.arrivedAt)
+        if (progress.service == null && end.outcome != RequestOutcome.CUT && !notAdmitted.mayWrite(now)) return
         val line =
             lineOf("end", head, progress, sentEvents, now).copy(
-                prompt = promptText(dialect.promptOf(head.headers)),
+                prompt = promptText(dialect.promptOf(head.headers))?.take(MAX_PROMPT_CHARACTERS),
                 detail = end.reason,
                 end = end.outcome.name,
                 status = end.status,
@@ -111,7 +116,7 @@
     ): RequestLine =
         RequestLine(
             event = event,
-            request = head.headers.valueOf(dialect.requestId),
+            request = head.headers.valueOf(dialect.requestId)?.take(MAX_ID_CHARACTERS),
             service = progress.service?.text,
             endpoint = progress.endpoint?.text,
             sends = progress.sends,
@@ -122,4 +127,31 @@
             firstMs = progress.begunAt?.let { (it - progress.arrivedAt).inWholeMilliseconds },
             ms = (now - progress.arrivedAt).inWholeMilliseconds,
         ).withStop(shutdown.times, progress.service?.let { times.recent.value[it] }, now)
+
+    private companion object {
+        /** Longest identifier in a line; those of callers have 16 characters. */
+        const val MAX_ID_CHARACTERS = 128
+
+        /** Longest prompt in a line; 16 segments of 64 characters. */
+        const val MAX_PROMPT_CHARACTERS = 1_024
+    }
+}
+
+/** Limit on lines of one kind: [LINES_PER_SECOND] in each second, of the 50 that the log takes. */
+private class LineLimit {
+    private var since = Instant.DISTANT_PAST
+    private var written = 0
+
+    fun mayWrite(now: Instant): Boolean {
+        if (now - since >= 1.seconds) {
+            since = now
+            written = 0
+        }
+        written += 1
+        return written <= LINES_PER_SECOND
+    }
+
+    private companion object {
+        const val LINES_PER_SECOND = 10
+    }
 }
