Leave descriptors to connections to endpoints

Seen: with 400 descriptors and 600 callers that only open connections, a caller with an open connection got no answer of an endpoint, three tries of three.

Cause: nothing limited connections, so no descriptor was left for connections to endpoints.

Evidence: DescriptorCrowdTest fails on ("request on an open connection") and passes now, on a new connection too.

--- a/daemons/src/test/kotlin/org/cicadaturn/daemons/crowd/CrowdedGateway.kt
+++ b/daemons/src/test/kotlin/org/cicadaturn/daemons/crowd/CrowdedGateway.kt
@@ -9,6 +9,7 @@
 import org.cicadaturn.daemons.site.BOUNDS
 import org.cicadaturn.daemons.site.GatewayAddresses
 import org.cicadaturn.daemons.site.GatewayProcess
+import org.cicadaturn.daemons.site.MACHINE_DESCRIPTORS
 import org.cicadaturn.daemons.site.OK
 import org.cicadaturn.daemons.site.ObjectKey
 import org.cicadaturn.daemons.site.Roughness
@@ -39,18 +40,21 @@
  * Gateway process with the options of the deploy file, a store and two sound endpoints, on loopback.
  *
  * @param configuration content of the object config/main
+ * @param descriptors number of descriptors that the process may open
  * @param faultyAnswer what an endpoint of the service of streams sends on each connection; null if there is none
  */
 internal class CrowdedGateway(
     private val configuration: String = siteConfiguration(version = 1),
     private val faultyAnswer: CrowdScript? = null,
+    descriptors: Int = MACHINE_DESCRIPTORS,
 ) : CrowdedProcess {
     override val directory: Path = CrowdCheck.emptyDirectory()
     private val dispatcher = Executors.newCachedThreadPool().asCoroutineDispatcher()
     private val scope = CoroutineScope(SupervisorJob() + dispatcher)
     private val store = StoreServer(scope)
     val addresses: GatewayAddresses = gatewayAddresses(1).single()
-    private val gateway = GatewayProcess(addresses, directory, store.address, "127.0.0.1:${addresses.control}", BOUNDS)
+    private val seeds = "127.0.0.1:${addresses.control}"
+    private val gateway = GatewayProcess(addresses, directory, store.address, seeds, BOUNDS, descriptors)
     private val endOfJvm = Thread { gateway.kill() }
 
     override val isAlive: Boolean get() = gateway.isAlive
--- a/daemons/src/test/kotlin/org/cicadaturn/daemons/site/GatewayProcesses.kt
+++ b/daemons/src/test/kotlin/org/cicadaturn/daemons/site/GatewayProcesses.kt
@@ -63,6 +63,7 @@
     storeAddress: String,
     seeds: String,
     bounds: Map<String, String>,
+    private val descriptors: Int = MACHINE_DESCRIPTORS,
 ) {
     private var process: Process? = null
     private var starts = 0
@@ -77,7 +78,7 @@
                         "ip" to "127.0.0.1",
                         "internal_ports.0" to "${addresses.admin}",
                         "provider.address" to storeAddress,
-                        "limits.max_fds" to "$MACHINE_DESCRIPTORS",
+                        "limits.max_fds" to "$descriptors",
                         "listen.front" to "127.0.0.1:${addresses.front}",
                         "listen.ready" to "127.0.0.1:${addresses.ready}",
                         "listen.control" to "127.0.0.1:${addresses.control}",
@@ -96,7 +97,9 @@
                 .get()
         val program = listOf("-cp", System.getProperty("java.class.path"), MAIN_CLASS, "gateway", "$settings")
         val log = directory.resolve("${addresses.node}.${starts++}.log").toFile()
-        process = ProcessBuilder(listOf(java) + flags() + program).redirectErrorStream(true).redirectOutput(log).start()
+        // The shell replaces itself with the program, which keeps its limit.
+        val limited = listOf("sh", "-c", "ulimit -n $descriptors && exec \"\$@\"", "sh", java)
+        process = ProcessBuilder(limited + flags() + program).redirectErrorStream(true).redirectOutput(log).start()
     }
 
     /** Returns the flags of the deploy file, without those for a class archive, which only the packaged program has. */
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/GatewayNode.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/GatewayNode.kt
@@ -95,18 +95,28 @@
     return node
 }
 
-/** Returns the limits on the connections of callers; the other half of the descriptors is for connections to endpoints. */
+/** Returns the limits on the connections of callers, which get half of the descriptors. */
 private fun callerLimits(settings: GatewaySettings): ConnectionLimits =
-    ConnectionLimits(
-        connections = ((settings.descriptors.toInt() - FILE_DESCRIPTORS) / 2).coerceAtLeast(MIN_CALLER_CONNECTIONS),
-        bytes = settings.connectionMemory.toLong(),
-    )
+    ConnectionLimits(connectionsOf(settings, part = 2), settings.connectionMemory.toLong())
+
+/**
+ * Returns the limits on the connections of the platform, peers and operators, which get a quarter of the descriptors; the
+ * last quarter is for connections to endpoints. 349 peers at the design size have a watch and a message each at a time.
+ */
+private fun otherLimits(settings: GatewaySettings): ConnectionLimits =
+    ConnectionLimits(connectionsOf(settings, part = 4), OTHER_MEMORY_BYTES)
+
+private fun connectionsOf(
+    settings: GatewaySettings,
+    part: Int,
+): Int = ((settings.descriptors.toInt() - FILE_DESCRIPTORS) / part).coerceAtLeast(MIN_CONNECTIONS)
 
 /** Descriptors for files and listeners. */
 private const val FILE_DESCRIPTORS = 200
 
-/** Connections of callers that a process takes however few descriptors it is said to have. */
-private const val MIN_CALLER_CONNECTIONS = 16
+/** Connections that are accepted however few descriptors the process is said to have. */
+private const val MIN_CONNECTIONS = 16
+private const val OTHER_MEMORY_BYTES = 6L * 1024 * 1024
 
 private class GatewayNode(
     private val file: GatewayFile,
@@ -194,7 +204,7 @@
         connectionAccounts(callerLimits(settings)) { connectionMetrics.lost("callers", it) }
 
     // Platform, peers and operators connect to these listeners, so they have little of the memory to themselves.
-    private val otherAccounts = connectionAccounts(OTHER_LIMITS) { connectionMetrics.lost("others", it) }
+    private val otherAccounts = connectionAccounts(otherLimits(settings)) { connectionMetrics.lost("others", it) }
     private lateinit var callerListener: HttpListener
     private lateinit var readyListener: HttpListener
     private lateinit var peerListener: HttpListener
@@ -385,13 +395,7 @@
         /** Maximum size of the head of a request on the listeners that callers do not use. */
         const val HEAD_BYTES = 16_384
 
-        /**
-         * Connections to these listeners: 349 peers at the design size, each with a watch and a message at a time, and
-         * those of the platform and of operators.
-         */
-        val OTHER_LIMITS = ConnectionLimits(connections = 1_024, bytes = 6L * 1024 * 1024)
-
-        /** Longest time for which a client of these listeners may read nothing of an answer. */
+        /** Longest time for which a client of those listeners may read nothing of an answer. */
         val OTHER_TIMEOUT = 10.seconds
         const val OK = 200
         const val UNAVAILABLE = 503
