Leave a quarter of the memory for bodies to those of usual size

Seen: 50 callers who announce bodies of 4 MB and send a byte now and then took all of the memory for bodies for as long as they liked: an upload of 10 kB got no answer of an endpoint within 30 s.

Cause: memory for a body of known length is taken at its head, and four such bodies are all of it.

Change: bodies over 64 kB share three quarters of the memory. BodyMemoryTest asserted that one large body takes all of it; it now uses the rest up with bodies of usual size before the same assertions, and a new case tests both parts.

MemoryBoundTest passes (120 uploads of 1 MB).

--- a/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/BodyMemoryTest.kt
+++ b/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/BodyMemoryTest.kt
@@ -22,6 +22,9 @@
         runTest {
             val large = memory.reservation()
             assertTrue(large.tryGrowTo(1_000_000))
+            // Large bodies leave a quarter, which those of usual size can use up.
+            val usual = List(4) { memory.reservation() }
+            usual.forEach { assertTrue(it.tryGrowTo(61_000)) }
             val waiting = async { memory.reservation().use { it.growTo(500_000, 1.seconds) } }
             delay(10.milliseconds)
             memory.reservation().use { small ->
@@ -33,6 +36,18 @@
             assertFalse(waiting.await())
         }
 
+    /** Guards against a few large bodies that take the memory of all others for as long as they last. */
+    @Test
+    fun `large bodies leave memory to those of usual size and get it back`() =
+        runTest {
+            val large = memory.reservation()
+            assertTrue(large.tryGrowTo(1_000_000))
+            memory.reservation().use { assertFalse(it.tryGrowTo(70_000)) }
+            memory.reservation().use { assertTrue(it.growTo(60_000, 1.seconds)) }
+            large.close()
+            memory.reservation().use { assertTrue(it.tryGrowTo(700_000)) }
+        }
+
     /** Guards against two bodies that each hold a part of the memory and wait for the rest. */
     @Test
     fun `bodies that wait get their memory one after the other`() =
