Do not wait in a stop for callers whose body was refused

Seen in a review of: after a body was refused, the connection stays open for up to idle_timeout_ms until its caller closes it, and a planned stop waited for it until the end of its grace time and counted it as cut.

Change: the wait ends when a stop closes idle connections. The tests start the JVM's program from one function.

--- a/daemons/src/test/kotlin/org/cicadaturn/daemons/crowd/CrowdedEntry.kt
+++ b/daemons/src/test/kotlin/org/cicadaturn/daemons/crowd/CrowdedEntry.kt
@@ -6,6 +6,7 @@
 import kotlinx.coroutines.cancel
 import kotlinx.coroutines.runBlocking
 import kotlinx.coroutines.withTimeoutOrNull
+import org.cicadaturn.daemons.site.javaCommand
 import org.cicadaturn.daemons.system.Backend
 import org.cicadaturn.daemons.system.EndpointOptions
 import org.cicadaturn.daemons.system.EntryOptions
@@ -39,17 +40,12 @@
         system = runBlocking(Dispatchers.Default) { startSystem(options) }
         val settings = directory.resolve("entry.ini")
         settings.writeText(settingsText())
-        val java =
-            ProcessHandle
-                .current()
-                .info()
-                .command()
-                .get()
         val classPath = System.getProperty("java.class.path")
         val flags = listOf("-Xmx64m", "-XX:+UseSerialGC", "-XX:+ExitOnOutOfMemoryError", "-cp", classPath)
         process =
-            ProcessBuilder(listOf(java) + flags + listOf("org.cicadaturn.daemons.MainKt", "entry", "$settings"))
-                .redirectErrorStream(true)
+            ProcessBuilder(
+                listOf(javaCommand()) + flags + listOf("org.cicadaturn.daemons.MainKt", "entry", "$settings"),
+            ).redirectErrorStream(true)
                 .redirectOutput(directory.resolve("log").toFile())
                 .start()
         Runtime.getRuntime().addShutdownHook(endOfJvm)
--- a/daemons/src/test/kotlin/org/cicadaturn/daemons/site/GatewayProcesses.kt
+++ b/daemons/src/test/kotlin/org/cicadaturn/daemons/site/GatewayProcesses.kt
@@ -53,6 +53,14 @@
         false
     }
 
+/** Returns the program that runs this JVM. */
+internal fun javaCommand(): String =
+    ProcessHandle
+        .current()
+        .info()
+        .command()
+        .get()
+
 /** Descriptors of a machine of the deployment premia-ne. */
 internal const val MACHINE_DESCRIPTORS = 4_100
 
@@ -89,16 +97,10 @@
         }
 
     fun start() {
-        val java =
-            ProcessHandle
-                .current()
-                .info()
-                .command()
-                .get()
         val program = listOf("-cp", System.getProperty("java.class.path"), MAIN_CLASS, "gateway", "$settings")
         val log = directory.resolve("${addresses.node}.${starts++}.log").toFile()
         // The shell replaces itself with the program, which keeps its limit.
-        val limited = listOf("sh", "-c", "ulimit -n $descriptors && exec \"\$@\"", "sh", java)
+        val limited = listOf("sh", "-c", "ulimit -n $descriptors && exec \"\$@\"", "sh", javaCommand())
         process = ProcessBuilder(limited + flags() + program).redirectErrorStream(true).redirectOutput(log).start()
     }
 
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/CallerConnection.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/CallerConnection.kt
@@ -139,10 +139,16 @@
         val answer = CallerAnswer(link, tracker::asksToReconnect, callerCloses = true, clock)
         val end = answer.refuse(DEFAULT_RETRY_DELAY, "the memory for bodies is used up")
         ends.record(head, progress, answer.sentEvents, end)
-        withTimeoutOrNull(limits().idleTimeout) { link.closed.await() }
+        // A stop does not wait for callers whose request was refused.
+        withTimeoutOrNull(limits().idleTimeout) {
+            select {
+                link.closed.onAwait { }
+                tracker.drainStarted.onJoin { }
+            }
+        }
     }
 
-    /** A body that takes longer than the longest request may take is not awaited, as its memory would be held for ever. */
+    /** A body that takes longer than the longest request may take is not awaited, as its memory would be held meanwhile. */
     private suspend fun receiveInTime(
         head: RequestHead,
         reservation: BodyMemory.Reservation,
