Do not close connections of peers whose request is in progress

Change: it counts as serving from the end of its request to the next one, as a connection of a caller does.

Evidence: read, not tested; ForeignPeerAnswerTest, SharedWatchTest and the crowd tests for descriptors and long bodies pass.

--- a/daemons/src/test/kotlin/org/cicadaturn/daemons/crowd/CrowdedGateway.kt
+++ b/daemons/src/test/kotlin/org/cicadaturn/daemons/crowd/CrowdedGateway.kt
@@ -79,34 +79,32 @@
         check(awaitAnswer(START_LIMIT)) { "the gateway served no request within $START_LIMIT" }
     }
 
-    override fun isServed(limit: Duration): Boolean =
-        try {
-            Socket().use { socket ->
-                socket.connect(InetSocketAddress("127.0.0.1", addresses.front), limit.inWholeMilliseconds.toInt())
-                socket.soTimeout = limit.inWholeMilliseconds.toInt()
-                isServedOn(socket)
-            }
-        } catch (_: IOException) {
-            false
-        }
+    override fun isServed(limit: Duration): Boolean = isServed(ordinaryRequest(), limit)
 
     /** Returns true if a request with a body of [bytes] on a new connection gets the whole answer of an endpoint in [limit]. */
     fun isUploadServed(
         bytes: Int,
         limit: Duration,
+    ): Boolean {
+        val head = ordinaryRequest().decodeToString().replaceFirst("\r\n", "\r\nContent-Length: $bytes\r\n")
+        return isServed(head.encodeToByteArray() + ByteArray(bytes), limit)
+    }
+
+    private fun isServed(
+        request: ByteArray,
+        limit: Duration,
     ): Boolean =
         try {
             Socket().use { socket ->
                 socket.connect(InetSocketAddress("127.0.0.1", addresses.front), limit.inWholeMilliseconds.toInt())
                 socket.soTimeout = limit.inWholeMilliseconds.toInt()
-                val request = ordinaryRequest().decodeToString().replaceFirst("\r\n", "\r\nContent-Length: $bytes\r\n")
-                isServedOn(socket, request.encodeToByteArray() + ByteArray(bytes))
+                isServedOn(socket, request)
             }
         } catch (_: IOException) {
             false
         }
 
-    /** Returns true if an ordinary request on [socket] gets the whole answer of an endpoint. */
+    /** Returns true if [request] on [socket] gets the whole answer of an endpoint. */
     fun isServedOn(
         socket: Socket,
         request: ByteArray = ordinaryRequest(),
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/InternalRequests.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/InternalRequests.kt
@@ -1,6 +1,7 @@
 package org.cicadaturn.tasks.gateway
 
 import kotlinx.coroutines.withTimeoutOrNull
+import org.cicadaturn.decisions.connection.ConnectionUse
 import org.cicadaturn.tasks.http.ConnectionLoss
 import org.cicadaturn.tasks.http.HttpLink
 import org.cicadaturn.tasks.http.HttpPart
@@ -22,8 +23,12 @@
  */
 internal suspend fun HttpLink.receiveInternalRequest(): InternalRequest? {
     account?.holdBody(0)
+    account?.use = ConnectionUse.WAITING
     val part = receiveRequest(IDLE_TIMEOUT, REQUEST_TIMEOUT) as? HttpPart.Request ?: return null
-    return withTimeoutOrNull(REQUEST_TIMEOUT) { receiveBody() }?.let { InternalRequest(part.head, it) }
+    val body = withTimeoutOrNull(REQUEST_TIMEOUT) { receiveBody() } ?: return null
+    // A report of the store is held for seconds until there is something to report.
+    account?.use = ConnectionUse.SERVING
+    return InternalRequest(part.head, body)
 }
 
 /** Sends an answer to a request of the platform, a peer or an operator, or refuses that if there is no memory for [body]. */
