--- a/review/tools-2/Worker.java
+++ b/review/tools-2/Worker.java
@@ -14,7 +14,7 @@
  *
  * id: its id; port: its port, free if left out; events: events of a stream, 0 for a plain answer; gap: milliseconds
  * between events; work: milliseconds of work before a plain answer; bytes: length of a plain answer; framing: chunked,
- * length or close; slots.
+ * length or close; numbers: events for ids that count the events, tokens for ids that count the tokens so far; slots.
  *
  * It writes a line for each request that it runs, each event that it makes and each answer that it ends.
  */
@@ -130,6 +130,14 @@
         return id + " piece " + n + " of " + count;
     }
 
+    /**
+     * Returns the id of the event with number [n], from 1 on. An event may contain several tokens: the first three have one
+     * each, the later ones two.
+     */
+    static long idOf(String numbers, int n) {
+        return numbers.equals("events") || n <= 3 ? n : 3 + 2L * (n - 3);
+    }
+
     private static boolean stream(Http.Head head, String id, OutputStream out) throws IOException {
         boolean isChunked = settings.get("framing").equals("chunked");
         String framing = isChunked ? "Transfer-Encoding: chunked\r\n" : "Connection: close\r\n";
@@ -137,9 +145,10 @@
         String last = head.header("Last-Event-Id");
         int count = number("events");
         for (int n = 1; n <= count; n++) {
-            if (last != null && n <= Long.parseLong(last)) continue;
+            long number = idOf(settings.getOrDefault("numbers", "events"), n);
+            if (last != null && number <= Long.parseLong(last)) continue;
             Threads.sleep(number("gap"));
-            String event = "id: " + n + "\ndata: " + dataOf(id, n, count) + "\n\n";
+            String event = "id: " + number + "\ndata: " + dataOf(id, n, count) + "\n\n";
             if (isChunked) event = Integer.toHexString(event.length()) + "\r\n" + event + "\r\n";
             out.write(Http.bytes(event));
             out.flush();
