--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,4 +3,4 @@
 set -euo pipefail
 cd "$(dirname "${BASH_SOURCE[0]}")/.."
 mkdir -p target/review-2
-javac -d target/review-2 review/tools-2/*.java
+javac -d target/review-2 review/tools/2/*.java
