Review: stand-ins take ports below those of outgoing connections

A port that was found free could be taken by an outgoing connection before the gateway bound it, and the script would end with 2. Signals go through the shell, which each machine with bash has.

--- a/review/tools/2/Lab.java
+++ b/review/tools/2/Lab.java
@@ -14,6 +14,9 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -69,12 +72,22 @@
         }
     }
 
+    /** Returns a free port below those that the system gives to outgoing connections, which could take it meanwhile. */
     static int freePort() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            return socket.getLocalPort();
+        for (int i = 0; i < 1_000; i++) {
+            int port = ThreadLocalRandom.current().nextInt(12_000, 32_000);
+            if (!given.add(port)) continue;
+            try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
+                return socket.getLocalPort();
+            } catch (IOException e) {
+                // The port is in use.
+            }
         }
+        throw new IOException("no free port");
     }
 
+    private static final Set<Integer> given = ConcurrentHashMap.newKeySet();
+
     /** Server process. */
     final class Server {
         final String id;
@@ -271,10 +284,10 @@
             process.destroyForcibly().waitFor();
         }
 
-        /** Sends [signal], a name as kill takes it. */
+        /** Sends [signal], a name as the kill of the shell takes it. */
         void signal(String signal) throws IOException, InterruptedException {
             note("gateway " + node + " gets SIG" + signal);
-            new ProcessBuilder("kill", "-" + signal, "" + process.pid()).start().waitFor();
+            new ProcessBuilder("bash", "-c", "kill -" + signal + " " + process.pid()).start().waitFor();
         }
 
         String log() throws IOException {
