Wait for the last line of a request before it is looked for in a test

Cause: the gateway writes the last line of a request after its answer, so the caller may be first. With 20 ms before the line the test failed with the same message, and it passes now. What it demands is unchanged.

--- a/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/RefusedLinesTest.kt
+++ b/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/RefusedLinesTest.kt
@@ -6,6 +6,7 @@
 import org.junit.jupiter.api.Test
 import java.net.Socket
 import java.util.concurrent.ConcurrentLinkedQueue
+import java.util.concurrent.TimeUnit
 
 /** Tests the lines of requests that callers outside any control send. */
 class RefusedLinesTest {
@@ -25,12 +26,19 @@
                 }
                 val seconds = (System.nanoTime() - start) / 1_000_000_000
                 assertEquals(200, exchange(gateway.port, request("/once/x", id = "sound")).status)
+                // The last line of a request is written after its answer, so the caller may see the answer first.
+                awaitLine { it.event == "end" && it.request == "sound" }
                 assertTrue(lines.count { it.status == 404 } <= 10 * (seconds + 2), "${lines.size} lines in $seconds s")
                 assertEquals(1, lines.count { it.event == "end" && it.request == "sound" })
             }
         }
     }
 
+    private fun awaitLine(predicate: (RequestLine) -> Boolean) {
+        val until = System.nanoTime() + TimeUnit.SECONDS.toNanos(10)
+        while (lines.none(predicate) && System.nanoTime() < until) Thread.sleep(5)
+    }
+
     /** Guards against lines that fill the memory of the log, as 2,000 of them may wait. */
     @Test
     fun `a long identifier is cut in a line`() {
