A socket that cannot be created is a connection that failed

Seven failures of a vital task end a process with code 1.

Cause: Netty reports that no socket can be created, as when all descriptors are in use, with ChannelException, which is no IOException, so HttpConnector threw it into the task that had asked for a connection. All connections of a gateway go through this connector: peers, store, ranks, endpoints, quarantine, limits and pledges. Their callers handle a failed connection. Entry and endpoint processes connect with other clients, which report it as an IOException that they handle.

The exception becomes Opening.Failed. It is not Refused, as it says nothing about the host. A connection without a socket is not closed, as its channel has no event loop and a close of it throws.

--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/http/HttpConnector.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/http/HttpConnector.kt
@@ -1,6 +1,7 @@
 package org.cicadaturn.tasks.http
 
 import io.netty.bootstrap.Bootstrap
+import io.netty.channel.ChannelException
 import io.netty.channel.ChannelInitializer
 import io.netty.channel.ChannelOption
 import io.netty.channel.ConnectTimeoutException
@@ -31,7 +32,7 @@
     /** The host has refused the connection, as nothing listens at the address. */
     public data object Refused : Opening
 
-    /** The connection was not established in time, or was reset as it was. */
+    /** The connection was not established in time, was reset as it was, or this process could open no socket for it. */
     public data object Failed : Opening
 }
 
@@ -67,13 +68,20 @@
 public fun httpConnector(
     runtime: HttpRuntime,
     accounts: ConnectionAccounts = connectionAccounts(ANSWER_LIMITS),
+): HttpConnector = httpConnector(runtime, accounts, ::NioSocketChannel)
+
+/** Returns a connector as above that creates the socket of each connection with [newSocket]. */
+internal fun httpConnector(
+    runtime: HttpRuntime,
+    accounts: ConnectionAccounts,
+    newSocket: () -> SocketChannel,
 ): HttpConnector {
     val initializer = ClientInitializer(runtime.onFatalError, accounts)
     return HttpConnector { address, timeout ->
         val client =
             Bootstrap()
                 .group(runtime.group())
-                .channel(NioSocketChannel::class.java)
+                .channelFactory { newSocket() }
                 .option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.AUTO_READ, false)
                 // Tells a connection that the server closes from one that ends otherwise.
@@ -95,9 +103,13 @@
             Opening.Refused
         } catch (e: IOException) {
             Opening.Failed
+        } catch (e: ChannelException) {
+            // Netty reports with this type that no socket can be created, as when all descriptors are in use.
+            Opening.Failed
         } finally {
-            // Closes a connection that a cancelled caller will not receive.
-            if (!currentCoroutineContext().isActiveNow()) connecting.channel().close()
+            // Closes a connection that a cancelled caller will not receive; one without a socket cannot be closed.
+            val channel = connecting.channel()
+            if (channel.isOpen && !currentCoroutineContext().isActiveNow()) channel.close()
         }
     }
 }
