A gateway finds out how many descriptors it may open

Cause: the shares of callers, platform and peers were computed from the setting alone, so callers got 1,948 connections of a process that has 256.

The process now asks the JVM (getrlimit) for its limit, logs it at the start and uses the smaller of it and the setting, which stays as an optional upper bound. Where the JVM cannot tell, the setting holds.

DescriptorCrowdTest, with the template without the key and before this change: "not ready with 256 descriptors" and, at 400, "request on an open connection", 2 of 2 failed; both pass now.

--- a/daemons/src/test/kotlin/org/cicadaturn/daemons/crowd/CrowdedGateway.kt
+++ b/daemons/src/test/kotlin/org/cicadaturn/daemons/crowd/CrowdedGateway.kt
@@ -81,6 +81,9 @@
 
     override fun isServed(limit: Duration): Boolean = isServed(ordinaryRequest(), limit)
 
+    /** Returns true if the process says that it is ready. */
+    fun isReady(): Boolean = gateway.isReady()
+
     /** Returns true if a request with a body of [bytes] on a new connection gets the whole answer of an endpoint in [limit]. */
     fun isUploadServed(
         bytes: Int,
--- a/daemons/src/test/kotlin/org/cicadaturn/daemons/crowd/DescriptorCrowdTest.kt
+++ b/daemons/src/test/kotlin/org/cicadaturn/daemons/crowd/DescriptorCrowdTest.kt
@@ -1,5 +1,7 @@
 package org.cicadaturn.daemons.crowd
 
+import org.cicadaturn.daemons.site.logLinesWith
+import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertTrue
 import org.junit.jupiter.api.Test
 import java.io.IOException
@@ -33,6 +35,22 @@
         }
     }
 
+    /** Guards against a process that is deaf, and whose tasks fail, where it may open fewer descriptors than expected. */
+    @Test
+    fun `a process with few descriptors is ready and its tasks go on while callers hold connections`() {
+        CrowdedGateway(descriptors = FEW_DESCRIPTORS).use { gateway ->
+            gateway.start()
+            val script = CrowdScript("connections without bytes", CROWD, ByteArray(0))
+            Crowd(gateway.addresses.front, script).start().use {
+                awaitPlateau(gateway.usage)
+                val descriptors = gateway.usage.descriptors()
+                assertTrue((1..ATTEMPTS).any { gateway.isReady() }, "not ready with $descriptors descriptors")
+            }
+            assertEquals(emptyList<String>(), logLinesWith("supervisor: task", gateway.directory))
+            assertTrue(gateway.isAlive)
+        }
+    }
+
     private fun isServedOn(
         socket: Socket,
         gateway: CrowdedGateway,
@@ -55,6 +73,7 @@
 
     private companion object {
         const val DESCRIPTORS = 400
+        const val FEW_DESCRIPTORS = 256
         const val CROWD = 600
         const val ATTEMPTS = 3
         const val READ_TIMEOUT_MILLIS = 10_000
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/GatewayNode.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/GatewayNode.kt
@@ -50,6 +50,7 @@
 import org.cicadaturn.tasks.http.HttpRuntime
 import org.cicadaturn.tasks.http.ListenerBounds
 import org.cicadaturn.tasks.http.ResponseHead
+import org.cicadaturn.tasks.http.allowedDescriptors
 import org.cicadaturn.tasks.http.connectionAccounts
 import org.cicadaturn.tasks.http.httpConnector
 import org.cicadaturn.tasks.http.listen
@@ -70,6 +71,7 @@
  * @property requestStop called when a task without which this process cannot serve goes on failing
  * @property stopRequestedAt returns when this process was asked to stop, by [clock], or null if that is not known
  * @property journal receives a line for each decision about a request
+ * @property allowedDescriptors returns the number of descriptors that the process may open, or null if that is not known
  */
 public class GatewayDependencies(
     public val runtime: HttpRuntime,
@@ -83,6 +85,7 @@
     public val requestStop: () -> Unit,
     public val stopRequestedAt: () -> Instant? = { null },
     public val journal: RequestJournal = requestJournal(),
+    public val allowedDescriptors: () -> Int? = ::allowedDescriptors,
 )
 
 /** Starts a gateway process, which forwards the requests of callers to the endpoints listed in the platform's store. */
@@ -95,26 +98,34 @@
     return node
 }
 
-/** Returns the limits on the connections of callers, which get half of the descriptors. */
-private fun callerLimits(settings: GatewaySettings): ConnectionLimits =
-    ConnectionLimits(connectionsOf(settings, part = 2), settings.connectionMemory.toLong())
+/** Returns the limits on the connections of callers, which get half of the [descriptors]. */
+private fun callerLimits(
+    settings: GatewaySettings,
+    descriptors: Int,
+): ConnectionLimits = ConnectionLimits(connectionsOf(descriptors, part = 2), settings.connectionMemory.toLong())
 
 /**
- * Returns the limits on the connections of the platform, peers and operators, which get a quarter of the descriptors; the
+ * Returns the limits on the connections of the platform, peers and operators, which get a quarter of [descriptors]; the
  * last quarter is for connections to endpoints. 349 peers at the design size have a watch and a message each at a time.
  */
-private fun otherLimits(settings: GatewaySettings): ConnectionLimits =
-    ConnectionLimits(connectionsOf(settings, part = 4), OTHER_MEMORY_BYTES)
+private fun otherLimits(descriptors: Int): ConnectionLimits =
+    ConnectionLimits(connectionsOf(descriptors, part = 4), OTHER_MEMORY_BYTES)
 
 private fun connectionsOf(
-    settings: GatewaySettings,
+    descriptors: Int,
     part: Int,
-): Int = ((settings.descriptors.toInt() - FILE_DESCRIPTORS) / part).coerceAtLeast(MIN_CONNECTIONS)
+): Int = ((descriptors - FILE_DESCRIPTORS) / part).coerceAtLeast(MIN_CONNECTIONS)
+
+/** Returns the number of descriptors to use: the setting is an upper bound on what the system allows. */
+private fun usedDescriptors(
+    settings: GatewaySettings,
+    allowed: Int?,
+): Int = minOf(settings.descriptors.toInt(), allowed ?: Int.MAX_VALUE)
 
 /** Descriptors for files and listeners. */
 private const val FILE_DESCRIPTORS = 200
 
-/** Connections that are accepted however few descriptors the process is said to have. */
+/** Connections that are accepted however few descriptors the process may open. */
 private const val MIN_CONNECTIONS = 16
 private const val OTHER_MEMORY_BYTES = 6L * 1024 * 1024
 
@@ -200,11 +211,12 @@
         )
     private var routes: RouteTable? = null
     private val connectionMetrics = ConnectionMetrics(registry, dependencies.clock)
+    private val descriptors = descriptorsToUse()
     private val callerAccounts =
-        connectionAccounts(callerLimits(settings)) { connectionMetrics.lost("callers", it) }
+        connectionAccounts(callerLimits(settings, descriptors)) { connectionMetrics.lost("callers", it) }
 
     // Platform, peers and operators connect to these listeners, so they have little of the memory to themselves.
-    private val otherAccounts = connectionAccounts(otherLimits(settings)) { connectionMetrics.lost("others", it) }
+    private val otherAccounts = connectionAccounts(otherLimits(descriptors)) { connectionMetrics.lost("others", it) }
     private lateinit var callerListener: HttpListener
     private lateinit var readyListener: HttpListener
     private lateinit var peerListener: HttpListener
@@ -225,6 +237,13 @@
         logger.error("gateway: a connection or call failed", cause)
     }
 
+    private fun descriptorsToUse(): Int {
+        val allowed = dependencies.allowedDescriptors()
+        val used = usedDescriptors(settings, allowed)
+        logger.info("gateway: uses {} descriptors, the system allows {}", used, allowed ?: "an unknown number")
+        return used
+    }
+
     private fun watchTimesOf(part: FleetPart): WatchTimes =
         fleetWatchTimes(part, file.store.watchWait, file.store.maxSilence, file.store.timeout)
 
