An optional setting without a value counts as not given

With the template of deploy/, each of cold-factor, cold-slack, retry-ratio, retry-slack, retry-window and stop-timeout ended the gateway with code 3 before it listened if the platform had no value for it; the last two become "s".

Cause: the reader took an empty value for a wrong one. DEPLOY.md says of placeholders: "nothing is returned if there is no value", and not each deployment has each bound. An empty value of an optional key, or the unit of a duration alone, now leaves the default in force (a key without a default counts as absent), in the files of all roles. A warning for each such key names the file, section, key and default after the start of the log; config check prints it too. A required key without a value and any wrong value is refused as before.

--- a/daemons/src/main/kotlin/org/cicadaturn/daemons/command/ConfigCommands.kt
+++ b/daemons/src/main/kotlin/org/cicadaturn/daemons/command/ConfigCommands.kt
@@ -26,7 +26,8 @@
     override fun help(context: Context): String = "Checks a settings file and prints every error in it."
 
     override fun run() {
-        settingsReaders.getValue(role)(file).onLeft { faults -> throw reportFaults(faults) }
+        val (_, notices) = settingsReaders.getValue(role)(file).fold({ faults -> throw reportFaults(faults) }, { it })
+        notices.forEach { echo(it.message, err = true) }
         echo("$file: correct settings for role $role")
     }
 }
--- a/daemons/src/main/kotlin/org/cicadaturn/daemons/command/NodeCommands.kt
+++ b/daemons/src/main/kotlin/org/cicadaturn/daemons/command/NodeCommands.kt
@@ -7,6 +7,8 @@
 import com.github.ajalt.clikt.parameters.arguments.argument
 import com.github.ajalt.clikt.parameters.arguments.help
 import com.github.ajalt.clikt.parameters.types.path
+import org.apache.logging.log4j.LogManager
+import org.cicadaturn.daemons.settings.CheckedSettings
 import org.cicadaturn.daemons.settings.SettingsFault
 import java.nio.file.Path
 
@@ -20,7 +22,7 @@
 internal class NodeCommand<T>(
     name: String,
     private val help: String,
-    private val read: (Path) -> Either<List<SettingsFault>, T>,
+    private val read: (Path) -> Either<List<SettingsFault>, CheckedSettings<T>>,
     private val setUpLogs: (T) -> Unit,
     private val handler: (T) -> Int,
 ) : CliktCommand(name) {
@@ -29,10 +31,15 @@
     override fun help(context: Context): String = help
 
     override fun run() {
-        val settings = read(file).fold({ faults -> throw reportFaults(faults) }, { it })
+        val (settings, notices) = read(file).fold({ faults -> throw reportFaults(faults) }, { it })
         setUpLogs(settings)
+        notices.forEach { logger.warn("settings: {}", it.message) }
         throw ProgramResult(handler(settings))
     }
+
+    private companion object {
+        val logger = LogManager.getLogger(NodeCommand::class.java)
+    }
 }
 
 /** Prints [faults] to standard error and returns the exception that ends the command. */
--- a/daemons/src/main/kotlin/org/cicadaturn/daemons/settings/SettingsExample.kt
+++ b/daemons/src/main/kotlin/org/cicadaturn/daemons/settings/SettingsExample.kt
@@ -13,7 +13,7 @@
     val intro =
         listOf(
             settingsRoles.first { it.name == role }.doc,
-            "Fill in the required values. A commented key shows its default.",
+            "Fill in the required values. A commented key shows its default, which an optional key without a value has too.",
             "Put a value that contains # or ; into double quotes.",
         )
     return intro.joinToString("") { "# $it\n" } + sectionsOf(role).joinToString("") { exampleSection(it) }
--- a/daemons/src/main/kotlin/org/cicadaturn/daemons/settings/SettingsFault.kt
+++ b/daemons/src/main/kotlin/org/cicadaturn/daemons/settings/SettingsFault.kt
@@ -70,17 +70,13 @@
             get() = "$location: given $times times; a key may be given once; keep one of the lines"
     }
 
-    /** A required key is absent, or a key has an empty value. */
+    /** A required key is absent or has an empty value. */
     data class MissingValue(
         val location: SettingsLocation,
         val allowed: String,
-        val required: Boolean,
     ) : SettingsFault {
         override val message: String
-            get() {
-                val remedy = if (required) "add a value" else "add a value or remove the line"
-                return "$location: no value; allowed is $allowed; $remedy"
-            }
+            get() = "$location: no value; allowed is $allowed; add a value"
     }
 
     /** A value does not have the form of the key's type; [value] is null for a secret. */
--- a/daemons/src/main/kotlin/org/cicadaturn/daemons/settings/SettingsReader.kt
+++ b/daemons/src/main/kotlin/org/cicadaturn/daemons/settings/SettingsReader.kt
@@ -18,19 +18,19 @@
 import java.nio.file.Path
 
 /** Returns the settings of an entry process from the file at [path], or all faults in the file. */
-internal fun readEntrySettings(path: Path): Either<List<SettingsFault>, EntryFile> =
+internal fun readEntrySettings(path: Path): Either<List<SettingsFault>, CheckedSettings<EntryFile>> =
     readSettings("entry", path, EntryFile.serializer())
 
 /** Returns the settings of a gateway process from the file at [path], or all faults in the file. */
-internal fun readGatewaySettings(path: Path): Either<List<SettingsFault>, GatewayFile> =
+internal fun readGatewaySettings(path: Path): Either<List<SettingsFault>, CheckedSettings<GatewayFile>> =
     readSettings("gateway", path, GatewayFile.serializer())
 
 /** Returns the settings of an endpoint process from the file at [path], or all faults in the file. */
-internal fun readEndpointSettings(path: Path): Either<List<SettingsFault>, EndpointFile> =
+internal fun readEndpointSettings(path: Path): Either<List<SettingsFault>, CheckedSettings<EndpointFile>> =
     readSettings("endpoint", path, EndpointFile.serializer())
 
 /** Settings readers by role; a test checks that the roles are those of the catalogue. */
-internal val settingsReaders: Map<String, (Path) -> Either<List<SettingsFault>, Any>> =
+internal val settingsReaders: Map<String, (Path) -> Either<List<SettingsFault>, CheckedSettings<Any>>> =
     mapOf(
         "entry" to ::readEntrySettings,
         "gateway" to ::readGatewaySettings,
@@ -42,14 +42,32 @@
     role: String,
     path: Path,
     serializer: KSerializer<T>,
-): Either<List<SettingsFault>, T> {
+): Either<List<SettingsFault>, CheckedSettings<T>> {
     val ini = readIni(path).fold({ return listOf(it).left() }, { it })
     val sections = sectionsOf(role)
     val (faults, values) = readValues(path, ini, sections)
     val all = unknownSections(path, ini, sections) + unknownKeys(path, ini, sections) + faults + contradictions(values)
-    return if (all.isEmpty()) decode(sections, values, serializer).right() else all.left()
+    if (all.isNotEmpty()) return all.left()
+    return CheckedSettings(decode(sections, values, serializer), noticesOf(path, ini, sections)).right()
 }
 
+/** Returns a notice for each optional key that the file has without a value. */
+private fun noticesOf(
+    path: Path,
+    ini: IniFile,
+    sections: List<SettingsSection>,
+): List<SettingsNotice> =
+    sections.flatMap { section ->
+        section.keys
+            .filter { key -> ini.valuesOf(section, key).any { isUnfilled(key, it) } }
+            .map { SettingsNotice(SettingsLocation(path, section.name, it.name), it.default) }
+    }
+
+private fun IniFile.valuesOf(
+    section: SettingsSection,
+    key: SettingsKey,
+): List<String> = entries.filter { it.section == section.name && it.key == key.name }.map { it.value }
+
 /** Returns the sections of the settings file of [role]. */
 internal fun sectionsOf(role: String): List<SettingsSection> {
     val names = settingsRoles.first { it.name == role }.sections
@@ -136,8 +154,7 @@
     val values = mutableMapOf<Pair<String, String>, ParsedValue>()
     sections.forEach { section ->
         section.keys.forEach { key ->
-            val texts = ini.entries.filter { it.section == section.name && it.key == key.name }.map { it.value }
-            readValue(SettingsLocation(path, section.name, key.name), key, texts).fold(
+            readValue(SettingsLocation(path, section.name, key.name), key, ini.valuesOf(section, key)).fold(
                 { faults += it },
                 { read -> if (read != null) values[section.name to key.name] = read },
             )
@@ -153,15 +170,15 @@
     texts: List<String>,
 ): Either<SettingsFault, ParsedValue?> {
     if (texts.size > 1) return SettingsFault.DuplicateKey(location, texts.size).left()
-    val text = texts.firstOrNull() ?: key.default
+    val text = texts.firstOrNull()?.takeUnless { isUnfilled(key, it) } ?: key.default
     if (text == null) {
-        return if (key.required) SettingsFault.MissingValue(location, allowedValues(key), true).left() else null.right()
+        return if (key.required) SettingsFault.MissingValue(location, allowedValues(key)).left() else null.right()
     }
     val shown = text.takeUnless { key.type == SettingsType.SECRET }
     return parseValue(key, text).fold(
         { error ->
             when (error) {
-                ValueError.EMPTY -> SettingsFault.MissingValue(location, allowedValues(key), key.required)
+                ValueError.EMPTY -> SettingsFault.MissingValue(location, allowedValues(key))
                 ValueError.WRONG_FORM -> SettingsFault.WrongType(location, shown, allowedValues(key))
                 ValueError.OUT_OF_RANGE -> SettingsFault.OutOfRange(location, shown, allowedValues(key))
             }.left()
--- a/daemons/src/main/kotlin/org/cicadaturn/daemons/settings/SettingsValue.kt
+++ b/daemons/src/main/kotlin/org/cicadaturn/daemons/settings/SettingsValue.kt
@@ -98,6 +98,20 @@
     }
 }
 
+/**
+ * Returns true if [text] is what a template leaves of the optional [key] where the platform has no value: nothing, or
+ * the unit of a duration. An empty list of addresses is a value.
+ */
+internal fun isUnfilled(
+    key: SettingsKey,
+    text: String,
+): Boolean =
+    when {
+        key.required || key.type == SettingsType.ADDRESS_LIST -> false
+        key.type == SettingsType.DURATION -> text.isEmpty() || text in durationUnits
+        else -> text.isEmpty()
+    }
+
 /** Parses [text] as a number with one of the units ms, s, m and h; returns null if it has another form. */
 internal fun parseDuration(text: String): Duration? {
     val parts = durationPattern.matchEntire(text) ?: return null
@@ -140,7 +154,9 @@
 
 private val decimalPattern = Regex(NUMBER)
 
-private val durationPattern = Regex("""($NUMBER)(ms|s|m|h)""")
+private val durationUnits = listOf("ms", "s", "m", "h")
+
+private val durationPattern = Regex("($NUMBER)(${durationUnits.joinToString("|")})")
 
 private val addressPattern = Regex("""(?:([0-9.]+)|\[([0-9a-fA-F:.]+)]):(\d{1,5})""")
 
--- a/daemons/src/test/kotlin/org/cicadaturn/daemons/settings/GatewayTemplateTest.kt
+++ b/daemons/src/test/kotlin/org/cicadaturn/daemons/settings/GatewayTemplateTest.kt
@@ -58,6 +58,14 @@
         for (figures in files) start(render(figures))
     }
 
+    /** Guards against a process that does not start because a bound belongs to no contract of the deployment. */
+    @Test
+    fun `a gateway starts with any bound left out`() {
+        val usual = bounds.associateWith { "1" }
+        val files = bounds.map { usual + (it to "") } + bounds.associateWith { "" }
+        for (figures in files) start(render(figures))
+    }
+
     private fun start(file: Path) {
         val settings = readGatewaySettings(file).getOrFail()
         val runtime = httpRuntime {}
--- a/daemons/src/test/kotlin/org/cicadaturn/daemons/settings/SettingsReaderTest.kt
+++ b/daemons/src/test/kotlin/org/cicadaturn/daemons/settings/SettingsReaderTest.kt
@@ -82,6 +82,46 @@
         assertEquals(emptyList<SettingsKey>(), refused)
     }
 
+    /** Guards against a process that ends at its start as the platform has no value for an optional key. */
+    @ParameterizedTest
+    @ValueSource(strings = ["entry", "gateway", "endpoint"])
+    fun `an optional key without a value counts as not given, with a notice`(role: String) {
+        val reader = settingsReaders.getValue(role)
+        val required = requiredText(role)
+        val plain = reader(folder.settingsFile(required)).checkedOrFail()
+        assertEquals(emptyList<SettingsNotice>(), plain.notices)
+        for (section in sectionsOf(role)) {
+            for (key in section.keys.filter { !it.required && it.type != SettingsType.ADDRESS_LIST }) {
+                val units = if (key.type == SettingsType.DURATION) listOf("ms", "s", "m", "h") else emptyList()
+                for (text in listOf("", "\"\"") + units) {
+                    val file = folder.settingsFile("$required[${section.name}]\n${key.name} = $text\n")
+                    val read = reader(file).checkedOrFail()
+                    assertEquals(plain.settings.toString(), read.settings.toString(), "${key.name} = $text")
+                    val holds = key.default?.let { "the default $it is used" } ?: "the key counts as not given"
+                    val message = "$file: [${section.name}] ${key.name}: no value; $holds"
+                    assertEquals(listOf(message), read.notices.map { it.message })
+                }
+            }
+        }
+    }
+
+    /** Guards against a wrong value that passes as one that the platform has left out, as it ends with a unit. */
+    @ParameterizedTest
+    @ValueSource(strings = ["x", "-", "0", "d", "S", "-s", ".s", "s s", "10"])
+    fun `a wrong duration is refused`(text: String) {
+        val file = folder.settingsFile("${requiredText("gateway")}[gateway]\nretry-window = $text\n")
+        assertTrue(readGatewaySettings(file).isLeft())
+    }
+
+    /** Returns a settings file of [role] with the required keys alone. */
+    private fun requiredText(role: String): String {
+        val values = requiredValues.toMap()
+        return sectionsOf(role).joinToString("") { section ->
+            val keys = section.keys.filter { it.required }
+            "[${section.name}]\n" + keys.joinToString("") { "${it.name} = ${values.getValue(it.name)}\n" }
+        }
+    }
+
     /** Guards against wrong parsing of a schema type that no settings section uses yet. */
     @ParameterizedTest
     @ValueSource(strings = ["true", "false", "yes", "TRUE", "1"])
