A settings file that is not yet written is awaited

A settings file that was empty or cut off when it was read ended the process with code 3; DEPLOY.md: the platform places it "at every start and whenever the settings change", so a process may read it within that moment. Cause: one reading decided, and text that has not arrived looked like a wrong setting.

A file that is absent, empty, ends within a line, or lacks only required keys that would follow its last line is now read again each 100 ms for up to 10 s, after a line on standard error that says so; then its faults are printed and the process ends with code 3 as before. Two readings must agree, so a file that changes while it is read is read again. A file without a final line end that is else complete is accepted after 1 s without a change. All other faults are refused at once; config check reads once.

--- a/daemons/src/main/kotlin/org/cicadaturn/daemons/command/CommandTree.kt
+++ b/daemons/src/main/kotlin/org/cicadaturn/daemons/command/CommandTree.kt
@@ -16,9 +16,9 @@
 import com.github.ajalt.clikt.output.MordantHelpFormatter
 import com.github.ajalt.clikt.parameters.options.versionOption
 import com.github.ajalt.mordant.terminal.Terminal
-import org.cicadaturn.daemons.settings.readEndpointSettings
-import org.cicadaturn.daemons.settings.readEntrySettings
-import org.cicadaturn.daemons.settings.readGatewaySettings
+import org.cicadaturn.daemons.settings.endpointCheck
+import org.cicadaturn.daemons.settings.entryCheck
+import org.cicadaturn.daemons.settings.gatewayCheck
 import org.cicadaturn.schema.generated.ProcessSettings
 import java.util.Properties
 
@@ -83,7 +83,7 @@
             NodeCommand(
                 "entry",
                 "Runs an entry process.",
-                ::readEntrySettings,
+                entryCheck,
                 { startLogs(handlers, it.process) },
                 run,
             )
@@ -92,7 +92,7 @@
             NodeCommand(
                 "gateway",
                 "Runs a gateway process.",
-                ::readGatewaySettings,
+                gatewayCheck,
                 { startLogs(handlers, it.process) },
                 run,
             )
@@ -101,7 +101,7 @@
             NodeCommand(
                 "endpoint",
                 "Runs an endpoint process.",
-                ::readEndpointSettings,
+                endpointCheck,
                 { startLogs(handlers, it.process) },
                 run,
             )
--- a/daemons/src/main/kotlin/org/cicadaturn/daemons/command/NodeCommands.kt
+++ b/daemons/src/main/kotlin/org/cicadaturn/daemons/command/NodeCommands.kt
@@ -1,6 +1,5 @@
 package org.cicadaturn.daemons.command
 
-import arrow.core.Either
 import com.github.ajalt.clikt.core.CliktCommand
 import com.github.ajalt.clikt.core.Context
 import com.github.ajalt.clikt.core.ProgramResult
@@ -8,21 +7,22 @@
 import com.github.ajalt.clikt.parameters.arguments.help
 import com.github.ajalt.clikt.parameters.types.path
 import org.apache.logging.log4j.LogManager
-import org.cicadaturn.daemons.settings.CheckedSettings
+import org.cicadaturn.daemons.settings.SettingsCheck
 import org.cicadaturn.daemons.settings.SettingsFault
-import java.nio.file.Path
+import org.cicadaturn.daemons.settings.awaitSettings
+import org.cicadaturn.daemons.settings.processWait
 
 /**
  * Command that runs a process of the system with the settings from a file.
  *
- * @property read reads and checks the settings file
+ * @property check checks the text of the settings file
  * @property setUpLogs configures logging from the settings
  * @property handler runs the process and returns the exit code
  */
 internal class NodeCommand<T>(
     name: String,
     private val help: String,
-    private val read: (Path) -> Either<List<SettingsFault>, CheckedSettings<T>>,
+    private val check: SettingsCheck<T>,
     private val setUpLogs: (T) -> Unit,
     private val handler: (T) -> Int,
 ) : CliktCommand(name) {
@@ -31,7 +31,13 @@
     override fun help(context: Context): String = help
 
     override fun run() {
-        val (settings, notices) = read(file).fold({ faults -> throw reportFaults(faults) }, { it })
+        val wait = processWait { echo(it, err = true) }
+        val (settings, notices) =
+            awaitSettings(
+                file,
+                check,
+                wait,
+            ).fold({ faults -> throw reportFaults(faults) }, { it })
         setUpLogs(settings)
         notices.forEach { logger.warn("settings: {}", it.message) }
         throw ProgramResult(handler(settings))
--- a/daemons/src/main/kotlin/org/cicadaturn/daemons/settings/IniFile.kt
+++ b/daemons/src/main/kotlin/org/cicadaturn/daemons/settings/IniFile.kt
@@ -6,11 +6,7 @@
 import org.apache.commons.configuration2.INIConfiguration
 import org.apache.commons.configuration2.ex.ConfigurationException
 import org.apache.commons.configuration2.tree.ImmutableNode
-import java.io.IOException
-import java.nio.charset.MalformedInputException
-import java.nio.file.AccessDeniedException
-import java.nio.file.Files
-import java.nio.file.NoSuchFileException
+import java.io.StringReader
 import java.nio.file.Path
 
 /** Key and value of an INI file; [section] is null for a key before the first section line. */
@@ -26,16 +22,17 @@
     val entries: List<IniEntry>,
 )
 
-/** Returns the content of the INI file at [path]. */
-internal fun readIni(path: Path): Either<SettingsFault.Unreadable, IniFile> =
+/** Returns the content of the INI file at [path], whose text is [text]. */
+internal fun parseIni(
+    path: Path,
+    text: String,
+): Either<SettingsFault.Unreadable, IniFile> =
     try {
         val ini = INIConfiguration.builder().setSectionInLineCommentsAllowed(true).build()
         // With ":" as a second separator, an address after a missing "=" would be split.
         ini.separatorUsedInInput = "="
-        Files.newBufferedReader(path).use(ini::read)
+        ini.read(StringReader(text))
         contentOf(ini.nodeModel.nodeHandler.rootNode).right()
-    } catch (e: IOException) {
-        SettingsFault.Unreadable(path, causeOf(e)).left()
     } catch (_: ConfigurationException) {
         // The parser's message is not used, because it may quote a line that contains a secret.
         SettingsFault.Unreadable(path, "not an INI file").left()
@@ -50,11 +47,3 @@
             }
     return IniFile(sections.map { it.nodeName }.distinct(), entries)
 }
-
-private fun causeOf(e: IOException): String =
-    when (e) {
-        is NoSuchFileException -> "no such file"
-        is AccessDeniedException -> "permission denied"
-        is MalformedInputException -> "not UTF-8"
-        else -> e.message ?: "input error"
-    }
--- a/daemons/src/main/kotlin/org/cicadaturn/daemons/settings/SettingsFault.kt
+++ b/daemons/src/main/kotlin/org/cicadaturn/daemons/settings/SettingsFault.kt
@@ -70,10 +70,11 @@
             get() = "$location: given $times times; a key may be given once; keep one of the lines"
     }
 
-    /** A required key is absent or has an empty value. */
+    /** A required key is absent, or has an empty value if [isGiven] is true. */
     data class MissingValue(
         val location: SettingsLocation,
         val allowed: String,
+        val isGiven: Boolean,
     ) : SettingsFault {
         override val message: String
             get() = "$location: no value; allowed is $allowed; add a value"
--- a/daemons/src/main/kotlin/org/cicadaturn/daemons/settings/SettingsReader.kt
+++ b/daemons/src/main/kotlin/org/cicadaturn/daemons/settings/SettingsReader.kt
@@ -17,17 +17,29 @@
 import org.cicadaturn.schema.generated.settingsSections
 import java.nio.file.Path
 
+/** Returns the settings in the text of the file at the path, or all faults in it. */
+internal typealias SettingsCheck<T> = (Path, String) -> Either<List<SettingsFault>, CheckedSettings<T>>
+
+/** Check of the settings of an entry process. */
+internal val entryCheck: SettingsCheck<EntryFile> = checkOf("entry", EntryFile.serializer())
+
+/** Check of the settings of a gateway process. */
+internal val gatewayCheck: SettingsCheck<GatewayFile> = checkOf("gateway", GatewayFile.serializer())
+
+/** Check of the settings of an endpoint process. */
+internal val endpointCheck: SettingsCheck<EndpointFile> = checkOf("endpoint", EndpointFile.serializer())
+
 /** Returns the settings of an entry process from the file at [path], or all faults in the file. */
 internal fun readEntrySettings(path: Path): Either<List<SettingsFault>, CheckedSettings<EntryFile>> =
-    readSettings("entry", path, EntryFile.serializer())
+    readSettings(path, entryCheck)
 
 /** Returns the settings of a gateway process from the file at [path], or all faults in the file. */
 internal fun readGatewaySettings(path: Path): Either<List<SettingsFault>, CheckedSettings<GatewayFile>> =
-    readSettings("gateway", path, GatewayFile.serializer())
+    readSettings(path, gatewayCheck)
 
 /** Returns the settings of an endpoint process from the file at [path], or all faults in the file. */
 internal fun readEndpointSettings(path: Path): Either<List<SettingsFault>, CheckedSettings<EndpointFile>> =
-    readSettings("endpoint", path, EndpointFile.serializer())
+    readSettings(path, endpointCheck)
 
 /** Settings readers by role; a test checks that the roles are those of the catalogue. */
 internal val settingsReaders: Map<String, (Path) -> Either<List<SettingsFault>, CheckedSettings<Any>>> =
@@ -37,13 +49,34 @@
         "endpoint" to ::readEndpointSettings,
     )
 
-/** Returns the settings of [role] from the file at [path], decoded with [serializer], or all faults in the file. */
-internal fun <T> readSettings(
+private fun <T> readSettings(
+    path: Path,
+    check: SettingsCheck<T>,
+): Either<List<SettingsFault>, CheckedSettings<T>> = outcomeOf(path, readSource(path), check)
+
+/** Returns the settings in [source], the content of the file at [path], or all faults in it. */
+internal fun <T> outcomeOf(
+    path: Path,
+    source: SettingsSource,
+    check: SettingsCheck<T>,
+): Either<List<SettingsFault>, CheckedSettings<T>> =
+    when (source) {
+        is SettingsSource.None -> listOf(source.fault).left()
+        is SettingsSource.Text -> check(path, source.text)
+    }
+
+private fun <T> checkOf(
+    role: String,
+    serializer: KSerializer<T>,
+): SettingsCheck<T> = { path, text -> checkSettings(role, path, text, serializer) }
+
+private fun <T> checkSettings(
     role: String,
     path: Path,
+    text: String,
     serializer: KSerializer<T>,
 ): Either<List<SettingsFault>, CheckedSettings<T>> {
-    val ini = readIni(path).fold({ return listOf(it).left() }, { it })
+    val ini = parseIni(path, text).fold({ return listOf(it).left() }, { it })
     val sections = sectionsOf(role)
     val (faults, values) = readValues(path, ini, sections)
     val all = unknownSections(path, ini, sections) + unknownKeys(path, ini, sections) + faults + contradictions(values)
@@ -172,13 +205,22 @@
     if (texts.size > 1) return SettingsFault.DuplicateKey(location, texts.size).left()
     val text = texts.firstOrNull()?.takeUnless { isUnfilled(key, it) } ?: key.default
     if (text == null) {
-        return if (key.required) SettingsFault.MissingValue(location, allowedValues(key)).left() else null.right()
+        return if (key.required) {
+            SettingsFault
+                .MissingValue(
+                    location,
+                    allowedValues(key),
+                    isGiven = false,
+                ).left()
+        } else {
+            null.right()
+        }
     }
     val shown = text.takeUnless { key.type == SettingsType.SECRET }
     return parseValue(key, text).fold(
         { error ->
             when (error) {
-                ValueError.EMPTY -> SettingsFault.MissingValue(location, allowedValues(key))
+                ValueError.EMPTY -> SettingsFault.MissingValue(location, allowedValues(key), isGiven = true)
                 ValueError.WRONG_FORM -> SettingsFault.WrongType(location, shown, allowedValues(key))
                 ValueError.OUT_OF_RANGE -> SettingsFault.OutOfRange(location, shown, allowedValues(key))
             }.left()
--- a/daemons/src/test/kotlin/org/cicadaturn/daemons/site/GatewayProcesses.kt
+++ b/daemons/src/test/kotlin/org/cicadaturn/daemons/site/GatewayProcesses.kt
@@ -76,7 +76,8 @@
     private var process: Process? = null
     private var starts = 0
 
-    private val settings =
+    /** Settings file that the process is started with. */
+    val settings: Path =
         directory.resolve("${addresses.node}.ini").also { file ->
             val fields =
                 bounds.mapKeys { "bounds.${it.key}" } +
--- a/daemons/src/test/kotlin/org/cicadaturn/daemons/site/StartSettingsTest.kt
+++ b/daemons/src/test/kotlin/org/cicadaturn/daemons/site/StartSettingsTest.kt
@@ -6,6 +6,7 @@
 import kotlinx.coroutines.cancel
 import kotlinx.coroutines.runBlocking
 import kotlinx.serialization.json.Json
+import org.cicadaturn.daemons.command.BAD_SETTINGS
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertTrue
@@ -14,6 +15,9 @@
 import org.junit.jupiter.api.io.TempDir
 import java.nio.file.Path
 import java.util.concurrent.Executors
+import kotlin.io.path.deleteExisting
+import kotlin.io.path.readText
+import kotlin.io.path.writeText
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.TimeSource
@@ -48,11 +52,14 @@
         dispatcher.close()
     }
 
-    private fun newGateway(bounds: Map<String, String> = BOUNDS): GatewayProcess {
-        val addresses = gatewayAddresses(1).single()
-        val seeds = "127.0.0.1:${addresses.control}"
-        return GatewayProcess(addresses, directory, store.address, seeds, bounds).also { gateways += it }
-    }
+    private fun newGateways(
+        count: Int,
+        bounds: Map<String, String> = BOUNDS,
+    ): List<GatewayProcess> =
+        gatewayAddresses(count).map { addresses ->
+            val seeds = "127.0.0.1:${addresses.control}"
+            GatewayProcess(addresses, directory, store.address, seeds, bounds).also { gateways += it }
+        }
 
     private fun awaitReady(gateway: GatewayProcess): Boolean =
         await(START_LIMIT) {
@@ -75,14 +82,56 @@
     /** Guards against a process that ends at its start where the platform has no value for an optional setting. */
     @Test
     fun `a gateway starts where the deployment has no bounds`() {
-        val gateway = newGateway(BOUNDS.mapValues { "" })
+        val gateway = newGateways(1, BOUNDS.mapValues { "" }).single()
         gateway.start()
         assertTrue(awaitReady(gateway), "not ready within $START_LIMIT")
         assertEquals(null, gateway.exitCode, "exit code")
         assertEquals(BOUNDS.size, logLinesWith("no value; the default", directory).size)
     }
 
+    /** Guards against a process that ends at its start as the platform has not yet written its settings file. */
+    @Test
+    fun `a gateway waits for a settings file that is absent or incomplete at its start`() {
+        val whole = newGateways(CUTS).associateWith { it.settings.readText() }
+        for ((i, gateway) in whole.keys.withIndex()) cut(gateway.settings, i)
+        whole.keys.forEach { it.start() }
+        assertTrue(
+            await(START_LIMIT) {
+                logLinesWith("not complete", directory).size == CUTS ||
+                    whole.keys.any { !it.isAlive }
+            },
+        )
+        assertEquals(List(CUTS) { null }, whole.keys.map { it.exitCode }, "exit codes before the files are written")
+        whole.forEach { (gateway, text) -> gateway.settings.writeText(text) }
+        whole.keys.forEach { assertTrue(awaitReady(it), "not ready within $START_LIMIT") }
+        assertEquals(List(CUTS) { null }, whole.keys.map { it.exitCode }, "exit codes")
+    }
+
+    /** Leaves of [file] nothing, no content, its beginning, or all but a part of its last line. */
+    private fun cut(
+        file: Path,
+        kind: Int,
+    ) = when (kind) {
+        0 -> file.deleteExisting()
+        1 -> file.writeText("")
+        2 -> file.writeText(file.readText().let { it.take(it.length / 2) })
+        else -> file.writeText(file.readText().substringBeforeLast(':'))
+    }
+
+    /** Guards against a wrong file that an operator learns of only after the wait for a late one. */
+    @Test
+    fun `a gateway with a wrong setting ends at once`() {
+        val gateway = newGateways(1).single()
+        gateway.settings.writeText(gateway.settings.readText().replace("cold-slack = 5", "cold-slack = five"))
+        gateway.start()
+        assertTrue(await(START_LIMIT) { !gateway.isAlive })
+        assertEquals(BAD_SETTINGS, gateway.exitCode)
+        assertEquals(emptyList<String>(), logLinesWith("not complete", directory))
+        assertEquals(1, logLinesWith("cold-slack = five: wrong form", directory).size)
+    }
+
     private companion object {
+        const val CUTS = 4
         val START_LIMIT = 60.seconds
         const val SAMPLE_MILLIS = 50L
     }
