--- a/daemons/src/test/kotlin/org/cicadaturn/daemons/site/GatewayProcesses.kt
+++ b/daemons/src/test/kotlin/org/cicadaturn/daemons/site/GatewayProcesses.kt
@@ -76,7 +76,8 @@
     private var process: Process? = null
     private var starts = 0
 
-    private val settings =
+    /** Settings file that the process is started with. */
+    val settings: Path =
         directory.resolve("${addresses.node}.ini").also { file ->
             val fields =
                 bounds.mapKeys { "bounds.${it.key}" } +
@@ -86,7 +87,6 @@
                         "ip" to "127.0.0.1",
                         "internal_ports.0" to "${addresses.admin}",
                         "provider.address" to storeAddress,
-                        "limits.max_fds" to "$descriptors",
                         "listen.front" to "127.0.0.1:${addresses.front}",
                         "listen.ready" to "127.0.0.1:${addresses.ready}",
                         "listen.control" to "127.0.0.1:${addresses.control}",
