Ask an endpoint that leaves whether it still runs when it ends an answer

The end of a connection counted as the end of an answer without a length or chunks whenever the endpoint had announced its end or its entry was removed, as such an endpoint may refuse connections.

Endpoints that leave are asked as those in service now: PROTOCOL.md says that they go on serving before they exit, so one that refuses connections has ended. Its answer is verified by another endpoint where the route may be resumed, repeated where it may be, and otherwise cut or answered with 502: RULES.md, MIXED, says that an answer that ends early must not look complete. The connection to it is closed rather than pooled.

Fail without the rule: ClosedAnswerTest (2 rows), ClosedAnswerCheckTest (2 cases), ConnectionEndedAnswerTest "an answer without a length whose endpoint leaves and is gone is not complete" (4 cases). Three earlier assertions were wrong, as they demanded that a refusing endpoint is trusted if it leaves: the two rows; "an endpoint that leaves or has cut its answer is not asked", whose second half stays and whose first half now demands both outcomes; and "an answer without a length of an endpoint that leaves is complete", which closed the listener before the answer ended and now holds for one that listens, beside the case of one that is gone.

--- a/decisions/src/main/kotlin/org/cicadaturn/decisions/gateway/ClosedAnswer.kt
+++ b/decisions/src/main/kotlin/org/cicadaturn/decisions/gateway/ClosedAnswer.kt
@@ -33,7 +33,7 @@
     ANNOUNCED,
     ;
 
-    /** True if the endpoint may refuse connections and has not crashed. */
+    /** True if the endpoint is expected to end, so that it gets no further requests. */
     public val isPlanned: Boolean get() = this >= REMOVED
 }
 
@@ -41,9 +41,10 @@
  * Returns why an answer that has neither a length nor chunks, whose connection has ended with [end], is not complete, or
  * null if it is. Its content is judged apart from that.
  *
- * An endpoint ends such an answer by closing the connection. The system of an endpoint that has crashed closes its
+ * An endpoint ends such an answer by closing the connection. The system of an endpoint whose process has ended closes its
  * connections too, but also refuses new ones until the endpoint has started again. So an accepted connection tells only
- * of the start that sent the answer if the end was read at once and the entry of the endpoint names no other start.
+ * of the start that sent the answer if the end was read at once and the entry of the endpoint names no other start. An
+ * announced end changes nothing: an endpoint may be gone within its answers.
  *
  * @param exit what is known of the end of the endpoint
  * @param access whether the endpoint accepts connections after it has closed this one
@@ -59,8 +60,8 @@
         end != ConnectionEnd.CLOSED_BY_ENDPOINT -> "the connection ended before the answer"
         exit == EndpointExit.REPLACED -> "the endpoint has started again"
         readDelay > MAX_READ_DELAY -> "the end was read so late that the endpoint may have started again"
-        exit.isPlanned || access != EndpointAccess.REFUSES -> null
-        else -> "the endpoint closed the connection and refuses others"
+        access == EndpointAccess.REFUSES -> "the endpoint closed the connection and refuses others"
+        else -> null
     }
 
 /**
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/ClosedAnswerCheck.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/ClosedAnswerCheck.kt
@@ -13,9 +13,10 @@
 import kotlin.time.Duration.Companion.milliseconds
 
 /**
- * Verifies that an endpoint which has closed the connection of an answer has not crashed.
+ * Verifies that an endpoint which has closed the connection of an answer has not ended with it.
  *
- * The connection that is made for it replaces the closed one and goes into [pool], so no request pays for it.
+ * The connection that is made for it replaces the closed one and goes into [pool], so no request pays for it. It is closed
+ * if the endpoint leaves, as that gets no further request.
  *
  * @param exitOf returns what is known of the end of an endpoint
  */
@@ -37,8 +38,8 @@
         val limit = minOf(CONNECT_LIMIT, timeLeft / 2 - CLOSING_TIME)
         val readDelay = connector.recentStall
         defectOfClosedAnswer(end, exit, EndpointAccess.ACCEPTS, readDelay)?.let { return it }
-        val isAsked = !exit.isPlanned && limit.isPositive()
-        val access = if (isAsked) accessTo(endpoint, limit) else EndpointAccess.UNKNOWN
+        val pool = pool.takeUnless { exit.isPlanned }
+        val access = if (limit.isPositive()) accessTo(endpoint, limit, pool) else EndpointAccess.UNKNOWN
         return defectOfClosedAnswer(end, exit, access, maxOf(readDelay, connector.recentStall))
     }
 
@@ -46,31 +47,35 @@
     private suspend fun accessTo(
         endpoint: LiveEndpoint,
         limit: Duration,
-    ): EndpointAccess = connect(endpoint, limit) ?: connect(endpoint, limit) ?: EndpointAccess.ACCEPTS
+        pool: ConnectionPool?,
+    ): EndpointAccess = connect(endpoint, limit, pool) ?: connect(endpoint, limit, pool) ?: EndpointAccess.ACCEPTS
 
     /** Returns whether [endpoint] accepts a connection, or null if it is reset at once. */
     private suspend fun connect(
         endpoint: LiveEndpoint,
         limit: Duration,
+        pool: ConnectionPool?,
     ): EndpointAccess? =
         when (val opening = connector.open(endpoint.address, limit)) {
-            is Opening.Opened -> EndpointAccess.ACCEPTS.takeIf { keep(endpoint, opening.link) }
+            is Opening.Opened -> EndpointAccess.ACCEPTS.takeIf { keep(endpoint, opening.link, pool) }
             Opening.Refused -> EndpointAccess.REFUSES
             Opening.Failed -> EndpointAccess.UNKNOWN
         }
 
-    /** Puts [link] into the pool, unless it is reset within [CLOSING_TIME]; returns false then. */
+    /** Puts [link] into [pool], unless it is reset within [CLOSING_TIME]; returns false then. */
     private suspend fun keep(
         endpoint: LiveEndpoint,
         link: HttpLink,
+        pool: ConnectionPool?,
     ): Boolean {
         var isKept = false
         try {
             link.readAhead()
             withTimeoutOrNull(CLOSING_TIME) { link.closed.await() }
-            isKept = link.end != ConnectionEnd.RESET
-            if (isKept) pool.put(endpoint.id, EndpointConnection(link), DEFAULT_KEEP_ALIVE)
-            return isKept
+            val isAccepted = link.end != ConnectionEnd.RESET
+            isKept = isAccepted && pool != null
+            if (isKept) pool?.put(endpoint.id, EndpointConnection(link), DEFAULT_KEEP_ALIVE)
+            return isAccepted
         } finally {
             if (!isKept) link.close()
         }
--- a/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/ClosedAnswerCheckTest.kt
+++ b/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/ClosedAnswerCheckTest.kt
@@ -25,6 +25,8 @@
 import org.junit.jupiter.api.Assertions.assertNotNull
 import org.junit.jupiter.api.Assertions.assertNull
 import org.junit.jupiter.api.Test
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.EnumSource
 import java.net.InetAddress
 import java.net.ServerSocket
 import kotlin.time.Duration
@@ -210,12 +212,28 @@
 
     /** Guards against connections that are made although their answer decides nothing. */
     @Test
-    fun `an endpoint that leaves or has cut its answer is not asked`() {
-        assertNull(defectOf(exit = EndpointExit.ANNOUNCED))
-        assertNull(defectOf(exit = EndpointExit.REMOVED))
+    fun `an endpoint that has cut its answer is not asked`() {
         assertNotNull(defectOf(ConnectionEnd.RESET))
         assertNotNull(defectOf(ConnectionEnd.FAILED))
         assertNotNull(defectOf(ConnectionEnd.CLOSED_BY_GATEWAY))
+        assertNotNull(defectOf(ConnectionEnd.RESET, EndpointExit.ANNOUNCED))
         assertEquals(0, asked.size)
     }
+
+    /** Guards against the first part of an answer that counts as whole, as the endpoint was gone soon after its notice. */
+    @ParameterizedTest
+    @EnumSource(names = ["ANNOUNCED", "REMOVED"])
+    fun `an endpoint that leaves is asked as one in service`(exit: EndpointExit) {
+        assertNull(defectOf(exit = exit))
+        server.close()
+        assertNotNull(defectOf(exit = exit))
+        assertEquals(2, asked.size)
+    }
+
+    /** Guards against connections that are kept although no request may be sent on them. */
+    @Test
+    fun `the connection to an endpoint that leaves is not kept`() {
+        assertNull(defectOf(exit = EndpointExit.ANNOUNCED))
+        assertEquals(0, kept.size)
+    }
 }
--- a/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/ConnectionEndedAnswerTest.kt
+++ b/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/ConnectionEndedAnswerTest.kt
@@ -230,25 +230,44 @@
         assertEquals(expected, listOf(answer.status, answer.body, answer.isComplete, other.requests.size), "$lines")
     }
 
-    /** Guards against an answer that is cut as its endpoint, which leaves, accepts no connections any more. */
+    private fun leaving(
+        path: String,
+        end: Script,
+    ): Script =
+        after({
+            (
+                if ("stream" in
+                    path
+                ) {
+                    twoEvents(it)
+                } else {
+                    body(it)
+                }
+            ).replaceFirst("\r\n", "\r\nX-Leaving: 1\r\n")
+        }, end)
+
+    /** Guards against a whole answer that is cut or asked for again as its endpoint leaves. */
     @ParameterizedTest
     @ValueSource(strings = ["/stream/x", "/stream-once/x", "/patient-safe/x", "/once/x"])
     fun `an answer without a length of an endpoint that leaves is complete`(path: String) {
+        val expected = if ("stream" in path) event(1) + event(2) else "ok"
+        assertPassedOn(leaving(path) { _, _ -> false }, path, expected)
+    }
+
+    /** Guards against the first part of an answer that counts as whole, as the endpoint was gone soon after its notice. */
+    @ParameterizedTest
+    @ValueSource(strings = ["/stream/x", "/stream-once/x", "/safe/x", "/once/x"])
+    fun `an answer without a length whose endpoint leaves and is gone is not complete`(path: String) {
         var self: ScriptedEndpoint? = null
-        val script: Script = { r, out ->
-            val text = if ("stream" in path) twoEvents(r) else body(r)
-            out.text(text.replaceFirst("\r\n", "\r\nX-Leaving: 1\r\n"))
-            flushAndPause(out, 50)
-            checkNotNull(self).close()
-            false
-        }
+        val script =
+            leaving(path) { _, out ->
+                flushAndPause(out, 50)
+                checkNotNull(self).close()
+                false
+            }
         beside(script) { gateway, one, other ->
             self = one
-            val answer = exchange(gateway.port, request(path))
-            val expected = if ("stream" in path) event(1) + event(2) else "ok"
-            assertEquals(200 to expected, answer.status to answer.body, "$lines")
-            assertTrue(answer.isComplete, "$lines")
-            assertEquals(0, other.requests.size, "$lines")
+            assertIncomplete(path, gateway, other)
         }
     }
 
