Ask a third time, after a pause, before two resets count as an endpoint that runs

Two connections that were reset at once counted as accepted, as an endpoint with a long queue resets connections too. The system of an endpoint that has crashed may have taken both before it closed the listening socket, so a part of an answer that only its connection ends was passed on as whole. An endpoint runs if it resets a third connection; each is made 20 ms after the one before it, four times as long as a system takes to close the sockets of a process.

ClosedAnswerCheckTest "an endpoint that resets connections and then refuses others has crashed" fails with two resets without this. "An endpoint that resets connections again and again has not crashed" counts three questions in place of two and fails without this as well.

--- a/decisions/src/main/kotlin/org/cicadaturn/decisions/gateway/ClosedAnswer.kt
+++ b/decisions/src/main/kotlin/org/cicadaturn/decisions/gateway/ClosedAnswer.kt
@@ -11,6 +11,12 @@
     /** Nothing listens at its address any more. */
     REFUSES,
 
+    /**
+     * It has reset each of several connections, the last of which was made after the system had closed all sockets of a
+     * process that has ended. So it runs, and has too many connections to take another one.
+     */
+    RESETS,
+
     /** It did not say so in time, or was not asked. */
     UNKNOWN,
 }
--- a/decisions/src/test/kotlin/org/cicadaturn/decisions/gateway/ClosedAnswerTest.kt
+++ b/decisions/src/test/kotlin/org/cicadaturn/decisions/gateway/ClosedAnswerTest.kt
@@ -18,6 +18,7 @@
             CLOSED_BY_ENDPOINT, UNKNOWN,   ACCEPTS, true
             CLOSED_BY_ENDPOINT, UNKNOWN,   UNKNOWN, true
             CLOSED_BY_ENDPOINT, UNKNOWN,   REFUSES, false
+            CLOSED_BY_ENDPOINT, UNKNOWN,   RESETS,  true
             CLOSED_BY_ENDPOINT, ANNOUNCED, ACCEPTS, true
             CLOSED_BY_ENDPOINT, ANNOUNCED, UNKNOWN, true
             CLOSED_BY_ENDPOINT, ANNOUNCED, REFUSES, false
@@ -29,11 +30,13 @@
             CLOSED_BY_ENDPOINT, REMOVED,   REFUSES, false
             CLOSED_BY_ENDPOINT, REPLACED,  ACCEPTS, false
             CLOSED_BY_ENDPOINT, REPLACED,  UNKNOWN, false
+            CLOSED_BY_ENDPOINT, REPLACED,  RESETS,  false
             CLOSED_BY_ENDPOINT, REPLACED,  REFUSES, false
             RESET,              LAPSED,    ACCEPTS, false
             RESET,              REMOVED,   REFUSES, false
             RESET,              UNKNOWN,   ACCEPTS, false
             RESET,              UNKNOWN,   UNKNOWN, false
+            RESET,              UNKNOWN,   RESETS,  false
             RESET,              UNKNOWN,   REFUSES, false
             RESET,              ANNOUNCED, ACCEPTS, false
             RESET,              ANNOUNCED, UNKNOWN, false
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/ClosedAnswerCheck.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/ClosedAnswerCheck.kt
@@ -1,5 +1,6 @@
 package org.cicadaturn.tasks.gateway
 
+import kotlinx.coroutines.delay
 import kotlinx.coroutines.withTimeoutOrNull
 import org.cicadaturn.decisions.gateway.ConnectionEnd
 import org.cicadaturn.decisions.gateway.EndpointAccess
@@ -43,21 +44,33 @@
         return defectOfClosedAnswer(end, exit, access, maxOf(readDelay, connector.recentStall))
     }
 
-    /** Asks again after a reset, by which an endpoint may also turn a connection down while it is busy. */
+    /**
+     * Asks again after a reset, by which an endpoint turns a connection down while it is busy, and the system of one that
+     * has crashed a connection that it had taken before.
+     */
     private suspend fun accessTo(
         endpoint: LiveEndpoint,
         limit: Duration,
         pool: ConnectionPool?,
-    ): EndpointAccess = connect(endpoint, limit, pool) ?: connect(endpoint, limit, pool) ?: EndpointAccess.ACCEPTS
+    ): EndpointAccess {
+        var access = connect(endpoint, limit, pool)
+        var resets = 0
+        while (access == EndpointAccess.RESETS && ++resets < MAX_RESETS) {
+            delay(RESET_PAUSE)
+            access = connect(endpoint, limit, pool)
+        }
+        return access
+    }
 
-    /** Returns whether [endpoint] accepts a connection, or null if it is reset at once. */
+    /** Returns whether [endpoint] accepts a connection. */
     private suspend fun connect(
         endpoint: LiveEndpoint,
         limit: Duration,
         pool: ConnectionPool?,
-    ): EndpointAccess? =
+    ): EndpointAccess =
         when (val opening = connector.open(endpoint.address, limit)) {
-            is Opening.Opened -> EndpointAccess.ACCEPTS.takeIf { keep(endpoint, opening.link, pool) }
+            is Opening.Opened ->
+                if (keep(endpoint, opening.link, pool)) EndpointAccess.ACCEPTS else EndpointAccess.RESETS
             Opening.Refused -> EndpointAccess.REFUSES
             Opening.Failed -> EndpointAccess.UNKNOWN
         }
@@ -90,5 +103,11 @@
          * may have been taken by a socket that is closed next, which resets it; one made later is refused.
          */
         val CLOSING_TIME = 5.milliseconds
+
+        /** A multiple of [CLOSING_TIME], as the system may be short of processor time. */
+        val RESET_PAUSE = 20.milliseconds
+
+        /** Connections that are reset before an endpoint counts as one that runs. */
+        const val MAX_RESETS = 3
     }
 }
--- a/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/ClosedAnswerCheckTest.kt
+++ b/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/ClosedAnswerCheckTest.kt
@@ -27,6 +27,7 @@
 import org.junit.jupiter.api.Test
 import org.junit.jupiter.params.ParameterizedTest
 import org.junit.jupiter.params.provider.EnumSource
+import org.junit.jupiter.params.provider.ValueSource
 import java.net.InetAddress
 import java.net.ServerSocket
 import kotlin.time.Duration
@@ -167,15 +168,16 @@
             )
         }
 
-    /** Guards against a connection that the system of a crashed endpoint has taken before it closed all sockets. */
-    @Test
-    fun `an endpoint that resets a connection and then refuses others has crashed`() {
+    /** Guards against connections that the system of a crashed endpoint has taken before it closed all sockets. */
+    @ParameterizedTest
+    @ValueSource(ints = [1, 2])
+    fun `an endpoint that resets connections and then refuses others has crashed`(resets: Int) {
         val closing =
             HttpConnector { address, timeout ->
-                if (asked.size > 1) {
+                if (asked.size > resets) {
                     connector.open(address, timeout)
                 } else {
-                    resetting.open(address, timeout).also { server.close() }
+                    resetting.open(address, timeout).also { if (asked.size == resets) server.close() }
                 }
             }
         assertNotNull(defectOf(connector = closing))
@@ -186,7 +188,7 @@
     @Test
     fun `an endpoint that resets connections again and again has not crashed`() {
         assertNull(defectOf(connector = resetting))
-        assertEquals(2 to 0, asked.size to kept.size)
+        assertEquals(3 to 0, asked.size to kept.size)
     }
 
     /** Guards against a whole answer that is cut as its endpoint, which is busy, accepts connections late. */
