Count only the part of a pause that lies within the answer whose end is verified

A pause of the event loop was held against each answer that ended within a second after it, also the one that confirms another.

An endpoint cannot have ended before it got the request, so only the part of the pause behind the sending of the request counts.

ConnectionEndedAnswerTest "a stream whose end is read late is confirmed by an answer without a length" fails without this.

--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/AttemptExecution.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/AttemptExecution.kt
@@ -298,7 +298,8 @@
     private suspend fun closeDefect(): String? {
         val end = link.end
         if (!parts.isEndedByClose || end == null) return null
-        return closedAnswers.defectOf(end, attempt.endpoint, start + attempt.timeLimit - clock.now())
+        val age = clock.now() - start
+        return closedAnswers.defectOf(end, attempt.endpoint, age, timeLeft = attempt.timeLimit - age)
     }
 
     private fun recordPause(pause: Duration) {
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/ClosedAnswerCheck.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/ClosedAnswerCheck.kt
@@ -29,19 +29,23 @@
     /**
      * Returns why an answer of [endpoint] whose connection has ended with [end] is not complete, or null if it is. Takes
      * at most [timeLeft], as the answer would be late after it.
+     *
+     * @param age time since the request was sent
      */
     suspend fun defectOf(
         end: ConnectionEnd,
         endpoint: LiveEndpoint,
+        age: Duration,
         timeLeft: Duration,
     ): String? {
         val exit = exitOf(endpoint)
         val limit = minOf(CONNECT_LIMIT, timeLeft / 2 - CLOSING_TIME)
-        val readDelay = connector.recentStall
+        // A process that has got the request cannot have ended before.
+        val readDelay = connector.stallWithin(age)
         defectOfClosedAnswer(end, exit, EndpointAccess.ACCEPTS, readDelay)?.let { return it }
         val pool = pool.takeUnless { exit.isPlanned }
         val access = if (limit.isPositive()) accessTo(endpoint, limit, pool) else EndpointAccess.UNKNOWN
-        return defectOfClosedAnswer(end, exit, access, maxOf(readDelay, connector.recentStall))
+        return defectOfClosedAnswer(end, exit, access, maxOf(readDelay, connector.stallWithin(age)))
     }
 
     /**
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/http/HttpConnector.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/http/HttpConnector.kt
@@ -44,10 +44,10 @@
     ): Opening
 
     /**
-     * Longest time, within the last second, in which what arrived on the connections may have waited to be read; zero if
-     * it is not measured.
+     * Returns the longest part of the last [age] for which what arrived on the connections may have waited to be read, if
+     * it has ended within the last second; zero if it is not measured.
      */
-    public val recentStall: Duration get() = Duration.ZERO
+    public fun stallWithin(age: Duration): Duration = Duration.ZERO
 }
 
 /** Returns a connection to [address], or null if none could be established within [timeout]. */
@@ -82,7 +82,7 @@
     private val runtime: HttpRuntime,
     private val initializer: ClientInitializer,
 ) : HttpConnector {
-    override val recentStall: Duration get() = runtime.recentStall
+    override fun stallWithin(age: Duration): Duration = runtime.stallWithin(age)
 
     override suspend fun open(
         address: NetworkAddress,
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/http/HttpRuntime.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/http/HttpRuntime.kt
@@ -37,8 +37,11 @@
     /** Handler of errors after which the event loop or its coroutines cannot be relied on. */
     public val onFatalError: FatalErrorHandler
 
-    /** Longest time, within the last second, in which the event loop may not have handled an event; to be read on it. */
-    public val recentStall: Duration
+    /**
+     * Returns the longest part of the last [age] in which the event loop may not have handled an event, if it has ended
+     * within the last second; to be called on the loop.
+     */
+    public fun stallWithin(age: Duration): Duration
 }
 
 /**
@@ -60,13 +63,14 @@
     val group = NioEventLoopGroup(1, DefaultThreadFactory("cicadaturn-loop", true).watched())
     override val dispatcher = group.next().asCoroutineDispatcher()
     private val stalls = loopStalls(TimeSource.Monotonic)
-    override val recentStall: Duration get() = stalls.recent()
 
     init {
         val interval = STALL_CHECK_INTERVAL.inWholeMilliseconds
         group.next().scheduleWithFixedDelay(stalls::tick, interval, interval, TimeUnit.MILLISECONDS)
     }
 
+    override fun stallWithin(age: Duration): Duration = stalls.within(age)
+
     override fun close() {
         isClosed = true
         group.shutdownGracefully()
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/http/LoopStalls.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/http/LoopStalls.kt
@@ -12,8 +12,11 @@
     /** Records that the loop runs; called at regular intervals. */
     fun tick()
 
-    /** Returns the longest time between two ticks, or since the last one, that has ended within the last second. */
-    fun recent(): Duration
+    /**
+     * Returns the part of the last [age] that lies between two ticks or behind the last one, the longest that has ended
+     * within the last second.
+     */
+    fun within(age: Duration): Duration
 }
 
 /** Returns a record that measures with [time]. */
@@ -37,7 +40,10 @@
     }
 
     // A timer may run after what the loop reads first once it goes on.
-    override fun recent(): Duration = maxOf(recentLongest(), ticked.elapsedNow())
+    override fun within(age: Duration): Duration {
+        val earlier = minOf(recentLongest(), age - longestEnded.elapsedNow())
+        return maxOf(earlier, minOf(ticked.elapsedNow(), age))
+    }
 
     private fun recentLongest(): Duration = if (longestEnded.elapsedNow() < WINDOW) longest else Duration.ZERO
 
--- a/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/ClosedAnswerCheckTest.kt
+++ b/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/ClosedAnswerCheckTest.kt
@@ -81,11 +81,12 @@
         end: ConnectionEnd = ConnectionEnd.CLOSED_BY_ENDPOINT,
         exit: EndpointExit = EndpointExit.UNKNOWN,
         timeLeft: Duration = 1.seconds,
+        age: Duration = 3.seconds,
         connector: HttpConnector = this.connector,
     ): String? {
         val counting =
             object : HttpConnector {
-                override val recentStall: Duration get() = connector.recentStall
+                override fun stallWithin(age: Duration): Duration = connector.stallWithin(age)
 
                 override suspend fun open(
                     address: NetworkAddress,
@@ -96,7 +97,7 @@
                 }
             }
         val check = ClosedAnswerCheck(counting, pool) { exit }
-        return runBlocking { withContext(runtime.dispatcher) { check.defectOf(end, endpoint, timeLeft) } }
+        return runBlocking { withContext(runtime.dispatcher) { check.defectOf(end, endpoint, age, timeLeft) } }
     }
 
     /** Guards against a connection for each answer beside those that requests use. */
@@ -140,18 +141,22 @@
     fun `an endpoint may have started again while this process was paused`() {
         val late =
             object : HttpConnector by connector {
-                override var recentStall = 1_600.milliseconds
+                override fun stallWithin(age: Duration) = minOf(1_600.milliseconds, age)
             }
         assertNotNull(defectOf(connector = late))
         assertEquals(0, asked.size)
+        // The request was sent after most of the pause.
+        assertNull(defectOf(connector = late, age = 300.milliseconds))
         val paused =
             object : HttpConnector by connector {
-                override var recentStall = 100.milliseconds
+                private var stall = 100.milliseconds
+
+                override fun stallWithin(age: Duration) = minOf(stall, age)
 
                 override suspend fun open(
                     address: NetworkAddress,
                     timeout: Duration,
-                ): Opening = connector.open(address, timeout).also { recentStall = 1_600.milliseconds }
+                ): Opening = connector.open(address, timeout).also { stall = 1_600.milliseconds }
             }
         assertNotNull(defectOf(connector = paused))
     }
--- a/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/ConnectionEndedAnswerTest.kt
+++ b/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/ConnectionEndedAnswerTest.kt
@@ -183,6 +183,31 @@
         }
     }
 
+    /** Guards against a whole stream that is cut as the answer which confirms its end follows the same pause. */
+    @Test
+    fun `a stream whose end is read late is confirmed by an answer without a length`() {
+        var gateway: TestGateway? = null
+        val late: Script = { r, out ->
+            out.text(twoEvents(r))
+            flushAndPause(out, 50)
+            checkNotNull(gateway).runtime.dispatcher.dispatch(EmptyCoroutineContext) { Thread.sleep(PAUSE_MILLIS) }
+            flushAndPause(out, 100)
+            false
+        }
+        val confirms: Script = { r, out -> !out.text(streamHead(r, "t")) }
+        ScriptedEndpoint(late).use { one ->
+            ScriptedEndpoint(confirms).use { other ->
+                TestGateway(listOf(one, other), retrySlack = 10_000.0, journal = { lines += it }).use {
+                    gateway = it
+                    val answer = exchange(it.port, request("/stream/x"))
+                    assertEquals(event(1) + event(2), answer.body, "$lines")
+                    assertTrue(answer.isComplete, "$lines")
+                    assertEquals(listOf("2"), other.requests.map { r -> r.header("Last-Event-Id") }, "$lines")
+                }
+            }
+        }
+    }
+
     /** Guards against a cut of a whole stream whose endpoint ends before this process knows that it leaves. */
     @Test
     fun `a whole stream of an endpoint that refuses connections is verified by another one`() {
