Try a request that one endpoint was lost with instead of refusing it

A stream that was lost between its head and its first event got 502, and all later copies of it 503, since one such loss sufficed to hold the request back for itself, and such requests were never tried. It is now sent as a trial, by the attempt that was lost if that may be repeated, and held back after a second endpoint. Crashes that only the store knows count together with later ones.

Tests that asserted a refusal after one crash asserted the fault; they now assert the trial and the refusal after the second crash.

--- a/decisions/src/main/kotlin/org/cicadaturn/decisions/quarantine/CrashEvidence.kt
+++ b/decisions/src/main/kotlin/org/cicadaturn/decisions/quarantine/CrashEvidence.kt
@@ -6,6 +6,7 @@
 import org.cicadaturn.schema.generated.ProcessId
 import org.cicadaturn.schema.generated.SegmentState
 import org.cicadaturn.schema.generated.ServiceId
+import org.cicadaturn.schema.generated.SuspectKind
 import kotlin.math.pow
 import kotlin.time.Duration.Companion.hours
 import kotlin.time.Duration.Companion.milliseconds
@@ -29,8 +30,24 @@
     val since: Instant,
     val lastCrash: Instant,
 ) {
+    /**
+     * True for a request that one endpoint has been lost with. Any other cause can have coincided with it, and no other
+     * request can clear it, so it is tried instead of held back.
+     */
+    val isTried: Boolean
+        get() = segment.kind == SuspectKind.REQUEST && crashes <= 1 && endpoints.size <= 1
+
+    /** True if the evidence suffices to hold requests back, or to list a request that is tried in the store. */
+    val isProbable: Boolean get() = isProbableAt(confidence, segment.kind, crashes)
+
     /** What is done with requests that contain the segment and no other suspected one; null if nothing. */
-    val state: SegmentState? get() = stateAt(confidence, segment.kind, crashes)
+    val state: SegmentState?
+        get() =
+            when {
+                isProbable && !isTried -> SegmentState.QUARANTINED
+                isSuspectedAt(confidence, segment.kind) -> SegmentState.SUSPECTED
+                else -> null
+            }
 
     /**
      * Earliest time of the next trial. The service recovers in between, and a segment that goes on to crash endpoints
--- a/decisions/src/main/kotlin/org/cicadaturn/decisions/quarantine/SegmentQuarantine.kt
+++ b/decisions/src/main/kotlin/org/cicadaturn/decisions/quarantine/SegmentQuarantine.kt
@@ -7,9 +7,9 @@
 import org.cicadaturn.schema.generated.PromptSegmentId
 import org.cicadaturn.schema.generated.QuarantineNews
 import org.cicadaturn.schema.generated.QuarantinedSegment
-import org.cicadaturn.schema.generated.SegmentState
 import org.cicadaturn.schema.generated.SegmentStatus
 import org.cicadaturn.schema.generated.ServiceId
+import org.cicadaturn.schema.generated.SuspectKind
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Instant
 
@@ -182,14 +182,38 @@
     }
 
     override fun view(now: Instant): SuspicionView {
-        val suspicions = evidence.suspicions(now).associateByTo(LinkedHashMap()) { it.segment }
+        val suspicions = joinedSuspicions(now).associateByTo(LinkedHashMap()) { it.segment }
         for (stored in listed.values.mapNotNull { suspicionOf(it, now) }) {
-            val own = suspicions[stored.segment]
-            suspicions[stored.segment] = if (own == null) stored else strongerOf(own, stored)
+            suspicions.merge(stored.segment, stored, ::strongerOf)
         }
         return SuspicionView(suspicions.values.toList())
     }
 
+    /** Returns the suspicions that this process has evidence for; against requests, with the crashes in the list. */
+    private fun joinedSuspicions(now: Instant): List<Suspicion> =
+        evidence.suspicions(now).map { own ->
+            val stored = listed[own.segment]?.let { suspicionOf(it, now) }
+            if (stored == null || own.segment.kind == SuspectKind.SEGMENT) own else joined(own, stored)
+        }
+
+    /**
+     * Returns the suspicion against a request by [own] evidence and by the crashes that are only [stored], as after a
+     * loss of power. Each start of an endpoint has its own identifier; times of other processes may differ.
+     */
+    private fun joined(
+        own: Suspicion,
+        stored: Suspicion,
+    ): Suspicion {
+        val further = own.endpoints - stored.endpoints.toSet()
+        return own.copy(
+            confidence = maxOf(own.confidence, stored.confidence),
+            crashes = maxOf(own.crashes, stored.crashes + minOf(own.crashes, further.size)),
+            endpoints = listOf(own.endpoints, stored.endpoints + further).maxBy { it.size },
+            since = minOf(own.since, stored.since),
+            lastCrash = maxOf(own.lastCrash, stored.lastCrash),
+        )
+    }
+
     private fun strongerOf(
         a: Suspicion,
         b: Suspicion,
@@ -214,7 +238,7 @@
         wallClock: Instant,
     ): QuarantineChanges {
         val removed = listed.filterValues { suspicionOf(it, now) == null }.keys.toList()
-        val added = evidence.suspicions(now).filter { it.state == SegmentState.QUARANTINED && needsEntry(it, now) }
+        val added = joinedSuspicions(now).filter { it.isProbable && needsEntry(it, now) }
         return QuarantineChanges(
             added.map { suspicion ->
                 QuarantinedSegment(
@@ -236,7 +260,11 @@
         now: Instant,
     ): Boolean {
         val entry = listed[suspicion.segment] ?: return true
-        return ageInHalfLives(entry, now) >= REVIEW
+        // A request is held back from the second endpoint on, so the entry must tell of it.
+        val isFurtherCrash =
+            suspicion.segment.kind == SuspectKind.REQUEST &&
+                entry.entry.endpoints.size < minOf(suspicion.endpoints.size, MAX_LISTED_ENDPOINTS)
+        return isFurtherCrash || ageInHalfLives(entry, now) >= REVIEW
     }
 
     private fun ageInHalfLives(
--- a/decisions/src/main/kotlin/org/cicadaturn/decisions/quarantine/Verdict.kt
+++ b/decisions/src/main/kotlin/org/cicadaturn/decisions/quarantine/Verdict.kt
@@ -64,7 +64,8 @@
      *
      * The last segment is not considered, as it belongs to one request or session; the request itself takes its place.
      * The confidences add up, as they are the probabilities of explanations that exclude each other: of two segments
-     * that were only seen together neither is held back alone.
+     * that were only seen together neither is held back alone. That in a request that is tried is left out here: only a
+     * trial can show that one crash was a coincidence.
      *
      * @param request returns the digest of the request; called if a request to the service is suspected
      */
@@ -78,51 +79,50 @@
         val own = if (hasRequests(service)) request()?.let { bySegment[requestSegment(service, it)] } else null
         val suspected = shared + listOfNotNull(own)
         val names = suspected.map { it.segment.name }
+        val sharedConfidence = shared.sumOf { it.confidence }.coerceAtMost(1.0)
         val confidence = suspected.sumOf { it.confidence }.coerceAtMost(1.0)
         if (own?.state == SegmentState.QUARANTINED) return Verdict.Quarantined(confidence, names, isForRequest = true)
-        // Several reasons for a suspicion, none of which suffices alone, are compared with the higher threshold.
-        val state =
-            stateAt(shared.sumOf { it.confidence }) ?: own?.state ?: stateAt(confidence, SuspectKind.REQUEST)
-        val isQuarantined = confidence >= QUARANTINE_CONFIDENCE && service !in blocked
+        val isSuspected =
+            isSuspectedAt(sharedConfidence) || own?.state != null || isSuspectedAt(confidence, SuspectKind.REQUEST)
+        val heldBackFor = if (own?.isTried == true) sharedConfidence else confidence
         return when {
-            state == null -> Verdict.Clear
-            isQuarantined -> Verdict.Quarantined(confidence, names)
+            // Several reasons for a suspicion, none of which suffices alone, are compared with the higher threshold.
+            !isSuspected -> Verdict.Clear
+            isProbableAt(heldBackFor) && service !in blocked -> Verdict.Quarantined(confidence, names)
             else -> Verdict.Suspected(confidence, names, suspected.maxOf { it.nextTrial })
         }
     }
 }
 
 /**
- * Returns what is done with requests that crash their endpoints with probability [confidence]; null if nothing.
+ * Returns true if [confidence] suffices to hold requests back.
  *
  * @param kind what the evidence is against; that against a request concerns no other
  * @param crashes number of outages that the evidence explains
  */
-internal fun stateAt(
+internal fun isProbableAt(
     confidence: Double,
     kind: SuspectKind = SuspectKind.SEGMENT,
     crashes: Int = 1,
-): SegmentState? {
-    val isRequest = kind == SuspectKind.REQUEST
-    val quarantineConfidence =
+): Boolean =
+    confidence >=
         when {
-            !isRequest -> QUARANTINE_CONFIDENCE
+            kind == SuspectKind.SEGMENT -> QUARANTINE_CONFIDENCE
             crashes > 1 -> REPEATED_REQUEST_QUARANTINE_CONFIDENCE
             else -> REQUEST_QUARANTINE_CONFIDENCE
         }
-    return when {
-        confidence >= quarantineConfidence -> SegmentState.QUARANTINED
-        confidence >= (if (isRequest) REQUEST_SUSPICION_CONFIDENCE else SUSPICION_CONFIDENCE) ->
-            SegmentState.SUSPECTED
-        else -> null
-    }
-}
+
+/** Returns true if [confidence] suffices to send requests one at a time; [kind] is what the evidence is against. */
+internal fun isSuspectedAt(
+    confidence: Double,
+    kind: SuspectKind = SuspectKind.SEGMENT,
+): Boolean = confidence >= if (kind == SuspectKind.REQUEST) REQUEST_SUSPICION_CONFIDENCE else SUSPICION_CONFIDENCE
 
 /** Confidence from which requests are held back. */
 private const val QUARANTINE_CONFIDENCE = 0.9
 
 /**
- * Confidence from which a request is held back for itself. A wrong verdict costs this one request, a crash the requests
+ * Confidence from which a request is held back for itself if several endpoints were lost with it. A wrong verdict costs this one request, a crash the requests
  * that are in progress at the endpoint, and with some engines a whole group for seconds.
  */
 private const val REQUEST_QUARANTINE_CONFIDENCE = 0.5
--- a/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/QuarantineTaskTest.kt
+++ b/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/QuarantineTaskTest.kt
@@ -50,6 +50,13 @@
             processes[1].answer("shared own1")
             processes[0].lose("e1", "shared own2", request = bad)
             testScheduler.advanceTimeBy(100)
+            processes.forEach { process ->
+                val verdict = process.verdict("shared own3", bad)
+                assertTrue(verdict is Verdict.Suspected && verdict.confidence > 0.9, "${process.name}: $verdict")
+                assertEquals(Verdict.Clear, process.verdict("shared own3", Digest("sound")), process.name)
+            }
+            processes[2].lose("e2", "shared own2", request = bad)
+            testScheduler.advanceTimeBy(100)
             val all = processes + fleet.start("g4")
             testScheduler.advanceTimeBy(100)
             all.forEach { process ->
@@ -67,6 +74,28 @@
             assertEquals(Verdict.Clear, restarted.verdict("shared own3", Digest("sound")))
         }
 
+    /** Guards against a third crash by a request, as a loss of power comes between the first and the second. */
+    @Test
+    fun `a request that crashed an endpoint before a loss of power is held back after one further crash`() =
+        runTest {
+            val fleet = QuarantineFleet(this)
+            val bad = Digest("bad")
+            val first = fleet.start("g1")
+            first.answer("shared own1")
+            first.lose("e1", "shared own2", request = bad)
+            testScheduler.advanceTimeBy(1_000)
+            first.end()
+            val restarted = listOf("g1", "g2").map { fleet.start(it) }
+            testScheduler.advanceTimeBy(10)
+            restarted.forEach { assertTrue(it.verdict("shared own3", bad) is Verdict.Suspected, it.name) }
+            restarted[0].answer("shared own1")
+            restarted[0].lose("e2", "shared own2", request = bad)
+            testScheduler.advanceTimeBy(100)
+            restarted.forEach { assertTrue(it.verdict("shared own3", bad) is Verdict.Quarantined, it.name) }
+            testScheduler.advanceTimeBy(3_000)
+            assertEquals(listOf(2), fleet.stored.values.map { it.crashes })
+        }
+
     /** Guards against a process that starts after the crashes, or with an empty store, and sends such requests again. */
     @Test
     fun `a process that starts later learns from the others`() =
--- a/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/ReturningRequestTest.kt
+++ b/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/ReturningRequestTest.kt
@@ -10,6 +10,7 @@
 import java.io.OutputStream
 import java.util.concurrent.ConcurrentLinkedQueue
 import java.util.concurrent.CopyOnWriteArraySet
+import kotlin.concurrent.thread
 import kotlin.random.Random
 
 /**
@@ -193,6 +194,45 @@
         }
     }
 
+    /** Guards against a request that is refused for good after one crash with another cause (review/9). */
+    @Test
+    fun `a sound stream that is lost alone behind its head is served, and so are its copies at all gateways`() {
+        FragileFleet().use { fleet ->
+            Site(fleet).use { site ->
+                // Answers tell the gateway that streams are rarely between their head and their first event.
+                repeat(KNOWN_ANSWERS) { i -> send(site.gateways[0], Form("/stream/x"), "sound$i", "own$i", "sound$i") }
+                val answer = send(site.gateways[0], Form("/stream/x"), "unlucky", "own", UNLUCKY)
+                assertEquals(1, fleet.crashes)
+                assertEquals(200, answer.status, answer.body)
+                assertTrue(answer.isComplete)
+                repeat(SENDS) { i ->
+                    val copy = send(site.gateways[i % GATEWAYS], Form("/stream/x"), "copy$i", "own", UNLUCKY)
+                    assertEquals(200, copy.status, "copy $i: ${copy.body}")
+                    assertTrue(copy.isComplete, "copy $i")
+                }
+            }
+        }
+    }
+
+    /** Guards against more than one further crash by the copies of a request, which is tried after the first. */
+    @Test
+    fun `a stream whose copies come at once to all gateways after its first crash crashes one more endpoint at most`() {
+        FragileFleet().use { fleet ->
+            Site(fleet).use { site ->
+                repeat(KNOWN_ANSWERS) { i -> send(site.gateways[0], Form("/stream/x"), "sound$i", "own$i", "sound$i") }
+                send(site.gateways[0], Form("/stream-once/x"), "first", "own", DEADLY)
+                assertEquals(1, fleet.crashes)
+                Thread.sleep(NEWS_MS)
+                val copies =
+                    List(SENDS * GATEWAYS) { i ->
+                        thread { send(site.gateways[i % GATEWAYS], Form("/stream-once/x"), "copy$i", "own", DEADLY) }
+                    }
+                copies.forEach { it.join() }
+                assertTrue(fleet.crashes <= MAX_CRASHES, "${fleet.crashes} of $ENDPOINTS endpoints crashed")
+            }
+        }
+    }
+
     private companion object {
         const val DEADLY = "deadly"
 
@@ -209,6 +249,12 @@
         const val ENDPOINTS = 10
         const val GATEWAYS = 3
         const val SENDS = 8
+
+        /** Time in which the other gateways learn of a crash, shorter than the pause before a trial. */
+        const val NEWS_MS = 300L
+
+        /** Answers from which the gateway knows in which state streams are for how long. */
+        const val KNOWN_ANSWERS = 12
         const val MAX_CRASHES = 2
 
         /** One more, as the loss of an answer that is under way is weaker evidence. */
