Let a further endpoint confirm gaps in the numbers of events

The only endpoint of a service can show gaps.

Seen to fail without the change: 6 of 16 cases of LearnedNumbersTest.

--- a/decisions/src/main/kotlin/org/cicadaturn/decisions/gateway/EventSequence.kt
+++ b/decisions/src/main/kotlin/org/cicadaturn/decisions/gateway/EventSequence.kt
@@ -13,10 +13,27 @@
  * What the events of an answer must be.
  *
  * @property after number of the last event that the caller has; null if the answer must begin with the first event
+ * @property shownNext number that another endpoint sent behind [after], leaving some out. An answer that goes on with the
+ * same shows that the service numbers so: two endpoints would hardly lose the same events. Null if there is none, or if
+ * the service has shown that its numbers are consecutive
  */
 public data class ExpectedEvents(
     val numbering: EventNumbering = EventNumbering.CONSECUTIVE,
     val after: Long? = null,
+    val shownNext: Long? = null,
+)
+
+/**
+ * Place in an answer where numbers are left out.
+ *
+ * @property after number of the last event before it that the caller has; null if it has none
+ * @property next number of the event behind it
+ * @property isFirst true if the answer has no event before it, so that it goes on behind [after] as it was asked to
+ */
+public data class EventGap(
+    val after: Long?,
+    val next: Long,
+    val isFirst: Boolean,
 )
 
 /**
@@ -25,13 +42,13 @@
  * @property sound events before the first one that cannot be part of the stream
  * @property defect what is wrong with the event that follows them, after which nothing can be trusted; null if none is
  * @property canContinue false if the last sound event may be the wrong one, so that no run can go on behind it
- * @property hasGap true if the only defect is a number that leaves numbers out, or a first number of 0
+ * @property gap the defect if it is only that numbers are left out, or that the first number is 0; null if not
  */
 public data class EventBatch(
     val sound: List<StreamEvent>,
     val defect: String? = null,
     val canContinue: Boolean = true,
-    val hasGap: Boolean = false,
+    val gap: EventGap? = null,
 )
 
 /** Verifies that the events of one answer are those of one run. Has one owner and is not safe for concurrent use. */
@@ -51,6 +68,7 @@
 private class NumberedEventSequence(
     private val expected: ExpectedEvents,
 ) : EventSequence {
+    private var numbering = expected.numbering
     private var last: Long? = expected.after
     private var beforeLast: Long? = null
     private var lastEvent: StreamEvent? = null
@@ -63,8 +81,11 @@
                 lastEvent = event
                 continue
             }
+            if (lastEvent == null && event.id != null && event.id == expected.shownNext) {
+                numbering = EventNumbering.INCREASING
+            }
             val defect = defectOf(event)
-            if (defect != null) return EventBatch(sound, defect, canContinueBefore(event), hasGapBefore(event))
+            if (defect != null) return EventBatch(sound, defect, canContinueBefore(event), gapBefore(event))
             beforeLast = last
             last = event.id
             lastEvent = event
@@ -79,14 +100,17 @@
         val before = lastEvent ?: return true
         val end = before.id ?: return true
         if (id == end) return event.bytes.contentEquals(before.bytes)
-        if (expected.numbering == EventNumbering.CONSECUTIVE) return true
+        if (numbering == EventNumbering.CONSECUTIVE) return true
         // The number of the event before is too high if this one lies between it and the one before that.
         return id !in ((beforeLast ?: Long.MIN_VALUE) + 1)..<end
     }
 
-    /** Returns true if [event] is sound where numbers are not consecutive. */
-    private fun hasGapBefore(event: StreamEvent): Boolean =
-        formDefectOf(event) == null && (event.id ?: BEFORE_FIRST) > (last ?: BEFORE_FIRST)
+    /** Returns the gap before [event] if the event is sound where numbers are not consecutive, or null. */
+    private fun gapBefore(event: StreamEvent): EventGap? {
+        val id = event.id ?: return null
+        if (formDefectOf(event) != null || id <= (last ?: BEFORE_FIRST)) return null
+        return EventGap(last, id, isFirst = lastEvent == null)
+    }
 
     private fun defectOf(event: StreamEvent): String? = formDefectOf(event) ?: event.id?.let(::numberDefectOf)
 
@@ -105,11 +129,11 @@
     }
 
     private fun numberDefectOf(id: Long): String? {
-        val isFirstInGaps = last == null && expected.numbering == EventNumbering.INCREASING
+        val isFirstInGaps = last == null && numbering == EventNumbering.INCREASING
         val before = last ?: if (isFirstInGaps) BEFORE_FIRST else 0
         return when {
             id <= before -> "event $id after $before"
-            expected.numbering == EventNumbering.CONSECUTIVE && id != before + 1 ->
+            numbering == EventNumbering.CONSECUTIVE && id != before + 1 ->
                 "event $id where ${before + 1} was due"
             else -> null
         }
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/AttemptExecution.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/AttemptExecution.kt
@@ -7,6 +7,7 @@
 import org.cicadaturn.decisions.gateway.EndpointNotice
 import org.cicadaturn.decisions.gateway.EndpointUse
 import org.cicadaturn.decisions.gateway.EventBatch
+import org.cicadaturn.decisions.gateway.EventGap
 import org.cicadaturn.decisions.gateway.EventStream
 import org.cicadaturn.decisions.gateway.ExpectedAnswer
 import org.cicadaturn.decisions.gateway.ExpectedEvents
@@ -247,9 +248,9 @@
         waitedSince: Instant,
     ): AttemptResult? {
         if (batch.sound.isNotEmpty() && !goesOn()) return replaced()
-        if (!sendEvents(head, batch.sound, waitedSince)) return AttemptResult.Delivered(summary)
+        if (!sendEvents(head, batch.sound, waitedSince)) return AttemptResult.Delivered(summary, isComplete = false)
         val defect = batch.defect ?: "event without end".takeIf { !parts.canBuffer(pendingBytes) }
-        return defect?.let { failed(AttemptEnd.BROKEN, it, canContinue = batch.canContinue, hasGap = batch.hasGap) }
+        return defect?.let { failed(AttemptEnd.BROKEN, it, canContinue = batch.canContinue, gap = batch.gap) }
     }
 
     /** Passes on [complete], which arrived together; returns false if the caller has left. */
@@ -339,7 +340,7 @@
         use: EndpointUse = EndpointUse.Failed,
         isDisconnected: Boolean = false,
         canContinue: Boolean = true,
-        hasGap: Boolean = false,
+        gap: EventGap? = null,
     ): AttemptResult {
         this.use = use
         keepAliveTime = null
@@ -350,7 +351,7 @@
             summary = summary,
             isDisconnected = isDisconnected,
             canContinue = canContinue,
-            hasGap = hasGap,
+            gap = gap,
         )
     }
 
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/EventNumberRecord.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/EventNumberRecord.kt
@@ -15,11 +15,15 @@
     /** Returns how the events of the next answer of [service] must be numbered. */
     fun numberingOf(service: ServiceId): EventNumbering
 
-    /** Records what an answer of [endpoint] has shown. */
+    /** Returns true if a gap of [service] that a further endpoint confirms is sound. */
+    fun acceptsConfirmation(service: ServiceId): Boolean
+
+    /** Records what an answer of [endpoint] has shown; [serviceSize], the number of endpoints, matters for gaps only. */
     fun seen(
         service: ServiceId,
         endpoint: EndpointId,
         sighting: NumberSighting,
+        serviceSize: Int,
     )
 }
 
@@ -38,10 +42,13 @@
 ) : EventNumberRecord {
     override fun numberingOf(service: ServiceId): EventNumbering = numbering
 
+    override fun acceptsConfirmation(service: ServiceId): Boolean = false
+
     override fun seen(
         service: ServiceId,
         endpoint: EndpointId,
         sighting: NumberSighting,
+        serviceSize: Int,
     ): Unit = Unit
 }
 
@@ -50,30 +57,36 @@
         val service: ServiceId,
         val endpoint: EndpointId,
         val sighting: NumberSighting,
+        val serviceSize: Int,
     )
 
     // Bounded; while it is full, sightings are dropped, as later answers show the same.
     private val messages = Channel<Seen>(QUEUED_SIGHTINGS)
     private val published = MutableStateFlow(emptyMap<ServiceId, EventNumberEvidence>())
 
-    override fun numberingOf(service: ServiceId): EventNumbering =
-        (published.value[service] ?: EventNumberEvidence()).numbering
+    private fun evidenceOf(service: ServiceId) = published.value[service] ?: EventNumberEvidence()
+
+    override fun numberingOf(service: ServiceId): EventNumbering = evidenceOf(service).numbering
+
+    override fun acceptsConfirmation(service: ServiceId): Boolean = evidenceOf(service).acceptsConfirmation
 
     override fun seen(
         service: ServiceId,
         endpoint: EndpointId,
         sighting: NumberSighting,
+        serviceSize: Int,
     ) {
-        // Nothing more can be learned of such a service.
-        if (published.value[service]?.isConsecutive == true) return
-        messages.trySend(Seen(service, endpoint, sighting))
+        val known = evidenceOf(service)
+        // Most answers show nothing new.
+        if (known.plus(endpoint, sighting, serviceSize) == known) return
+        messages.trySend(Seen(service, endpoint, sighting, serviceSize))
     }
 
     suspend fun processMessages() {
         for (message in messages) {
-            val evidence = published.value
-            val known = evidence[message.service] ?: EventNumberEvidence()
-            published.value = evidence + (message.service to known.plus(message.endpoint, message.sighting))
+            val evidence =
+                evidenceOf(message.service).plus(message.endpoint, message.sighting, message.serviceSize)
+            published.value += (message.service to evidence)
         }
     }
 
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/Exchange.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/Exchange.kt
@@ -4,6 +4,7 @@
 import org.cicadaturn.decisions.gateway.AttemptEnd
 import org.cicadaturn.decisions.gateway.ConnectionEnd
 import org.cicadaturn.decisions.gateway.EndpointUse
+import org.cicadaturn.decisions.gateway.EventGap
 import org.cicadaturn.decisions.gateway.ExpectedEvents
 import org.cicadaturn.decisions.gateway.StreamEvent
 import org.cicadaturn.schema.generated.AnswerProgress
@@ -93,9 +94,14 @@
     /** What the answer looked like; null if there was no head, or that of a failure. */
     val summary: AnswerSummary?
 
-    /** The sink has received the complete answer, or the caller is gone. */
+    /**
+     * The sink has received the complete answer, or the caller is gone.
+     *
+     * @property isComplete false if the caller left before the end of the answer
+     */
     class Delivered(
         override val summary: AnswerSummary?,
+        val isComplete: Boolean = true,
     ) : AttemptResult
 
     /**
@@ -105,7 +111,7 @@
      * @property events number of events that the endpoint sent; null if it sent no head of a stream
      * @property isDisconnected true if the endpoint ended the connection before the answer was complete
      * @property canContinue false if the caller may have got a wrong event, so that no endpoint can continue the stream
-     * @property hasGap true if the only defect is that the numbers of the events leave some out
+     * @property gap the defect if it is only that the numbers of the events leave some out; null if not
      */
     class Failed(
         val end: AttemptEnd,
@@ -115,7 +121,7 @@
         override val summary: AnswerSummary? = null,
         val isDisconnected: Boolean = false,
         val canContinue: Boolean = true,
-        val hasGap: Boolean = false,
+        val gap: EventGap? = null,
     ) : AttemptResult
 }
 
--- a/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/LearnedNumbersTest.kt
+++ b/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/LearnedNumbersTest.kt
@@ -8,8 +8,10 @@
 import org.junit.jupiter.params.provider.CsvSource
 import java.io.OutputStream
 import java.net.Socket
+import java.util.concurrent.ConcurrentLinkedQueue
 import java.util.concurrent.CountDownLatch
 import java.util.concurrent.TimeUnit
+import kotlin.concurrent.thread
 
 /** Tests the streams of services that number events otherwise than 1, 2, 3, without a setting that says so. */
 class LearnedNumbersTest {
@@ -85,6 +87,69 @@
         }
     }
 
+    /** Guards against streams that are all cut as the first one began with 1, 2, 3 (review/8). */
+    @Test
+    fun `streams that count tokens are whole from the first on where another endpoint can confirm them`() {
+        val numbers = listOf(1, 2, 3, 5, 7, 9)
+        endpointWith { numbers }.use { one ->
+            endpointWith { numbers }.use { other ->
+                TestGateway(listOf(one, other)).use { gateway ->
+                    repeat(20) { assertTrue(isWhole(gateway, "stream", numbers), "stream $it") }
+                }
+            }
+        }
+    }
+
+    /** As above, where no stream may be resumed. PROTOCOL.md: "A single stream event may contain several tokens". */
+    @Test
+    fun `streams that count tokens and may not be resumed are whole after the first four`() {
+        val numbers = listOf(1, 2, 3, 5, 7, 9)
+        val slow = { Thread.sleep(ANSWER_MS).let { numbers } }
+        endpointWith(slow).use { one ->
+            endpointWith(slow).use { other ->
+                TestGateway(listOf(one, other)).use { gateway ->
+                    // Two at a time, so that both endpoints are asked; the last of them begins before the third ends.
+                    val whole = ConcurrentLinkedQueue<Boolean>()
+                    val callers =
+                        List(2) { thread { repeat(10) { whole += isWhole(gateway, "stream-once", numbers) } } }
+                    callers.forEach { it.join() }
+                    assertTrue(whole.count { !it } <= 4, "$whole")
+                }
+            }
+        }
+    }
+
+    /** Guards against a service that serves nothing as a second endpoint would have to show its numbers, too. */
+    @ParameterizedTest
+    @CsvSource("stream, 1", "stream, 3", "stream-once, 1", "stream-once, 3")
+    fun `streams with increasing numbers of the only endpoint come whole after the first three`(
+        route: String,
+        consecutive: Int,
+    ) {
+        val numbers = (1..consecutive) + listOf(5, 7, 9)
+        endpointWith { numbers }.use { only ->
+            TestGateway(listOf(only)).use { gateway ->
+                val lost = List(20) { isWhole(gateway, route, numbers) }.count { !it }
+                assertTrue(lost <= 3, "$lost of 20 streams were not whole")
+            }
+        }
+    }
+
+    /** Guards against two endpoints that lose the same event of a service that has shown that it loses none. */
+    @Test
+    fun `an event that two endpoints leave out is noticed after complete streams with consecutive numbers`() {
+        var numbers = (1..6).toList()
+        endpointWith { numbers }.use { one ->
+            endpointWith { numbers }.use { other ->
+                TestGateway(listOf(one, other)).use { gateway ->
+                    repeat(3) { assertTrue(isWhole(gateway, "stream", numbers)) }
+                    numbers = (1..6) - 4
+                    repeat(2) { assertFalse(isWhole(gateway, "stream", numbers)) }
+                }
+            }
+        }
+    }
+
     /** Guards against a left-out event that passes as complete because it looks like a gap of the service. */
     @Test
     fun `an event that is left out is noticed after the first stream with consecutive numbers`() {
@@ -189,4 +254,9 @@
             }
         }
     }
+
+    private companion object {
+        /** Time that an endpoint takes, so that requests overlap. */
+        const val ANSWER_MS = 50L
+    }
 }
