--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/http/HttpConnector.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/http/HttpConnector.kt
@@ -83,12 +83,13 @@
     newSocket: () -> SocketChannel,
 ): HttpConnector {
     val initializer = ClientInitializer(runtime.onFatalError, accounts)
-    return LoopConnector(runtime, initializer)
+    return LoopConnector(runtime, initializer, newSocket)
 }
 
 private class LoopConnector(
     private val runtime: HttpRuntime,
     private val initializer: ClientInitializer,
+    private val newSocket: () -> SocketChannel,
 ) : HttpConnector {
     override fun stallWithin(age: Duration): Duration = runtime.stallWithin(age)
 
