--- a/daemons/src/test/kotlin/org/cicadaturn/daemons/ClassArchiveTest.kt
+++ b/daemons/src/test/kotlin/org/cicadaturn/daemons/ClassArchiveTest.kt
@@ -27,7 +27,11 @@
         val builder = ProcessBuilder("bash", script, application.toString()).redirectErrorStream(true)
         builder.environment().merge("PATH", "$programs:") { old, added -> added + old }
         val output = directory.resolve("output")
-        return builder.redirectOutput(output.toFile()).start().waitFor().also { println(output.readText()) }
+        return builder
+            .redirectOutput(output.toFile())
+            .start()
+            .waitFor()
+            .also { println(output.readText()) }
     }
 
     /** Guards against a build that fails because of an archive without which a gateway starts too. */
