Hold no pause against the end of an answer that arrived after it

Within a second after a pause of the event loop, each end of an answer without a length counted as read late, also of streams that had gone on in the meantime.

The end cannot have arrived before a wait for the next part that lasted 100 ms, so only a pause from the beginning of the last such wait on counts.

ConnectionEndedAnswerTest "a stream that goes on after a pause is complete" fails in both cases without this.

--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/AnswerParts.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/AnswerParts.kt
@@ -35,6 +35,10 @@
     private val link = connection.link
     private val start = clock.now()
 
+    /** Time before which the end of the answer has not arrived: start of the attempt, or of a wait for a part. */
+    var awaitedSince = start
+        private set
+
     /** True if the body that was read was ended by its connection alone. */
     var isEndedByClose = false
         private set
@@ -102,9 +106,11 @@
 
     /** Waits for the next part for [limit]. */
     suspend fun awaitPart(limit: Duration): WaitResult {
+        val since = clock.now()
         val received =
             withTimeoutOrNull(limit) { link.receive()?.let { WaitResult.Part(it) } ?: WaitResult.Ended }
                 ?: WaitResult.Stalled
+        if (clock.now() - since >= MIN_READ_TIME) awaitedSince = since
         if ((received as? WaitResult.Part)?.part == HttpPart.EndByClose) isEndedByClose = true
         return received
     }
@@ -137,6 +143,12 @@
 
         val MIN_WAIT = 1.milliseconds
 
+        /**
+         * A wait that lasts longer shows that nothing had arrived when it began, as what has is read in the next turn of the
+         * event loop. Behind a pause, a turn reads hundreds of connections.
+         */
+        val MIN_READ_TIME = 100.milliseconds
+
         /** Time between two checks whether a request without data should be sent to another endpoint as well. */
         val STALL_CHECK_INTERVAL = 200.milliseconds
     }
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/AttemptExecution.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/AttemptExecution.kt
@@ -298,8 +298,8 @@
     private suspend fun closeDefect(): String? {
         val end = link.end
         if (!parts.isEndedByClose || end == null) return null
-        val age = clock.now() - start
-        return closedAnswers.defectOf(end, attempt.endpoint, age, timeLeft = attempt.timeLimit - age)
+        val now = clock.now()
+        return closedAnswers.defectOf(end, attempt.endpoint, now - parts.awaitedSince, start + attempt.timeLimit - now)
     }
 
     private fun recordPause(pause: Duration) {
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/ClosedAnswerCheck.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/ClosedAnswerCheck.kt
@@ -30,22 +30,21 @@
      * Returns why an answer of [endpoint] whose connection has ended with [end] is not complete, or null if it is. Takes
      * at most [timeLeft], as the answer would be late after it.
      *
-     * @param age time since the request was sent
+     * @param window time in which the end has arrived
      */
     suspend fun defectOf(
         end: ConnectionEnd,
         endpoint: LiveEndpoint,
-        age: Duration,
+        window: Duration,
         timeLeft: Duration,
     ): String? {
         val exit = exitOf(endpoint)
         val limit = minOf(CONNECT_LIMIT, timeLeft / 2 - CLOSING_TIME)
-        // A process that has got the request cannot have ended before.
-        val readDelay = connector.stallWithin(age)
+        val readDelay = connector.stallWithin(window)
         defectOfClosedAnswer(end, exit, EndpointAccess.ACCEPTS, readDelay)?.let { return it }
         val pool = pool.takeUnless { exit.isPlanned }
         val access = withTimeoutOrNull(timeLeft / 2) { accessTo(endpoint, limit, pool) } ?: EndpointAccess.UNKNOWN
-        return defectOfClosedAnswer(end, exit, access, maxOf(readDelay, connector.stallWithin(age)))
+        return defectOfClosedAnswer(end, exit, access, maxOf(readDelay, connector.stallWithin(window)))
     }
 
     /**
--- a/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/ClosedAnswerCheckTest.kt
+++ b/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/ClosedAnswerCheckTest.kt
@@ -81,7 +81,7 @@
         end: ConnectionEnd = ConnectionEnd.CLOSED_BY_ENDPOINT,
         exit: EndpointExit = EndpointExit.UNKNOWN,
         timeLeft: Duration = 1.seconds,
-        age: Duration = 3.seconds,
+        window: Duration = 3.seconds,
         connector: HttpConnector = this.connector,
     ): String? {
         val counting =
@@ -97,7 +97,7 @@
                 }
             }
         val check = ClosedAnswerCheck(counting, pool) { exit }
-        return runBlocking { withContext(runtime.dispatcher) { check.defectOf(end, endpoint, age, timeLeft) } }
+        return runBlocking { withContext(runtime.dispatcher) { check.defectOf(end, endpoint, window, timeLeft) } }
     }
 
     /** Guards against a connection for each answer beside those that requests use. */
@@ -145,8 +145,8 @@
             }
         assertNotNull(defectOf(connector = late))
         assertEquals(0, asked.size)
-        // The request was sent after most of the pause.
-        assertNull(defectOf(connector = late, age = 300.milliseconds))
+        // The end arrived after most of the pause.
+        assertNull(defectOf(connector = late, window = 300.milliseconds))
         val paused =
             object : HttpConnector by connector {
                 private var stall = 100.milliseconds
--- a/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/ConnectionEndedAnswerTest.kt
+++ b/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/ConnectionEndedAnswerTest.kt
@@ -183,6 +183,29 @@
         }
     }
 
+    /** Guards against a whole stream that is cut, or asked for again, as this process was paused before its last part. */
+    @ParameterizedTest
+    @ValueSource(strings = ["/stream/x", "/stream-once/x"])
+    fun `a stream that goes on after a pause is complete`(path: String) {
+        var gateway: TestGateway? = null
+        val script: Script = { r, out ->
+            out.text(streamHead(r, "s") + event(1))
+            flushAndPause(out, 50)
+            checkNotNull(gateway).runtime.dispatcher.dispatch(EmptyCoroutineContext) { Thread.sleep(PAUSE_MILLIS) }
+            flushAndPause(out, PAUSE_MILLIS + 200)
+            out.text(event(2))
+            flushAndPause(out, 300)
+            false
+        }
+        beside(script) { paused, _, other ->
+            gateway = paused
+            val answer = exchange(paused.port, request(path))
+            assertEquals(event(1) + event(2), answer.body, "$lines")
+            assertTrue(answer.isComplete, "$lines")
+            assertEquals(0, other.requests.size, "$lines")
+        }
+    }
+
     /** Guards against a whole stream that is cut as the answer which confirms its end follows the same pause. */
     @Test
     fun `a stream whose end is read late is confirmed by an answer without a length`() {
