Give out no map version of the next leader

It now keeps the map and gives the lease up, as the next holder has a higher token.

Seen to fail without the change: MapVersionsTest 'a leader that changes the map often gives out no version of the next leader'.

--- a/decisions/src/main/kotlin/org/cicadaturn/decisions/experts/MapVersions.kt
+++ b/decisions/src/main/kotlin/org/cicadaturn/decisions/experts/MapVersions.kt
@@ -8,11 +8,14 @@
  * fencing token is higher.
  */
 public interface MapVersions {
-    /** Returns a version higher than [inUse] and than any returned before, for the holder of fencing [token]. */
+    /**
+     * Returns a version higher than [inUse] and than any returned before, for the holder of fencing [token]; null if the
+     * range of the token is used up, as the holder of the next one may give out what lies behind it.
+     */
     public fun next(
         token: Long,
         inUse: Long,
-    ): Long
+    ): Long?
 }
 
 /** Returns a source of versions that begins at the range reserved for the fencing token. */
@@ -24,9 +27,14 @@
     override fun next(
         token: Long,
         inUse: Long,
-    ): Long {
-        last = maxOf(last + 1, inUse + 1, token * VERSIONS_PER_TOKEN)
-        return last
+    ): Long? {
+        val range = token * VERSIONS_PER_TOKEN..<(token + 1) * VERSIONS_PER_TOKEN
+        val next = maxOf(last + 1, inUse + 1, range.first)
+        // Where tokens began again, as with a store that was restored from a copy, ranks have versions beyond the range.
+        val isUsedUp = next > range.last && (last in range || inUse in range)
+        if (isUsedUp) return null
+        last = next
+        return next
     }
 
     private companion object {
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/experts/GroupOrders.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/experts/GroupOrders.kt
@@ -53,8 +53,7 @@
         version: Long,
         steps: StepEstimate,
     ): SwitchResult? {
-        token = lease.token() ?: return null
-        val new = versions.next(token, version)
+        val new = nextVersion(version) ?: return null
         val all = group.ranks.keys.toSet()
         if (!prepare(SwitchPhase.Preparing(new, plan.map, all), plan.newExperts)) return null
         // The group waits at the held pass until all ranks are armed. While orders are likely to be lost,
@@ -76,6 +75,18 @@
         return null
     }
 
+    /** Takes the fencing token for a switch from version [inUse] and returns the new version; null if there is none. */
+    private fun nextVersion(inUse: Long): Long? {
+        token = lease.token() ?: return null
+        val version = versions.next(token, inUse)
+        if (version == null) {
+            logger.warn("experts: {} keeps map {}, as token {} has no versions left", group.name, inUse, token)
+            // The next holder, which may be this process, has a higher token.
+            lease.forfeit()
+        }
+        return version
+    }
+
     /** Completes a switch that cannot be undone; returns false if it was abandoned or the lease is not held. */
     suspend fun finish(phase: SwitchPhase): Boolean {
         if (token == 0L) token = lease.token() ?: return false
