Try a request at a group only after five refused copies

The trial of a request that crashes endpoints stops all ranks of a group. So a process refuses the first five copies at services with groups, the lost attempt among them; a sound request that comes again is served after that. Other services keep the trial at once.

--- a/decisions/src/main/kotlin/org/cicadaturn/decisions/quarantine/Verdict.kt
+++ b/decisions/src/main/kotlin/org/cicadaturn/decisions/quarantine/Verdict.kt
@@ -44,10 +44,12 @@
  *
  * @property blocked services that answer nothing while requests are held back; there, these are tried too, as the
  * suspicion may be wrong and the quarantine the reason
+ * @property waiting requests that are tried only after further copies of them were refused
  */
 public data class SuspicionView(
     val suspicions: List<Suspicion> = emptyList(),
     val blocked: Set<ServiceId> = emptySet(),
+    val waiting: Set<ServiceSegment> = emptySet(),
 ) {
     private val bySegment: Map<ServiceSegment, Suspicion> = suspicions.associateBy { it.segment }
     private val withRequests: Set<ServiceId> =
@@ -81,7 +83,8 @@
         val names = suspected.map { it.segment.name }
         val sharedConfidence = shared.sumOf { it.confidence }.coerceAtMost(1.0)
         val confidence = suspected.sumOf { it.confidence }.coerceAtMost(1.0)
-        if (own?.state == SegmentState.QUARANTINED) return Verdict.Quarantined(confidence, names, isForRequest = true)
+        val isRefused = own != null && (own.state == SegmentState.QUARANTINED || own.segment in waiting)
+        if (isRefused) return Verdict.Quarantined(confidence, names, isForRequest = true)
         val isSuspected =
             isSuspectedAt(sharedConfidence) || own?.state != null || isSuspectedAt(confidence, SuspectKind.REQUEST)
         val heldBackFor = if (own?.isTried == true) sharedConfidence else confidence
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/PromptGate.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/PromptGate.kt
@@ -6,6 +6,7 @@
 import org.cicadaturn.decisions.quarantine.SuspicionView
 import org.cicadaturn.decisions.quarantine.Verdict
 import org.cicadaturn.decisions.quarantine.requestDigest
+import org.cicadaturn.decisions.quarantine.requestSegment
 import org.cicadaturn.schema.generated.AnswerProgress
 import org.cicadaturn.schema.generated.Digest
 import org.cicadaturn.schema.generated.LiveEndpoint
@@ -52,7 +53,7 @@
         while (true) {
             val view = quarantine.view.value
             val verdict = view.verdict(service, prompt) { digest.value }
-            if (verdict is Verdict.Quarantined && !verdict.isForRequest) quarantine.heldBack(service)
+            if (verdict is Verdict.Quarantined) countRefusal(verdict)
             if (verdict !is Verdict.Suspected) return verdict
             if (verdict.notBefore <= clock.now()) {
                 hasTrial = hasTrial || quarantine.claimTrial(service)
@@ -64,6 +65,11 @@
         }
     }
 
+    private fun countRefusal(verdict: Verdict.Quarantined) {
+        if (!verdict.isForRequest) return quarantine.heldBack(service)
+        quarantine.copyRefused(requestSegment(service, digest.value))
+    }
+
     private suspend fun awaitChange(
         view: SuspicionView,
         limit: Duration,
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/Quarantine.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/Quarantine.kt
@@ -3,6 +3,7 @@
 import kotlinx.coroutines.flow.StateFlow
 import org.cicadaturn.decisions.quarantine.LossWeights
 import org.cicadaturn.decisions.quarantine.SegmentQuarantine
+import org.cicadaturn.decisions.quarantine.ServiceSegment
 import org.cicadaturn.decisions.quarantine.SuspicionView
 import org.cicadaturn.decisions.quarantine.TrialRegistry
 import org.cicadaturn.decisions.quarantine.lostPrompt
@@ -71,6 +72,9 @@
     /** Counts a request to [service] that is held back because of what it shares with others; never suspends. */
     fun heldBack(service: ServiceId)
 
+    /** Counts a copy of a request that is refused for itself; never suspends. */
+    fun copyRefused(request: ServiceSegment)
+
     /** Returns true if this process may now send one suspected request to [service]. */
     suspend fun claimTrial(service: ServiceId): Boolean
 
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/QuarantineMessage.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/QuarantineMessage.kt
@@ -1,6 +1,7 @@
 package org.cicadaturn.tasks.gateway
 
 import kotlinx.coroutines.CompletableDeferred
+import org.cicadaturn.decisions.quarantine.ServiceSegment
 import org.cicadaturn.schema.generated.AnswerProgress
 import org.cicadaturn.schema.generated.CrashReport
 import org.cicadaturn.schema.generated.Digest
@@ -42,6 +43,10 @@
         val service: ServiceId,
     ) : QuarantineMessage
 
+    class CopyRefused(
+        val request: ServiceSegment,
+    ) : QuarantineMessage
+
     class Claim(
         val service: ServiceId,
         val reply: CompletableDeferred<Boolean>,
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/QuarantineTask.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/QuarantineTask.kt
@@ -17,6 +17,7 @@
 import org.apache.logging.log4j.LogManager
 import org.cicadaturn.decisions.quarantine.ServiceSegment
 import org.cicadaturn.decisions.quarantine.SuspicionView
+import org.cicadaturn.decisions.quarantine.refusedCopies
 import org.cicadaturn.decisions.quarantine.requestSegment
 import org.cicadaturn.decisions.quarantine.suspects
 import org.cicadaturn.schema.generated.AnswerProgress
@@ -71,6 +72,7 @@
     private val losses = HashMap<EndpointId, Losses>()
     private val reported = LinkedHashMap<EndpointId, CrashReport>()
     private val heldBackSinceAnswer = HashMap<ServiceId, Int>()
+    private val copies = refusedCopies()
     private var isStoring = false
 
     fun start() {
@@ -151,6 +153,7 @@
             is QuarantineMessage.Answered -> recordAnswer(message)
             is QuarantineMessage.Observed -> dependencies.weights.observed(message.service, message.times)
             is QuarantineMessage.HeldBack -> countHeldBack(message.service)
+            is QuarantineMessage.CopyRefused -> if (copies.refused(message.request)) publish()
             is QuarantineMessage.Claim -> claim(message)
             is QuarantineMessage.ClaimAnswered -> decideClaim(message)
             is QuarantineMessage.EndTrial -> end(message.service)
@@ -290,13 +293,21 @@
         val now = clock.now()
         val before = published.value
         val blocked = heldBackSinceAnswer.filterValues { it >= MAX_HELD_BACK }.keys.toSet()
-        val after = quarantine.view(now).copy(blocked = blocked)
+        val view = quarantine.view(now)
+        val after = view.copy(blocked = blocked, waiting = copies.waiting(view.suspicions, groupedServices()))
         published.value = after
         logger.logChanges(before, after)
         dependencies.metrics.suspicions(after)
         scheduleStoreUpdate()
     }
 
+    private fun groupedServices(): Set<ServiceId> {
+        val services =
+            dependencies.fleet.state.value.view.configuration
+                ?.services
+        return services.orEmpty().filter { it.experts != null }.mapTo(HashSet()) { it.id }
+    }
+
     /**
      * Brings the list in the store up to date, one call at a time. It waits until the other processes have told what they
      * have answered, as an entry outlasts the evidence for it. All processes come to the same conclusions then, so each
@@ -344,6 +355,8 @@
 
     override fun heldBack(service: ServiceId) = send(QuarantineMessage.HeldBack(service))
 
+    override fun copyRefused(request: ServiceSegment) = send(QuarantineMessage.CopyRefused(request))
+
     override suspend fun claimTrial(service: ServiceId): Boolean {
         val reply = CompletableDeferred<Boolean>()
         send(QuarantineMessage.Claim(service, reply))
--- a/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/QuarantineFleet.kt
+++ b/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/QuarantineFleet.kt
@@ -33,6 +33,7 @@
 import org.cicadaturn.schema.generated.PromptSegmentId
 import org.cicadaturn.schema.generated.QuarantineNews
 import org.cicadaturn.schema.generated.QuarantinedSegment
+import org.cicadaturn.schema.generated.RoutingConfiguration
 import org.cicadaturn.schema.generated.ServiceId
 import org.cicadaturn.tasks.store.StoreError
 import kotlin.random.Random
@@ -65,6 +66,7 @@
 internal class QuarantineFleet(
     private val test: TestScope,
     endpointCount: Int = 4,
+    private val configuration: RoutingConfiguration? = null,
 ) {
     val cutOff = mutableSetOf<String>()
     var crashed = setOf("e1", "e2", "e3")
@@ -123,7 +125,7 @@
     /** Publishes the fleet to all processes that are not cut off from the store. */
     fun publish() {
         val peers = processes.keys.map { GatewayPeer(ProcessId(it), NetworkAddress(it, 1), FailureDomainId("a")) }
-        val view = FleetView(endpoints = endpoints, peers = peers, quarantine = stored.values.toList())
+        val view = FleetView(configuration, endpoints, peers = peers, quarantine = stored.values.toList())
         processes.values
             .filter { it.name !in cutOff }
             .forEach { it.state.value = FleetState(view, isConfigurationCurrent = true, isKnown = true) }
--- a/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/QuarantineTaskTest.kt
+++ b/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/QuarantineTaskTest.kt
@@ -4,8 +4,13 @@
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.test.runTest
 import org.cicadaturn.decisions.quarantine.Verdict
+import org.cicadaturn.decisions.quarantine.requestSegment
 import org.cicadaturn.schema.generated.AnswerProgress
+import org.cicadaturn.schema.generated.CallerLimits
 import org.cicadaturn.schema.generated.Digest
+import org.cicadaturn.schema.generated.ExpertProfile
+import org.cicadaturn.schema.generated.RoutedService
+import org.cicadaturn.schema.generated.RoutingConfiguration
 import org.cicadaturn.schema.generated.ServiceId
 import org.cicadaturn.schema.generated.SuspectKind
 import org.junit.jupiter.api.Assertions.assertEquals
@@ -74,6 +79,32 @@
             assertEquals(Verdict.Clear, restarted.verdict("shared own3", Digest("sound")))
         }
 
+    /** Guards against a trial that costs a whole group for a request that hardly comes again, and one that never comes. */
+    @Test
+    fun `a request to a group is tried after five refused copies, and by no process that has refused fewer`() =
+        runTest {
+            val profile = ExpertProfile(1, 4, 2, 1, 50.milliseconds, 100.milliseconds)
+            val services = listOf(RoutedService(service, maxConnections = 100, experts = profile))
+            val configuration = RoutingConfiguration(1, emptyList(), services, limits = CallerLimits())
+            val fleet = QuarantineFleet(this, configuration = configuration)
+            val request = Digest("sound")
+            val (first, second) = listOf("g1", "g2").map { fleet.start(it) }
+            first.answer("shared own1")
+            first.lose("e1", "shared own2", request = request)
+            testScheduler.advanceTimeBy(100)
+            repeat(5) {
+                val verdict = first.verdict("shared own3", request)
+                assertTrue(verdict is Verdict.Quarantined && verdict.isForRequest, "copy $it: $verdict")
+                first.task.copyRefused(requestSegment(service, request))
+                testScheduler.advanceTimeBy(10)
+            }
+            assertTrue(first.verdict("shared own3", request) is Verdict.Suspected)
+            assertTrue(second.verdict("shared own3", request) is Verdict.Quarantined)
+            first.task.answered(service, null, emptyList(), request)
+            testScheduler.advanceTimeBy(100)
+            listOf(first, second).forEach { assertEquals(Verdict.Clear, it.verdict("shared own3", request), it.name) }
+        }
+
     /** Guards against a third crash by a request, as a loss of power comes between the first and the second. */
     @Test
     fun `a request that crashed an endpoint before a loss of power is held back after one further crash`() =
