--- a/daemons/src/test/kotlin/org/cicadaturn/daemons/crowd/CrowdedGateway.kt
+++ b/daemons/src/test/kotlin/org/cicadaturn/daemons/crowd/CrowdedGateway.kt
@@ -7,6 +7,7 @@
 import kotlinx.coroutines.runBlocking
 import kotlinx.serialization.json.Json
 import org.cicadaturn.daemons.site.BOUNDS
+import org.cicadaturn.daemons.site.EndpointParts
 import org.cicadaturn.daemons.site.GatewayAddresses
 import org.cicadaturn.daemons.site.GatewayProcess
 import org.cicadaturn.daemons.site.MACHINE_DESCRIPTORS
@@ -73,7 +74,8 @@
         repeat(ENDPOINTS) {
             val behaviour = plainBehaviour(Random(it), Roughness.of(0.0))
             val shapes = shapeChoice(0.0, Random(it))
-            SiteEndpoint("i-$it", ZONES[it], behaviour, store, journal, Random(it), shapes, scope).start()
+            val parts = EndpointParts(it, "i-$it", ZONES[it], behaviour, Random(it), shapes)
+            SiteEndpoint(parts, store, journal, scope).start()
         }
         gateway.start()
         check(awaitAnswer(START_LIMIT)) { "the gateway served no request within $START_LIMIT" }
--- a/daemons/src/test/kotlin/org/cicadaturn/daemons/site/Engine.kt
+++ b/daemons/src/test/kotlin/org/cicadaturn/daemons/site/Engine.kt
@@ -7,7 +7,7 @@
     rank: Int,
 ): EndpointBehaviour {
     val engine = Engine(groupName, group, rank)
-    return EndpointBehaviour(ENGINE_SERVICE, maxConnections = 418, engine::load, engine::documentAt, engine::handle)
+    return EndpointBehaviour(ENGINE_SERVICE, maxConnections = 418, engine::load, engine::answerCall, engine::handle)
 }
 
 private class Engine(
@@ -15,28 +15,39 @@
     private val group: EngineGroup,
     private val rank: Int,
 ) {
-    fun load(): EndpointLoad = group.loads.value[rank].let { EndpointLoad(it.running, it.waiting, EngineGroup.SLOTS) }
+    fun load(): EndpointLoad =
+        group.state.value.loads[rank]
+            .let { EndpointLoad(it.running, it.waiting, EngineGroup.SLOTS) }
 
-    fun documentAt(request: TextRequest): String? {
-        if (request.method != "GET") return null
-        val load = group.loads.value[rank]
-        val position = """"step":${load.step},"epoch":1"""
+    suspend fun answerCall(request: TextRequest): ReportAnswer {
+        val state = group.state.value
+        val orders = state.orders[rank]
+        val position = """"step":${state.loads[rank].step},"epoch":${state.epoch}"""
         return when {
-            request.path == "/report" -> report(load)
-            request.path != "/picked" -> null
+            request.method == "POST" && request.path == "/order" -> ReportAnswer(group.order(rank, request.body))
+            request.method != "GET" -> ReportAnswer(CONFLICT)
+            request.path == "/report" -> ReportAnswer(OK, report(state))
+            request.path != "/picked" -> ReportAnswer(CONFLICT)
             "lists" in request.query ->
-                """{$position,"map":{"version":0,"experts":${List(SETS) { expertsOfRank() }}}}"""
-            else -> """{$position,"counts":${List(SETS * EXPERTS) { load.step }}}"""
+                ReportAnswer(OK, """{$position,"map":${listsOf(orders.map)},"prepared":${listsOf(orders.prepared)}}""")
+            else -> ReportAnswer(OK, """{$position,"counts":${List(SETS * EXPERTS) { state.loads[rank].step }}}""")
         }
     }
 
-    private fun report(load: EngineLoad): String =
-        """{"stage":"hybrid","models":[{"name":"m","version":1,"adapters":[]}],"busy":false,"sequence":0,""" +
-            """"waiting":${load.waiting},"running":${load.running},"kv_used":0,"kv_total":186666,""" +
-            """"handles":0,"pace":1.0,"size":${group.size},"step":${load.step},"map":0,"prepared":null,""" +
-            """"armed":null,"held":null,"group":{"name":"$groupName","epoch":1,"rank":$rank,"state":"open"}}"""
+    private fun report(state: GroupState): String {
+        val load = state.loads[rank]
+        val orders = state.orders[rank]
+        val armed = orders.armedStep?.let { """{"version":${orders.prepared?.version},"step":$it}""" }
+        return """{"stage":"hybrid","models":[{"name":"m","version":1,"adapters":[]}],"busy":false,""" +
+            """"sequence":${orders.sequence},"waiting":${load.waiting},"running":${load.running},"kv_used":0,""" +
+            """"kv_total":186666,"handles":0,"pace":1.0,"size":${group.size},"step":${load.step},""" +
+            """"map":${orders.map.version},"prepared":${orders.prepared?.version},"armed":$armed,""" +
+            """"held":${orders.held},"group":{"name":"$groupName","epoch":${state.epoch},"rank":$rank,""" +
+            """"state":"${if (state.isOpen) "open" else "broken"}"}}"""
+    }
 
-    private fun expertsOfRank(): List<Int> = (0 until EXPERTS).filter { it % group.size == rank }
+    private fun listsOf(map: VersionedMap?): String? =
+        map?.let { """{"version":${it.version},"experts":${it.experts.map { set -> set[rank] }}}""" }
 
     suspend fun handle(handling: Handling): Boolean {
         val body = handling.request.body
--- a/daemons/src/test/kotlin/org/cicadaturn/daemons/site/EngineGroup.kt
+++ b/daemons/src/test/kotlin/org/cicadaturn/daemons/site/EngineGroup.kt
@@ -1,11 +1,16 @@
 package org.cicadaturn.daemons.site
 
+import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.flow.MutableStateFlow
 import kotlinx.coroutines.flow.StateFlow
+import kotlinx.coroutines.flow.drop
 import kotlinx.coroutines.launch
+import kotlinx.serialization.json.Json
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.jsonObject
 import kotlin.random.Random
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -61,11 +66,32 @@
     val step: Long = 0,
 )
 
-/** Engines whose runs all advance in the same passes; the task of the group owns the runs. */
+/**
+ * State of a group after its last pass.
+ *
+ * @property isOpen false while the group cannot run, as the machine of a rank is down
+ * @property epoch number that rises each time the group opens again
+ */
+internal data class GroupState(
+    val isOpen: Boolean,
+    val epoch: Long,
+    val loads: List<EngineLoad>,
+    val orders: List<RankOrders>,
+)
+
+/**
+ * Engines whose runs all advance in the same passes; the task of the group owns the runs and the orders.
+ *
+ * If a machine fails or restarts, all runs are broken off, and the group opens again when all machines are up.
+ *
+ * @param machines states of the machines of the ranks
+ */
 internal class EngineGroup(
-    val size: Int,
+    private val name: String,
+    private val machines: List<StateFlow<EndpointMachine>>,
     private val random: Random,
     private val roughness: Roughness,
+    private val record: (SiteEvent) -> Unit = {},
 ) {
     private sealed interface Message {
         class Submit(
@@ -75,17 +101,37 @@
         class Leave(
             val run: EngineRun,
         ) : Message
+
+        class Order(
+            val rank: Int,
+            val order: JsonObject,
+            val status: CompletableDeferred<Int>,
+        ) : Message
+
+        /** The state of a machine has changed. */
+        data object MachineChanged : Message
     }
 
+    val size = machines.size
     private val messages = Channel<Message>(Channel.UNLIMITED)
-    private val published = MutableStateFlow(List(size) { EngineLoad() })
     private val running = List(size) { mutableListOf<EngineRun>() }
     private val waiting = List(size) { ArrayDeque<EngineRun>() }
+    private val firstOrders = RankOrders(VersionedMap(0, List(SETS) { List(size) { rank -> expertsOf(rank) } }))
+    private var orders = List(size) { firstOrders }
+    private var formedOf = machines.map { it.value }
+    private var isOpen = true
+    private var epoch = 1L
+    private var step = 0L
+    private val published = MutableStateFlow(stateNow())
 
-    /** Load of each engine as of the last pass. */
-    val loads: StateFlow<List<EngineLoad>> get() = published
+    val state: StateFlow<GroupState> get() = published
 
-    fun start(scope: CoroutineScope) = scope.launch { runPasses() }
+    private fun expertsOf(rank: Int): List<Int> = (0 until EXPERTS).filter { it % size == rank }
+
+    fun start(scope: CoroutineScope) {
+        scope.launch { runPasses() }
+        for (machine in machines) scope.launch { machine.drop(1).collect { messages.send(Message.MachineChanged) } }
+    }
 
     /** Begins [run], or queues or refuses it; its signals tell which. */
     suspend fun submit(run: EngineRun) = messages.send(Message.Submit(run))
@@ -95,30 +141,106 @@
         messages.trySend(Message.Leave(run))
     }
 
+    /** Gives the order in [body] to [rank]; returns the status of the answer. */
+    suspend fun order(
+        rank: Int,
+        body: String,
+    ): Int {
+        val status = CompletableDeferred<Int>()
+        messages.send(Message.Order(rank, Json.parseToJsonElement(body).jsonObject, status))
+        return status.await()
+    }
+
     private suspend fun runPasses() {
-        var step = 0L
         while (true) {
-            if (running.all { it.isEmpty() } && waiting.all { it.isEmpty() }) handle(messages.receive())
-            while (true) handle(messages.tryReceive().getOrNull() ?: break)
+            if (isIdle()) handle(messages.receive())
+            handleAll()
+            if (isChanged()) {
+                formAgain()
+                continue
+            }
+            if (orders.any { it.held == step + 1 }) {
+                handle(messages.receive())
+                continue
+            }
             for (rank in 0 until size) admit(rank)
+            beginPass()
             delay(passTime())
-            while (true) handle(messages.tryReceive().getOrNull() ?: break)
+            handleAll()
             running.forEach(::advance)
-            step += 1
-            published.value = List(size) { EngineLoad(running[it].size, waiting[it].size, step) }
+            publish()
+        }
+    }
+
+    private fun isIdle(): Boolean = running.all { it.isEmpty() } && waiting.all { it.isEmpty() } && !isChanged()
+
+    private fun isChanged(): Boolean = machines.map { it.value } != formedOf
+
+    private fun handleAll() {
+        while (true) handle(messages.tryReceive().getOrNull() ?: break)
+    }
+
+    private fun beginPass() {
+        step += 1
+        orders = orders.map { it.atBegin(step) }
+        if (orders.distinctBy { it.map }.size > 1) record(MapsDiffer(name, epoch, step, orders.map { it.map.version }))
+    }
+
+    private suspend fun formAgain() {
+        delay(STALL)
+        isOpen = false
+        handleAll()
+        for (rank in 0 until size) {
+            running[rank].onEach { it.signals.trySend(RunSignal.BrokenOff) }.clear()
+            waiting[rank].onEach { it.signals.trySend(RunSignal.Refused) }.clear()
         }
+        publish()
+        while (machines.any { !it.value.isUp }) handle(messages.receive())
+        val before = formedOf
+        formedOf = machines.map { it.value }
+        delay(FORM)
+        handleAll()
+        // A rank that has not restarted still knows its versions and tokens.
+        orders =
+            List(size) { rank ->
+                val old = orders[rank].takeIf { before[rank].starts == formedOf[rank].starts } ?: firstOrders
+                firstOrders.copy(newestVersion = old.newestVersion, fence = old.fence, sequence = old.sequence)
+            }
+        epoch += 1
+        isOpen = true
+        publish()
+    }
+
+    private fun publish() {
+        published.value = stateNow()
     }
 
+    private fun stateNow() =
+        GroupState(isOpen, epoch, List(size) { EngineLoad(running[it].size, waiting[it].size, step) }, orders)
+
     private fun handle(message: Message) {
         when (message) {
             is Message.Submit -> {
                 val queue = waiting[message.run.rank]
-                if (queue.size < QUEUE) queue += message.run else message.run.signals.trySend(RunSignal.Refused)
+                if (isOpen &&
+                    queue.size < QUEUE
+                ) {
+                    queue += message.run
+                } else {
+                    message.run.signals.trySend(RunSignal.Refused)
+                }
             }
             is Message.Leave -> {
                 running[message.run.rank] -= message.run
                 waiting[message.run.rank] -= message.run
             }
+            is Message.Order -> {
+                val (next, status) = orders[message.rank].after(message.order, step, epoch)
+                orders = orders.toMutableList().also { it[message.rank] = next }
+                publish()
+                message.status.complete(status)
+            }
+            Message.MachineChanged -> Unit
         }
     }
 
@@ -156,5 +278,11 @@
         const val QUEUE = 4
         const val MEAN_EVENTS = 24
         private const val SHORTEST_PASS_MILLIS = 60
+
+        /** Time for which ranks wait for one that is gone, stall_ms of the deployments. */
+        private val STALL = 1_500.milliseconds
+
+        /** Time that a group takes to open, form_ms of the deployments. */
+        private val FORM = 600.milliseconds
     }
 }
--- a/daemons/src/test/kotlin/org/cicadaturn/daemons/site/GatewayProcesses.kt
+++ b/daemons/src/test/kotlin/org/cicadaturn/daemons/site/GatewayProcesses.kt
@@ -64,6 +64,12 @@
 /** Descriptors of a machine of the deployment premia-ne. */
 internal const val MACHINE_DESCRIPTORS = 4_100
 
+/** Process of a gateway and the log that it writes. */
+internal data class GatewayRun(
+    val process: Process,
+    val log: Path,
+)
+
 /** Gateway that runs as the process that the deploy file starts, with its log in [directory]. */
 internal class GatewayProcess(
     val addresses: GatewayAddresses,
@@ -76,7 +82,8 @@
     private var process: Process? = null
     private var starts = 0
 
-    private val settings =
+    /** Settings file, which the process reads at its start and at SIGHUP. */
+    val settings: Path =
         directory.resolve("${addresses.node}.ini").also { file ->
             val fields =
                 bounds.mapKeys { "bounds.${it.key}" } +
@@ -96,12 +103,14 @@
             file.writeText(template.replace(Regex("""\{\{([^}]*)}}""")) { fields.getValue(it.groupValues[1]) })
         }
 
-    fun start() {
+    /** Starts a process that may open [allowed] descriptors, whatever its settings say. */
+    fun start(allowed: Int = descriptors): GatewayRun {
         val program = listOf("-cp", System.getProperty("java.class.path"), MAIN_CLASS, "gateway", "$settings")
-        val log = directory.resolve("${addresses.node}.${starts++}.log").toFile()
+        val log = directory.resolve("${addresses.node}.${starts++}.log")
         // The shell replaces itself with the program, which keeps its limit.
-        val limited = listOf("sh", "-c", "ulimit -n $descriptors && exec \"\$@\"", "sh", javaCommand())
-        process = ProcessBuilder(limited + flags() + program).redirectErrorStream(true).redirectOutput(log).start()
+        val limited = listOf("sh", "-c", "ulimit -n $allowed && exec \"\$@\"", "sh", javaCommand())
+        val builder = ProcessBuilder(limited + flags() + program).redirectErrorStream(true).redirectOutput(log.toFile())
+        return GatewayRun(builder.start().also { process = it }, log)
     }
 
     /** Returns the flags of the deploy file, without those for a class archive, which only the packaged program has. */
--- a/daemons/src/test/kotlin/org/cicadaturn/daemons/site/PlainEndpoint.kt
+++ b/daemons/src/test/kotlin/org/cicadaturn/daemons/site/PlainEndpoint.kt
@@ -16,7 +16,9 @@
     roughness: Roughness,
 ): EndpointBehaviour {
     val endpoint = PlainEndpoint(random, roughness)
-    return EndpointBehaviour(PLAIN_SERVICE, maxConnections = 110, endpoint::load, { null }, endpoint::handle)
+    return EndpointBehaviour(PLAIN_SERVICE, maxConnections = 110, endpoint::load, {
+        ReportAnswer(CONFLICT)
+    }, endpoint::handle)
 }
 
 private class PlainEndpoint(
--- a/daemons/src/test/kotlin/org/cicadaturn/daemons/site/SiteEndpoint.kt
+++ b/daemons/src/test/kotlin/org/cicadaturn/daemons/site/SiteEndpoint.kt
@@ -2,6 +2,9 @@
 
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.flow.MutableStateFlow
+import kotlinx.coroutines.flow.StateFlow
+import kotlinx.coroutines.flow.first
 import kotlinx.coroutines.launch
 import kotlinx.serialization.json.Json
 import java.io.IOException
@@ -10,7 +13,6 @@
 import java.net.Socket
 import java.net.SocketTimeoutException
 import java.util.concurrent.atomic.AtomicInteger
-import kotlin.random.Random
 import kotlin.time.Duration.Companion.milliseconds
 
 /** Number of running, waiting and possible requests of an endpoint. */
@@ -51,57 +53,85 @@
     }
 }
 
+/** Status and document of the answer to a call that is no request of a caller. */
+internal data class ReportAnswer(
+    val status: Int,
+    val document: String = "{}",
+)
+
 /**
  * What the endpoints of [service] do.
  *
- * @property documentAt returns the document of a report, or null if there is none for the request
+ * @property report answers a call that is no request of a caller
  * @property handle answers a request of a caller; returns false if the connection cannot be used again
  */
 internal data class EndpointBehaviour(
     val service: String,
     val maxConnections: Int,
     val load: () -> EndpointLoad,
-    val documentAt: (TextRequest) -> String?,
+    val report: suspend (TextRequest) -> ReportAnswer,
     val handle: suspend (Handling) -> Boolean,
 )
 
-/** Endpoint [id] with an entry in [store], which tells [journal] about each run. */
+/** Machine of an endpoint: how often it was started, and whether it runs. */
+internal data class EndpointMachine(
+    val starts: Int = 1,
+    val isUp: Boolean = true,
+)
+
+/**
+ * Endpoint of [parts] with an entry in [store], which tells [journal] about each run.
+ *
+ * @param machines state of the machine; the entry is renewed only while the machine is up
+ * @param advertise returns the address for the entry, for example that of a proxy in front of the endpoint
+ */
 internal class SiteEndpoint(
-    val id: String,
-    private val zone: String,
-    private val behaviour: EndpointBehaviour,
+    private val parts: EndpointParts,
     private val store: StoreServer,
     private val journal: SiteJournal,
-    private val random: Random,
-    private val shapes: ShapeChoice,
     private val scope: CoroutineScope,
+    private val machines: StateFlow<EndpointMachine> = MutableStateFlow(EndpointMachine()),
+    private val advertise: (String) -> String = { it },
 ) {
+    private val id = parts.id
+    private val behaviour = parts.behaviour
     private val connections = AtomicInteger()
     private val server = LoopbackServer(scope, ::serve)
-    private val born = System.currentTimeMillis()
+    private val address by lazy { advertise(server.address) }
 
     fun start() {
         server.start()
         scope.launch {
+            var starts = 0
+            var born = 0L
             var sequence = 0
             while (true) {
-                store.update { it.write(ObjectKey(SERVERS, id), Json.parseToJsonElement(entry(sequence))) }
+                val machine = machines.first { it.isUp }
+                if (machine.starts != starts) {
+                    starts = machine.starts
+                    born = System.currentTimeMillis()
+                    sequence = 0
+                }
+                store.update { it.write(ObjectKey(SERVERS, id), Json.parseToJsonElement(entry(sequence, born))) }
                 sequence += 1
                 delay(HEARTBEAT)
             }
         }
     }
 
-    private fun entry(sequence: Int): String =
-        """{"service":"${behaviour.service}","address":"${server.address}","zone":"$zone","version":"v1",""" +
+    private fun entry(
+        sequence: Int,
+        born: Long,
+    ): String =
+        """{"service":"${behaviour.service}","address":"$address","zone":"${parts.zone}","version":"v1",""" +
             """"slots":${behaviour.load().slots},"state":"ready","cold_remaining_ms":0,"sequence":$sequence,"born":$born}"""
 
     private suspend fun serve(socket: Socket) {
         try {
             if (connections.incrementAndGet() > limit()) return socket.reset()
-            val idleTime = 1_000 + random.nextInt(3_000)
+            val idleTime = 1_000 + parts.random.nextInt(3_000)
             // Some connections end without an announcement of their idle time.
-            val isAnnounced = idleTime >= 2_000 && random.nextInt(100) < 70
+            val isAnnounced = idleTime >= 2_000 && parts.random.nextInt(100) < 70
             val keepAlive = if (isAnnounced) mapOf("Keep-Alive" to "timeout=${idleTime / 1_000}") else emptyMap()
             val input = socket.getInputStream().buffered()
             do {
@@ -138,7 +168,7 @@
         if (target != null && target != id) return refuse(out, MISDIRECTED, headers)
         if (requestId == null) return report(request, out, headers)
         val signature = mapOf("Cicadaturn-Request-Id" to requestId, "Cicadaturn-Response-Signature" to "$id.$requestId")
-        val handling = Handling(requestId, request, headers + signature, shapes(), socket)
+        val handling = Handling(requestId, request, headers + signature, parts.shapes(), socket)
         val from = journal.now()
         try {
             return behaviour.handle(handling)
@@ -155,11 +185,10 @@
         out: OutputStream,
         headers: Map<String, String>,
     ): Boolean {
-        val document = behaviour.documentAt(request)
-        val status = if (document == null) CONFLICT else OK
+        val (status, document) = behaviour.report(request)
         val type = mapOf("Content-Type" to "application/json")
-        val shape = shapes()
-        out.write(messageOf("$status X", headers + type, document ?: "{}", shape))
+        val shape = parts.shapes()
+        out.write(messageOf("$status X", headers + type, document, shape))
         if (shape.endsConnection) delay(shape.finDelay)
         return !shape.endsConnection
     }
--- a/daemons/src/test/kotlin/org/cicadaturn/daemons/site/SiteEvents.kt
+++ b/daemons/src/test/kotlin/org/cicadaturn/daemons/site/SiteEvents.kt
@@ -86,6 +86,14 @@
     val isKilled: Boolean,
 ) : SiteEvent
 
+/** Pass [step] of a group, which began while its ranks used maps of different [versions] or content. */
+internal data class MapsDiffer(
+    val group: String,
+    val epoch: Long,
+    val step: Long,
+    val versions: List<Long>,
+) : SiteEvent
+
 /** Clock of a site and the events seen so far. */
 internal class SiteJournal {
     private val start = TimeSource.Monotonic.markNow()
