Start: handle signals before the program is loaded

A SIGTERM during the start gave 143, and each SIGTERM to a stand-in gave 1.

Cause: the handlers were set after the command tree was built and the settings were read; the class of main built the tree in its initialiser. Stand-ins cancelled the scope whose end they waited for.

Main now sets the handlers of the roles and stand-ins first, with classes of the Java library only, and loads the program afterwards. Other commands keep the handling of the system. Until a process has begun something, a SIGTERM or SIGINT ends it at once with 0.

What remains is the boot of the JVM until main runs, in which the default action of the signal holds; no class of the program can change that.

--- a/daemons/src/main/kotlin/org/cicadaturn/daemons/Gateway.kt
+++ b/daemons/src/main/kotlin/org/cicadaturn/daemons/Gateway.kt
@@ -1,6 +1,7 @@
 package org.cicadaturn.daemons
 
 import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.future.asDeferred
 import kotlinx.coroutines.runBlocking
 import kotlinx.coroutines.selects.select
 import org.cicadaturn.daemons.command.FAILED_RUN
@@ -13,23 +14,22 @@
 import org.cicadaturn.tasks.gateway.gatewayNode
 import org.cicadaturn.tasks.http.httpConnector
 import org.cicadaturn.tasks.http.httpRuntime
-import sun.misc.Signal
 import java.nio.file.Path
 import java.security.SecureRandom
-import java.util.concurrent.atomic.AtomicReference
 import kotlin.random.Random
 import kotlin.time.Clock
+import kotlin.time.Duration.Companion.nanoseconds
 import kotlin.time.Instant
 import kotlin.time.TimeSource
 
-/** Runs a gateway process until SIGTERM or SIGINT; returns the exit code. */
-internal fun runGateway(file: GatewayFile): Int {
-    // Settings are read only at start. Without a handler, SIGHUP would end the process.
-    Signal.handle(Signal("HUP")) { }
+/** Runs a gateway process until [signals] ask it to stop; returns the exit code. */
+internal fun runGateway(
+    file: GatewayFile,
+    signals: ProcessSignals,
+): Int {
     val runtime = httpRuntime(endOnFatalErrors())
     val clock = monotonicClock()
-    val stopRequestedAt = AtomicReference<Instant?>()
-    val stop = stopSignal { stopRequestedAt.set(clock.now()) }
+    val stop = signals.takeOver()
     val failure = CompletableDeferred<Unit>()
     val dependencies =
         GatewayDependencies(
@@ -42,13 +42,13 @@
             wallClock = Clock.System,
             random = Random(SecureRandom().nextLong()),
             requestStop = { failure.complete(Unit) },
-            stopRequestedAt = stopRequestedAt::get,
+            stopRequestedAt = { stop.getNow(null)?.let { clock.now() - (System.nanoTime() - it).nanoseconds } },
         )
     return runBlocking {
         val node = gatewayNode(file, dependencies)
         file.process.portFile?.let { writePorts(Path.of(it), node.listeners) }
         select {
-            stop.onAwait {}
+            stop.asDeferred().onAwait {}
             failure.onAwait {}
         }
         node.stop()
--- a/daemons/src/main/kotlin/org/cicadaturn/daemons/Main.kt
+++ b/daemons/src/main/kotlin/org/cicadaturn/daemons/Main.kt
@@ -1,29 +1,14 @@
 package org.cicadaturn.daemons
 
-import org.cicadaturn.daemons.command.CommandHandlers
-import org.cicadaturn.daemons.command.DemoHandlers
-import org.cicadaturn.daemons.command.QuarantineHandlers
-import org.cicadaturn.daemons.command.StandinHandlers
-import org.cicadaturn.daemons.command.commandTree
-import org.cicadaturn.daemons.command.runCommand
-import org.cicadaturn.daemons.control.controlHandlers
 import kotlin.system.exitProcess
 
-/** Runs the command given by [args] and exits with its exit code. */
+/**
+ * Runs the command given by [args] and exits with its exit code.
+ *
+ * Signals are handled before anything else is loaded, as the system ends a process that has no handler yet.
+ */
 fun main(args: Array<String>) {
-    val code = runCommand(commandTree(handlers), args.toList())
-    writeQueuedLogs()
-    exitProcess(code)
+    val signals = ProcessSignals()
+    if (runsUntilStopped(args)) signals.handle()
+    exitProcess(runProgram(args.toList(), signals))
 }
-
-private val handlers =
-    CommandHandlers(
-        entry = ::runEntry,
-        gateway = ::runGateway,
-        endpoint = ::runEndpoint,
-        standins = StandinHandlers(::runPlatformStandin, ::runEngineStandin, ::runOrdersStandin),
-        control = controlHandlers(),
-        quarantine = QuarantineHandlers(::listQuarantine, ::releaseSegment),
-        benches = benches(),
-        demo = DemoHandlers(::configureDemo, ::runDemoLoad),
-    )
--- a/daemons/src/main/kotlin/org/cicadaturn/daemons/Nodes.kt
+++ b/daemons/src/main/kotlin/org/cicadaturn/daemons/Nodes.kt
@@ -1,7 +1,7 @@
 package org.cicadaturn.daemons
 
 import io.prometheus.metrics.model.registry.PrometheusRegistry
-import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.future.asDeferred
 import kotlinx.coroutines.runBlocking
 import org.apache.logging.log4j.LogManager
 import org.cicadaturn.daemons.command.FAILED_RUN
@@ -26,20 +26,21 @@
 import org.cicadaturn.tasks.store.ObjectStore
 import org.cicadaturn.tasks.store.httpObjectStore
 import org.cicadaturn.tasks.store.measuredObjectStore
-import sun.misc.Signal
 import java.io.FileDescriptor
 import java.io.FileOutputStream
 import java.nio.file.Path
 import java.security.SecureRandom
-import java.util.concurrent.atomic.AtomicBoolean
 import kotlin.io.path.moveTo
 import kotlin.io.path.writeText
 import kotlin.random.Random
 import kotlin.time.Clock
 
-/** Runs an entry process until SIGTERM or SIGINT; returns the exit code. */
-internal fun runEntry(file: EntryFile): Int =
-    runNode(file.process) {
+/** Runs an entry process until [signals] ask it to stop; returns the exit code. */
+internal fun runEntry(
+    file: EntryFile,
+    signals: ProcessSignals,
+): Int =
+    runNode(file.process, signals) {
         val registry = PrometheusRegistry()
         val random = Random(SecureRandom().nextLong())
         val dependencies =
@@ -54,9 +55,12 @@
         entryNode(file, dependencies)
     }
 
-/** Runs an endpoint process until SIGTERM or SIGINT; returns the exit code. */
-internal fun runEndpoint(file: EndpointFile): Int =
-    runNode(file.process) {
+/** Runs an endpoint process until [signals] ask it to stop; returns the exit code. */
+internal fun runEndpoint(
+    file: EndpointFile,
+    signals: ProcessSignals,
+): Int =
+    runNode(file.process, signals) {
         val registry = PrometheusRegistry()
         val store = openStore(file.store, file.process, registry)
         endpointNode(file, EndpointDependencies(store, Clock.System, newIncarnation(), registry))
@@ -64,11 +68,12 @@
 
 private fun runNode(
     process: ProcessSettings,
+    signals: ProcessSignals,
     start: suspend () -> Node,
 ): Int =
     runBlocking {
         endOnFatalErrors()
-        val stop = stopSignal()
+        val stop = signals.takeOver().asDeferred()
         val node = start()
         process.portFile?.let { writePorts(Path.of(it), node.listeners) }
         stop.await()
@@ -90,29 +95,6 @@
 
 private val logger = LogManager.getLogger("org.cicadaturn.daemons.Nodes")
 
-/**
- * Returns a deferred that completes on the first SIGTERM or SIGINT, after a call of [onSignal] in the thread of the
- * signal; a SIGINT after it ends the process immediately.
- *
- * A further SIGTERM is ignored, as platforms and scripts send it more than once and end a process that takes too long
- * with SIGKILL.
- */
-internal fun stopSignal(onSignal: () -> Unit = {}): CompletableDeferred<Unit> {
-    val stop = CompletableDeferred<Unit>()
-    val signalled = AtomicBoolean()
-    val request = {
-        val isFirst = signalled.compareAndSet(false, true)
-        if (isFirst) {
-            onSignal()
-            stop.complete(Unit)
-        }
-        isFirst
-    }
-    Signal.handle(Signal("TERM")) { request() }
-    Signal.handle(Signal("INT")) { if (!request()) Runtime.getRuntime().halt(FAILED_RUN) }
-    return stop
-}
-
 /** Writes one `name=port` line for each of [ports]; the file is moved into place only when it is complete. */
 internal fun writePorts(
     path: Path,
--- a/daemons/src/main/kotlin/org/cicadaturn/daemons/Standins.kt
+++ b/daemons/src/main/kotlin/org/cicadaturn/daemons/Standins.kt
@@ -2,8 +2,10 @@
 
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
-import kotlinx.coroutines.cancel
-import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.cancelAndJoin
+import kotlinx.coroutines.future.asDeferred
+import kotlinx.coroutines.job
 import kotlinx.coroutines.runBlocking
 import org.cicadaturn.daemons.command.EngineOptions
 import org.cicadaturn.daemons.command.OrdersOptions
@@ -18,15 +20,21 @@
 import org.cicadaturn.standins.startPlatformStandin
 
 /** Runs the stand-in of the platform's object API until SIGTERM or SIGINT; returns the exit code. */
-internal fun runPlatformStandin(listener: StandinListener): Int =
-    runStandin(listener) {
+internal fun runPlatformStandin(
+    listener: StandinListener,
+    signals: ProcessSignals,
+): Int =
+    runStandin(listener, signals) {
         val platform = startPlatformStandin(this, listener.listen)
         mapOf("listen" to platform.address, "control" to platform.controlAddress)
     }
 
 /** Runs the stand-in of a model engine until SIGTERM or SIGINT; returns the exit code. */
-internal fun runEngineStandin(options: EngineOptions): Int =
-    runStandin(options.listener) {
+internal fun runEngineStandin(
+    options: EngineOptions,
+    signals: ProcessSignals,
+): Int =
+    runStandin(options.listener, signals) {
         val batch =
             BatchSettings(
                 maxBatch = options.batch,
@@ -40,23 +48,26 @@
     }
 
 /** Runs the stand-in of an order service until SIGTERM or SIGINT; returns the exit code. */
-internal fun runOrdersStandin(options: OrdersOptions): Int =
-    runStandin(options.listener) {
+internal fun runOrdersStandin(
+    options: OrdersOptions,
+    signals: ProcessSignals,
+): Int =
+    runStandin(options.listener, signals) {
         val orders = startOrderService(this, OrderServiceSettings(listen = options.listener.listen))
         mapOf("listen" to orders.address)
     }
 
 private fun runStandin(
     listener: StandinListener,
+    signals: ProcessSignals,
     start: suspend CoroutineScope.() -> Map<String, NetworkAddress>,
 ): Int =
     runBlocking(Dispatchers.Default) {
-        val stop = stopSignal()
-        coroutineScope {
-            val ports = start()
-            listener.portFile?.let { writePorts(it, ports) }
-            stop.await()
-            coroutineContext.cancel()
-        }
+        val stop = signals.takeOver().asDeferred()
+        val standin = CoroutineScope(coroutineContext + SupervisorJob())
+        val ports = standin.start()
+        listener.portFile?.let { writePorts(it, ports) }
+        stop.await()
+        standin.coroutineContext.job.cancelAndJoin()
         SUCCESS
     }
