Listeners: try again while a port, address or descriptor is lacking

Seen: a process whose port was held when it started ended at once with code 1 (BindException): each of the four listeners of a gateway, and those of entry and endpoint processes and stand-ins. The holder may be the process before it on its way out, or an outgoing connection of any process on the machine. The same held for an address that was not up yet. A stand-in for orders lived on and never listened.

Cause: each listener was bound with one try, one after the other, and any error ended the start.

A task for each listener now tries again with pauses of 10 to 250 ms, so callers are served as soon as their own port is free. Whether an error can pass is decided by listenErrorOf: a permission, an unresolved address or an invalid port ends the process with code 1 and a remedy, all else waits. The process is not ready until all listeners are open. A process that asks to stop meanwhile was never ready, so its stop awaits no readiness check. The entry in the store stays after a stop as after any other: the next run replaces it. The servers of the library report a failed bind to an exception handler only, and leave a shutdown hook each; EngineStart takes the error from there and starts none for a port that is known to be held. The stand-in of orders uses the same retry in place of its own.

--- a/bench/src/main/kotlin/org/cicadaturn/bench/path/PathSetup.kt
+++ b/bench/src/main/kotlin/org/cicadaturn/bench/path/PathSetup.kt
@@ -37,6 +37,7 @@
 import org.cicadaturn.tasks.endpoint.endpointNode
 import org.cicadaturn.tasks.entry.EntryDependencies
 import org.cicadaturn.tasks.entry.entryNode
+import org.cicadaturn.tasks.listening
 import org.cicadaturn.tasks.store.ObjectStore
 import org.cicadaturn.tasks.store.httpObjectStore
 import kotlin.random.Random
@@ -74,10 +75,10 @@
     val platform = startPlatformStandin(scope)
     val orders = startOrderService(scope)
     val store = httpObjectStore(platform.address, 5.seconds, FailureDomainId(DOMAIN))
-    val endpoint = endpointNode(endpointFile(platform.address, orders.address), endpointDependencies(store))
+    val endpoint = endpointNode(endpointFile(platform.address, orders.address), endpointDependencies(store)).listening()
     val configuration = configuration(endpoint.listeners.getValue("listen"))
     store.put(CONFIGURATION_KEY, encodeConfiguration(configuration), expected = null)
-    val entry = entryNode(entryFile(platform.address), entryDependencies(store))
+    val entry = entryNode(entryFile(platform.address), entryDependencies(store)).listening()
     val setup = PathSetup(orders.address, entry.listeners.getValue("listen"), listOf(entry, endpoint))
     PathCaller(PATH_BENCH_KEY).use { caller ->
         while (!caller.call(setup.path)) delay(50.milliseconds)
--- a/daemons/src/main/kotlin/org/cicadaturn/daemons/Gateway.kt
+++ b/daemons/src/main/kotlin/org/cicadaturn/daemons/Gateway.kt
@@ -3,7 +3,6 @@
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.future.asDeferred
 import kotlinx.coroutines.runBlocking
-import kotlinx.coroutines.selects.select
 import org.cicadaturn.daemons.command.FAILED_RUN
 import org.cicadaturn.daemons.command.SUCCESS
 import org.cicadaturn.platform.platformDialect
@@ -14,7 +13,6 @@
 import org.cicadaturn.tasks.gateway.gatewayNode
 import org.cicadaturn.tasks.http.httpConnector
 import org.cicadaturn.tasks.http.httpRuntime
-import java.nio.file.Path
 import java.security.SecureRandom
 import kotlin.random.Random
 import kotlin.time.Clock
@@ -46,12 +44,7 @@
         )
     return runBlocking {
         val node = gatewayNode(file, dependencies)
-        file.process.portFile?.let { writePorts(Path.of(it), node.listeners) }
-        select {
-            stop.asDeferred().onAwait {}
-            failure.onAwait {}
-        }
-        node.stop()
+        runUntilStopped(node, file.process, stop.asDeferred(), failure)
         if (failure.isCompleted) FAILED_RUN else SUCCESS
     }
 }
--- a/daemons/src/main/kotlin/org/cicadaturn/daemons/Nodes.kt
+++ b/daemons/src/main/kotlin/org/cicadaturn/daemons/Nodes.kt
@@ -1,8 +1,14 @@
 package org.cicadaturn.daemons
 
 import io.prometheus.metrics.model.registry.PrometheusRegistry
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.Deferred
+import kotlinx.coroutines.cancelAndJoin
+import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.future.asDeferred
+import kotlinx.coroutines.launch
 import kotlinx.coroutines.runBlocking
+import kotlinx.coroutines.selects.select
 import org.apache.logging.log4j.LogManager
 import org.cicadaturn.daemons.command.FAILED_RUN
 import org.cicadaturn.daemons.command.FATAL_ERROR
@@ -69,15 +75,43 @@
 private fun runNode(
     process: ProcessSettings,
     signals: ProcessSignals,
-    start: suspend () -> Node,
+    start: () -> Node,
 ): Int =
     runBlocking {
         endOnFatalErrors()
         val stop = signals.takeOver().asDeferred()
         val node = start()
-        process.portFile?.let { writePorts(Path.of(it), node.listeners) }
-        stop.await()
-        if (node.stop() == 0) SUCCESS else FAILED_RUN
+        val failure = CompletableDeferred<Unit>()
+        val cut = runUntilStopped(node, process, stop, failure)
+        if (cut == 0 && !failure.isCompleted) SUCCESS else FAILED_RUN
+    }
+
+/**
+ * Runs [node] until [stop] completes, or [failure] because the process cannot serve; writes its port file once it listens on
+ * all its addresses. Returns the number of requests that were cut.
+ */
+internal suspend fun runUntilStopped(
+    node: Node,
+    process: ProcessSettings,
+    stop: Deferred<*>,
+    failure: CompletableDeferred<Unit>,
+): Int =
+    coroutineScope {
+        val start =
+            launch {
+                node.awaitListeners().onLeft {
+                    logger.error("process: {}", it.message)
+                    failure.complete(Unit)
+                    return@launch
+                }
+                process.portFile?.let { writePorts(Path.of(it), node.listeners) }
+            }
+        select {
+            stop.onAwait {}
+            failure.onAwait {}
+        }
+        start.cancelAndJoin()
+        node.stop()
     }
 
 /**
--- a/daemons/src/main/kotlin/org/cicadaturn/daemons/Standins.kt
+++ b/daemons/src/main/kotlin/org/cicadaturn/daemons/Standins.kt
@@ -1,13 +1,18 @@
 package org.cicadaturn.daemons
 
+import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.cancelAndJoin
 import kotlinx.coroutines.future.asDeferred
 import kotlinx.coroutines.job
+import kotlinx.coroutines.launch
 import kotlinx.coroutines.runBlocking
+import kotlinx.coroutines.selects.select
+import org.apache.logging.log4j.LogManager
 import org.cicadaturn.daemons.command.EngineOptions
+import org.cicadaturn.daemons.command.FAILED_RUN
 import org.cicadaturn.daemons.command.OrdersOptions
 import org.cicadaturn.daemons.command.SUCCESS
 import org.cicadaturn.daemons.command.StandinListener
@@ -18,6 +23,7 @@
 import org.cicadaturn.standins.orders.OrderServiceSettings
 import org.cicadaturn.standins.orders.startOrderService
 import org.cicadaturn.standins.startPlatformStandin
+import java.io.IOException
 
 /** Runs the stand-in of the platform's object API until SIGTERM or SIGINT; returns the exit code. */
 internal fun runPlatformStandin(
@@ -65,9 +71,22 @@
     runBlocking(Dispatchers.Default) {
         val stop = signals.takeOver().asDeferred()
         val standin = CoroutineScope(coroutineContext + SupervisorJob())
-        val ports = standin.start()
-        listener.portFile?.let { writePorts(it, ports) }
-        stop.await()
+        val failure = CompletableDeferred<Unit>()
+        standin.launch {
+            try {
+                val ports = standin.start()
+                listener.portFile?.let { writePorts(it, ports) }
+            } catch (e: IOException) {
+                logger.error("standin: {}", e.message)
+                failure.complete(Unit)
+            }
+        }
+        select {
+            stop.onAwait {}
+            failure.onAwait {}
+        }
         standin.coroutineContext.job.cancelAndJoin()
-        SUCCESS
+        if (failure.isCompleted) FAILED_RUN else SUCCESS
     }
+
+private val logger = LogManager.getLogger("org.cicadaturn.daemons.Standins")
--- a/daemons/src/test/kotlin/org/cicadaturn/daemons/control/RunningSystem.kt
+++ b/daemons/src/test/kotlin/org/cicadaturn/daemons/control/RunningSystem.kt
@@ -40,6 +40,7 @@
 import org.cicadaturn.tasks.endpoint.endpointNode
 import org.cicadaturn.tasks.entry.EntryDependencies
 import org.cicadaturn.tasks.entry.entryNode
+import org.cicadaturn.tasks.listening
 import org.cicadaturn.tasks.store.ObjectStore
 import java.net.ServerSocket
 import java.net.URI
@@ -83,7 +84,7 @@
         endpointNode(
             endpointFile(),
             EndpointDependencies(storeOf(store.client(domain)), Clock.System, incarnation(1), registry()),
-        )
+        ).listening()
     val text = encodeConfiguration(configuration(endpoint.listeners.getValue("listen")))
     store.client(domain).put(CONFIGURATION_KEY, text, null).value()
     val random = Random(7404)
@@ -96,7 +97,7 @@
             sampledChooser(Random(7405)),
             random,
         )
-    return RunningSystem(store, entryNode(entryFile(), dependencies), endpoint)
+    return RunningSystem(store, entryNode(entryFile(), dependencies).listening(), endpoint)
 }
 
 /** Returns the connection to [node] of the operator with [key]. */
--- a/daemons/src/test/kotlin/org/cicadaturn/daemons/settings/GatewayTemplateTest.kt
+++ b/daemons/src/test/kotlin/org/cicadaturn/daemons/settings/GatewayTemplateTest.kt
@@ -8,6 +8,7 @@
 import org.cicadaturn.tasks.gateway.gatewayNode
 import org.cicadaturn.tasks.http.httpConnector
 import org.cicadaturn.tasks.http.httpRuntime
+import org.cicadaturn.tasks.listening
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertTrue
 import org.junit.jupiter.api.Test
@@ -82,7 +83,7 @@
                 requestStop = {},
             )
         try {
-            val node = runBlocking { gatewayNode(settings, dependencies) }
+            val node = runBlocking { gatewayNode(settings, dependencies).listening() }
             assertTrue(node.listeners.getValue("listen").port > 0)
         } finally {
             runtime.close()
--- a/daemons/src/test/kotlin/org/cicadaturn/daemons/system/TestSystem.kt
+++ b/daemons/src/test/kotlin/org/cicadaturn/daemons/system/TestSystem.kt
@@ -51,6 +51,7 @@
 import org.cicadaturn.tasks.endpoint.endpointNode
 import org.cicadaturn.tasks.entry.EntryDependencies
 import org.cicadaturn.tasks.entry.entryNode
+import org.cicadaturn.tasks.listening
 import org.cicadaturn.tasks.store.HttpObjectStore
 import org.cicadaturn.tasks.store.httpObjectStore
 import kotlin.random.Random
@@ -116,7 +117,7 @@
             httpObjectStore(platform.address, options.storeTimeout, FailureDomainId(endpoint.failureDomain))
         val file = endpointFile(options, endpoint, platform.address, backendOf(endpoint))
         val dependencies = EndpointDependencies(client, Clock.System, Incarnation(++incarnations), registry)
-        endpoints[endpoint.id] = RunningNode(endpointNode(file, dependencies), registry)
+        endpoints[endpoint.id] = RunningNode(endpointNode(file, dependencies).listening(), registry)
     }
 
     suspend fun startEntry(entry: EntryOptions) {
@@ -134,7 +135,10 @@
                 random = random,
             )
         entries[entry.id] =
-            RunningNode(entryNode(entryFile(options, entry, platform.address, peers), dependencies), registry)
+            RunningNode(
+                entryNode(entryFile(options, entry, platform.address, peers), dependencies).listening(),
+                registry,
+            )
     }
 
     private suspend fun backendOf(endpoint: EndpointOptions): NetworkAddress =
--- a/standins/src/main/kotlin/org/cicadaturn/standins/PlatformStandin.kt
+++ b/standins/src/main/kotlin/org/cicadaturn/standins/PlatformStandin.kt
@@ -29,7 +29,8 @@
 import org.cicadaturn.schema.generated.StorePut
 import org.cicadaturn.schema.generated.StoreWritten
 import org.cicadaturn.schema.generated.Version
-import org.cicadaturn.tasks.observe.RunningServer
+import org.cicadaturn.tasks.listen.Listener
+import org.cicadaturn.tasks.listen.listenOrThrow
 import org.cicadaturn.tasks.observe.startServer
 import org.cicadaturn.tasks.store.STORE_DOMAIN_HEADER
 import org.cicadaturn.tasks.store.STORE_EXPECTED
@@ -83,18 +84,20 @@
     private val api: ApiListener,
 ) : PlatformStandin,
     StoreControl by owner {
-    private lateinit var controlServer: RunningServer
+    private lateinit var controlServer: Listener
 
     override val address: NetworkAddress get() = api.address
     override val controlAddress: NetworkAddress get() = controlServer.address
 
     suspend fun start(control: NetworkAddress) {
         controlServer =
-            startServer(control) {
-                routing {
-                    get("/faults") { call.respondText(Json.encodeToString(faults()), ContentType.Application.Json) }
-                    get("/counts") { call.respondText(Json.encodeToString(counts()), ContentType.Application.Json) }
-                    put("/faults") { handlePutFaults(call) }
+            listenOrThrow(control) {
+                startServer(control) {
+                    routing {
+                        get("/faults") { call.respondText(Json.encodeToString(faults()), ContentType.Application.Json) }
+                        get("/counts") { call.respondText(Json.encodeToString(counts()), ContentType.Application.Json) }
+                        put("/faults") { handlePutFaults(call) }
+                    }
                 }
             }
     }
@@ -128,7 +131,7 @@
 /** Owns the listener of the object API, which is closed while connections are refused. */
 private class ApiListener(
     private val inbox: SendChannel<StoreMessage>,
-    private var server: RunningServer?,
+    private var server: Listener?,
 ) {
     private val requests = Channel<ListenRequest>()
 
@@ -157,10 +160,12 @@
 private suspend fun startObjectApi(
     listen: NetworkAddress,
     inbox: SendChannel<StoreMessage>,
-): RunningServer =
-    startServer(listen) {
-        install(HttpRequestLifecycle) { cancelCallOnClose = true }
-        routing { objectApiRoutes(inbox) }
+): Listener =
+    listenOrThrow(listen) {
+        startServer(listen) {
+            install(HttpRequestLifecycle) { cancelCallOnClose = true }
+            routing { objectApiRoutes(inbox) }
+        }
     }
 
 private fun Routing.objectApiRoutes(inbox: SendChannel<StoreMessage>) {
--- a/standins/src/main/kotlin/org/cicadaturn/standins/engine/ModelEngine.kt
+++ b/standins/src/main/kotlin/org/cicadaturn/standins/engine/ModelEngine.kt
@@ -13,6 +13,9 @@
 import kotlinx.coroutines.plus
 import org.cicadaturn.schema.generated.EngineCounters
 import org.cicadaturn.schema.generated.NetworkAddress
+import org.cicadaturn.tasks.listen.listenOrThrow
+import org.cicadaturn.tasks.observe.portOf
+import org.cicadaturn.tasks.observe.startEngine
 import kotlin.time.Clock
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -80,16 +83,19 @@
     engineScope.launch { task.run(this) }
     val taskHandle = EngineTaskHandle(inbox, job)
     val server =
-        engineScope.embeddedServer(
-            CIO,
-            port = settings.listen.port,
-            host = settings.listen.ip,
-            parentCoroutineContext = job,
-        ) { engineModule(settings, taskHandle, clock) }
-    server.startSuspend(wait = false)
-    val bound = server.engine.resolvedConnectors().first()
+        listenOrThrow(settings.listen) {
+            startEngine(settings.listen) { onFailure ->
+                engineScope.embeddedServer(
+                    CIO,
+                    port = settings.listen.port,
+                    host = settings.listen.ip,
+                    parentCoroutineContext = job + onFailure,
+                ) { engineModule(settings, taskHandle, clock) }
+            }
+        }
+    val port = portOf(server)
     return object : ModelEngine {
-        override val address = NetworkAddress(settings.listen.ip, bound.port)
+        override val address = NetworkAddress(settings.listen.ip, port)
 
         override suspend fun counters(): EngineCounters = taskHandle.ask { EngineMessage.ReadCounters(it) }
 
--- a/standins/src/main/kotlin/org/cicadaturn/standins/orders/OrderListener.kt
+++ b/standins/src/main/kotlin/org/cicadaturn/standins/orders/OrderListener.kt
@@ -18,11 +18,9 @@
 import kotlinx.coroutines.launch
 import kotlinx.io.IOException
 import org.cicadaturn.schema.generated.NetworkAddress
+import org.cicadaturn.tasks.listen.ListenRetry
+import org.cicadaturn.tasks.listen.listenOrThrow
 import kotlin.time.Duration
-import kotlin.time.Duration.Companion.milliseconds
-
-/** Delay before a retry to bind the port if another process has bound it during a refusal. */
-private val BIND_RETRY_DELAY = 50.milliseconds
 
 /**
  * Owns the listening socket.
@@ -44,7 +42,7 @@
     ) {
         var port = listen.port
         while (true) {
-            val socket = bind(port, retry = bound.isCompleted)
+            val socket = bind(port)
             port = (socket.localAddress as InetSocketAddress).port
             bound.complete(NetworkAddress(listen.ip, port))
             // Completes when the listener closes, which ends idle connections.
@@ -63,19 +61,10 @@
         }
     }
 
-    private suspend fun bind(
-        port: Int,
-        retry: Boolean,
-    ): ServerSocket {
-        while (true) {
-            try {
-                return aSocket(selector).tcp().bind(listen.ip, port) { reuseAddress = true }
-            } catch (failure: IOException) {
-                if (!retry) throw failure
-                pause(BIND_RETRY_DELAY)
-            }
+    private suspend fun bind(port: Int): ServerSocket =
+        listenOrThrow(NetworkAddress(listen.ip, port), ListenRetry(pause = pause)) {
+            aSocket(selector).tcp().bind(listen.ip, port) { reuseAddress = true }
         }
-    }
 
     private suspend fun accept(
         socket: ServerSocket,
--- a/standins/src/main/kotlin/org/cicadaturn/standins/orders/OrderService.kt
+++ b/standins/src/main/kotlin/org/cicadaturn/standins/orders/OrderService.kt
@@ -11,6 +11,7 @@
 import kotlinx.coroutines.job
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.plus
+import kotlinx.io.IOException
 import org.cicadaturn.schema.generated.NetworkAddress
 import org.cicadaturn.schema.generated.OrderRuns
 import kotlin.time.Duration
@@ -62,7 +63,14 @@
     val bound = CompletableDeferred<NetworkAddress>(job)
     serviceScope.launch { OrderTask(inbox, pause).run(this) }
     val handler = OrderHandler(settings, taskHandle, pause)
-    serviceScope.launch { OrderListener(settings.listen, selector, refusals, pause, handler).run(serviceScope, bound) }
+    val listener = OrderListener(settings.listen, selector, refusals, pause, handler)
+    serviceScope.launch {
+        try {
+            listener.run(serviceScope, bound)
+        } catch (e: IOException) {
+            bound.completeExceptionally(e)
+        }
+    }
     val address = bound.await()
     return object : OrderService {
         override val address = address
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/endpoint/EndpointNode.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/endpoint/EndpointNode.kt
@@ -1,5 +1,6 @@
 package org.cicadaturn.tasks.endpoint
 
+import arrow.core.Either
 import io.ktor.network.selector.SelectorManager
 import io.prometheus.metrics.model.registry.PrometheusRegistry
 import kotlinx.coroutines.CoroutineScope
@@ -44,15 +45,16 @@
 import org.cicadaturn.tasks.confirmation.confirmations
 import org.cicadaturn.tasks.control.LocalDrainTask
 import org.cicadaturn.tasks.control.localDrainRoutes
+import org.cicadaturn.tasks.listen.ListenFailure
+import org.cicadaturn.tasks.listen.ListenTarget
+import org.cicadaturn.tasks.listen.NodeListeners
 import org.cicadaturn.tasks.observe.AdminContent
-import org.cicadaturn.tasks.observe.RunningServer
 import org.cicadaturn.tasks.observe.adminServer
 import org.cicadaturn.tasks.observe.endpointMetrics
 import org.cicadaturn.tasks.observe.processMetrics
 import org.cicadaturn.tasks.store.ObjectStore
 import org.cicadaturn.tasks.wire.FrameLink
 import org.cicadaturn.tasks.wire.Wire
-import org.cicadaturn.tasks.wire.WireListener
 import org.cicadaturn.tasks.wireIdentity
 import org.cicadaturn.tasks.wireTimes
 import java.util.UUID
@@ -78,8 +80,8 @@
     public val registry: PrometheusRegistry,
 )
 
-/** Starts an endpoint process, which serves one back end, and returns once it listens. */
-public suspend fun endpointNode(
+/** Starts an endpoint process, which serves one back end and may not listen yet. */
+public fun endpointNode(
     file: EndpointFile,
     dependencies: EndpointDependencies,
 ): Node = RunningEndpoint(file, dependencies).also { it.start() }
@@ -114,11 +116,18 @@
             scope,
             supervisor = supervisor,
         )
-    private lateinit var listener: WireListener
-    private lateinit var admin: RunningServer
+    private lateinit var ownListeners: NodeListeners
 
-    override val listeners: Map<String, NetworkAddress>
-        get() = mapOf("listen" to listener.address, "admin" to admin.address)
+    override val listeners: Map<String, NetworkAddress> get() = ownListeners.addresses
+
+    override suspend fun awaitListeners(): Either<ListenFailure, Unit> =
+        ownListeners.await().onRight {
+            log.info(
+                "endpoint: {} listens on {}",
+                settings.id,
+                listeners.getValue("listen"),
+            )
+        }
 
     private val backend = httpBackend(client, settings.backend)
     private val runner =
@@ -131,7 +140,7 @@
             clock = dependencies.clock,
         )
 
-    suspend fun start() {
+    fun start() {
         supervisor.start(scope, "configuration") { configurationManager.run() }
         supervisor.start(scope, "local drain") { localDrain.run() }
         supervisor.start(scope, "gate") { gate.run() }
@@ -145,19 +154,30 @@
                 }
             }
         }
+        ownListeners = startListeners()
+    }
+
+    private fun startListeners(): NodeListeners {
         val identity = wireIdentity(Role.ENDPOINT, file.process, file.wire, dependencies.incarnation)
         val wire =
             Wire(selector, identity, wireTimes(file.wire)) { commonMetrics.wireErrors.labelValues(it.kind).inc() }
-        listener = wire.listen(settings.listen, setOf(Role.ENTRY), scope, ::serve)
-        val content = AdminContent({ !stopping.value }, { Json.encodeToString(dump()) }, dependencies.registry)
-        admin =
-            adminServer(
-                file.process.adminListen,
-                content,
-            ) { localDrainRoutes(configurationManager.inForce, localDrain) }
-        log.info("endpoint: {} listens on {}:{}", settings.id, listener.address.ip, listener.address.port)
+        val content = AdminContent(::isReady, { Json.encodeToString(dump()) }, dependencies.registry)
+        val admin = file.process.adminListen
+        return NodeListeners(
+            scope,
+            mapOf(
+                "listen" to
+                    ListenTarget(settings.listen) { wire.listen(settings.listen, setOf(Role.ENTRY), scope, ::serve) },
+                "admin" to
+                    ListenTarget(admin) {
+                        adminServer(admin, content) { localDrainRoutes(configurationManager.inForce, localDrain) }
+                    },
+            ),
+        )
     }
 
+    private fun isReady(): Boolean = !stopping.value && ownListeners.areOpen
+
     private suspend fun serve(link: FrameLink) {
         val exchange = ConfigurationExchange(link, configurationManager)
         entries.update { it + link.peer.process }
@@ -260,8 +280,7 @@
             }
         val cut = if (idle == null) gate.state.value.running + gate.state.value.queued else 0
         delay(FLUSH_DELAY)
-        listener.close()
-        admin.close()
+        ownListeners.close()
         scope.cancel()
         client.close()
         selector.close()
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/entry/EntryNode.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/entry/EntryNode.kt
@@ -1,5 +1,6 @@
 package org.cicadaturn.tasks.entry
 
+import arrow.core.Either
 import io.ktor.network.selector.SelectorManager
 import io.prometheus.metrics.model.registry.PrometheusRegistry
 import kotlinx.coroutines.CoroutineScope
@@ -39,15 +40,16 @@
 import org.cicadaturn.tasks.control.control
 import org.cicadaturn.tasks.control.controlRoutes
 import org.cicadaturn.tasks.limits.LimitsTask
+import org.cicadaturn.tasks.listen.ListenFailure
+import org.cicadaturn.tasks.listen.ListenTarget
+import org.cicadaturn.tasks.listen.NodeListeners
 import org.cicadaturn.tasks.observe.AdminContent
-import org.cicadaturn.tasks.observe.RunningServer
 import org.cicadaturn.tasks.observe.adminServer
 import org.cicadaturn.tasks.observe.entryMetrics
 import org.cicadaturn.tasks.observe.processMetrics
 import org.cicadaturn.tasks.observe.startServer
 import org.cicadaturn.tasks.store.ObjectStore
 import org.cicadaturn.tasks.wire.Wire
-import org.cicadaturn.tasks.wire.WireListener
 import org.cicadaturn.tasks.wireIdentity
 import org.cicadaturn.tasks.wireTimes
 import java.util.UUID
@@ -83,8 +85,8 @@
     public val random: Random,
 )
 
-/** Starts an entry process and returns once it listens. */
-public suspend fun entryNode(
+/** Starts an entry process, which may not listen yet. */
+public fun entryNode(
     file: EntryFile,
     dependencies: EntryDependencies,
 ): Node = RunningEntry(file, dependencies).also { it.start() }
@@ -115,15 +117,17 @@
         )
     private val stopping = MutableStateFlow(false)
     private val localDrain = LocalDrainTask(configurationManager.inForce)
-    private lateinit var callers: RunningServer
-    private lateinit var admin: RunningServer
     private lateinit var network: PeerNetwork
-    private lateinit var peers: WireListener
+    private lateinit var ownListeners: NodeListeners
 
-    override val listeners: Map<String, NetworkAddress>
-        get() = mapOf("listen" to callers.address, "peer" to peers.address, "admin" to admin.address)
+    override val listeners: Map<String, NetworkAddress> get() = ownListeners.addresses
 
-    suspend fun start() {
+    override suspend fun awaitListeners(): Either<ListenFailure, Unit> =
+        ownListeners.await().onRight {
+            log.info("entry: {} listens on {}", file.process.id, listeners.getValue("listen"))
+        }
+
+    fun start() {
         supervisor.start(scope, "configuration") { configurationManager.run() }
         supervisor.start(scope, "local drain") { localDrain.run() }
         supervisor.start(scope, "directory") { directory.run() }
@@ -136,18 +140,30 @@
         val watch = StoreWatch(dependencies.store, configurationManager, times, backoff(MAX_STORE_BACKOFF))
         supervisor.start(scope, "store watch") { watch.run() }
         connect()
+        ownListeners = startListeners()
+    }
+
+    private fun startListeners(): NodeListeners {
         val content = AdminContent(::isReady, { Json.encodeToString(dump()) }, dependencies.registry)
-        admin = adminServer(file.process.adminListen, content) { controlRoutes(operatorControl()) }
-        callers = startServer(settings.listen) { callerServer().install(this) }
-        log.info("entry: {} listens on {}:{}", file.process.id, callers.address.ip, callers.address.port)
+        val control = operatorControl()
+        val admin = file.process.adminListen
+        return NodeListeners(
+            scope,
+            mapOf(
+                "listen" to
+                    ListenTarget(settings.listen) { startServer(settings.listen) { callerServer().install(this) } },
+                "peer" to ListenTarget(settings.peerListen) { network.listen(scope, settings.peerListen) },
+                "admin" to ListenTarget(admin) { adminServer(admin, content) { controlRoutes(control) } },
+            ),
+        )
     }
 
-    private suspend fun connect() {
+    private fun connect() {
         val identity = wireIdentity(Role.ENTRY, file.process, file.wire, dependencies.incarnation)
         val wire =
             Wire(selector, identity, wireTimes(file.wire)) { commonMetrics.wireErrors.labelValues(it.kind).inc() }
         network = PeerNetwork(wire, configurationManager, limits, supervisor)
-        peers = network.start(scope, settings.peerListen, settings.peers) { backoff(MAX_LINK_BACKOFF) }
+        network.start(scope, settings.peers) { backoff(MAX_LINK_BACKOFF) }
         val connections = EndpointConnections(wire, configurationManager, directory) { backoff(MAX_LINK_BACKOFF) }
         supervisor.start(scope, "endpoint connections") { connections.run(configurationManager.inForce) }
     }
@@ -175,7 +191,7 @@
         }
     }
 
-    private fun isReady(): Boolean = configurationManager.inForce.value != null && !isRefusing()
+    private fun isReady(): Boolean = configurationManager.inForce.value != null && !isRefusing() && ownListeners.areOpen
 
     private fun isRefusing(): Boolean = stopping.value || localDrain.isActive.value
 
@@ -212,9 +228,7 @@
         val idle = withTimeoutOrNull(file.process.stopTimeout) { registry.inFlight.first { it == 0 } }
         val cut = if (idle == null) registry.inFlight.value else 0
         metrics.cutRequests.inc(cut.toDouble())
-        callers.close()
-        peers.close()
-        admin.close()
+        ownListeners.close()
         scope.cancel()
         network.close()
         selector.close()
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/entry/PeerNetwork.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/entry/PeerNetwork.kt
@@ -9,8 +9,8 @@
 import org.cicadaturn.tasks.Supervisor
 import org.cicadaturn.tasks.configuration.ConfigurationManager
 import org.cicadaturn.tasks.limits.LimitsTask
+import org.cicadaturn.tasks.listen.Listener
 import org.cicadaturn.tasks.wire.Wire
-import org.cicadaturn.tasks.wire.WireListener
 import java.util.concurrent.ScheduledThreadPoolExecutor
 
 /**
@@ -30,29 +30,34 @@
             .asCoroutineDispatcher()
 
     /**
-     * Accepts links on [listen] and maintains links to [peers] until [scope] is cancelled.
+     * Maintains links to [peers] until [scope] is cancelled.
      *
      * [newBackoff] is called for each peer.
      */
-    suspend fun start(
+    fun start(
         scope: CoroutineScope,
-        listen: NetworkAddress,
         peers: Collection<NetworkAddress>,
         newBackoff: () -> Backoff,
-    ): WireListener {
+    ) {
         val ownScope = scope + dispatcher
         supervisor.start(ownScope, "limits") { limits.run() }
-        val listener =
-            wire.listen(listen, setOf(Role.ENTRY), ownScope) { exchangeWithPeer(it, configurationManager, limits) }
         peers.forEach {
             val backoff = newBackoff()
             supervisor.start(ownScope, "link to ${it.ip}:${it.port}") {
                 keepPeerConnected(wire, it, configurationManager, limits, backoff)
             }
         }
-        return listener
     }
 
+    /** Accepts links on [address] until [scope] is cancelled. */
+    suspend fun listen(
+        scope: CoroutineScope,
+        address: NetworkAddress,
+    ): Listener =
+        wire.listen(address, setOf(Role.ENTRY), scope + dispatcher) {
+            exchangeWithPeer(it, configurationManager, limits)
+        }
+
     /** Ends the thread; the scope of [start] must be cancelled before. */
     fun close() {
         dispatcher.close()
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/GatewayNode.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/GatewayNode.kt
@@ -1,5 +1,6 @@
 package org.cicadaturn.tasks.gateway
 
+import arrow.core.Either
 import io.prometheus.metrics.model.registry.PrometheusRegistry
 import kotlinx.coroutines.CoroutineExceptionHandler
 import kotlinx.coroutines.CoroutineScope
@@ -46,14 +47,13 @@
 import org.cicadaturn.tasks.fatalErrorIn
 import org.cicadaturn.tasks.http.HttpConnector
 import org.cicadaturn.tasks.http.HttpLink
-import org.cicadaturn.tasks.http.HttpListener
 import org.cicadaturn.tasks.http.HttpRuntime
 import org.cicadaturn.tasks.http.ListenerBounds
-import org.cicadaturn.tasks.http.ResponseHead
 import org.cicadaturn.tasks.http.allowedDescriptors
 import org.cicadaturn.tasks.http.connectionAccounts
 import org.cicadaturn.tasks.http.httpConnector
-import org.cicadaturn.tasks.http.listen
+import org.cicadaturn.tasks.listen.ListenFailure
+import org.cicadaturn.tasks.listen.NodeListeners
 import kotlin.random.Random
 import kotlin.time.Clock
 import kotlin.time.Duration
@@ -88,7 +88,10 @@
     public val allowedDescriptors: () -> Int? = ::allowedDescriptors,
 )
 
-/** Starts a gateway process, which forwards the requests of callers to the endpoints listed in the platform's store. */
+/**
+ * Starts a gateway process, which forwards the requests of callers to the endpoints listed in the platform's store and may
+ * not listen yet.
+ */
 public suspend fun gatewayNode(
     file: GatewayFile,
     dependencies: GatewayDependencies,
@@ -217,19 +220,12 @@
 
     // Platform, peers and operators connect to these listeners, so they have little of the memory to themselves.
     private val otherAccounts = connectionAccounts(otherLimits(descriptors)) { connectionMetrics.lost("others", it) }
-    private lateinit var callerListener: HttpListener
-    private lateinit var readyListener: HttpListener
-    private lateinit var peerListener: HttpListener
-    private lateinit var adminListener: HttpListener
-
-    override val listeners: Map<String, NetworkAddress>
-        get() =
-            mapOf(
-                "listen" to callerListener.address,
-                "ready" to readyListener.address,
-                "peers" to peerListener.address,
-                "admin" to adminListener.address,
-            )
+    private lateinit var ownListeners: NodeListeners
+
+    override val listeners: Map<String, NetworkAddress> get() = ownListeners.addresses
+
+    override suspend fun awaitListeners(): Either<ListenFailure, Unit> =
+        ownListeners.await().onRight { logger.info("gateway: {} listens on {}", file.process.id, settings.listen) }
 
     /** Records a failure of a coroutine that serves one connection or call, which ends with it. */
     private fun recordFailure(cause: Throwable) {
@@ -295,16 +291,18 @@
     private fun peerService(): PeerService =
         PeerService(fleet::ownView, ::pledge, quarantine::receive, limitExchange::receive, fleet::storeReport)
 
-    suspend fun start() {
-        val runtime = dependencies.runtime
-        val forCallers = ListenerBounds(::callerHeadBytes, { limits().idleTimeout }, callerAccounts)
-        val forOthers = ListenerBounds({ HEAD_BYTES }, { OTHER_TIMEOUT }, otherAccounts)
-        callerListener = listen(runtime, scope, settings.listen, forCallers) { serveCaller(it) }
-        readyListener = listen(runtime, scope, settings.readyListen, forOthers) { serveReady(it) }
-        peerListener = listen(runtime, scope, settings.peerListen, forOthers) { servePeer(it, peerService()) }
-        adminListener = listen(runtime, scope, file.process.adminListen, forOthers) { admin.serve(it) }
+    fun start() {
+        val services =
+            GatewayServices(
+                callers = ::serveCaller,
+                callerBounds = ListenerBounds(::callerHeadBytes, { limits().idleTimeout }, callerAccounts),
+                isReady = ::isReady,
+                peers = peerService(),
+                admin = admin,
+                otherAccounts = otherAccounts,
+            )
+        ownListeners = startGatewayListeners(dependencies.runtime, scope, file, services)
         startExpertBalancer(scope, fleet, lease, rankClient, dependencies.clock, supervisor)
-        logger.info("gateway: {} listens on {}", file.process.id, settings.listen)
     }
 
     /** Returns the lease that allows one process of the fleet to balance the experts. */
@@ -360,30 +358,17 @@
         ).serve()
     }
 
-    private suspend fun serveReady(link: HttpLink) {
-        while (true) {
-            val request = link.receiveInternalRequest()?.head ?: return
-            val status = if (isReady()) OK else UNAVAILABLE
-            if (!link.sendResponse(
-                    ResponseHead(status, emptyList(), request.closesConnection),
-                    ByteArray(0),
-                )
-            ) {
-                return
-            }
-            if (request.closesConnection) return
-        }
-    }
-
     /** Callers are better served elsewhere while this process reaches no group that others may reach. */
     private fun isReady(): Boolean =
         shutdown.times == null && fleet.state.value.isKnown && !balancer.isIsolated.value &&
-            supervisor.pausedTasks.value.isEmpty()
+            supervisor.pausedTasks.value.isEmpty() && ownListeners.areOpen
 
     override suspend fun stop(): Int =
         withContext(dependencies.runtime.dispatcher) {
             lease.release()
-            val cut = shutdown.run(dependencies.stopRequestedAt()) { callerListener.close() }
+            // A process that does not listen everywhere has not been ready, so no readiness check has to fail first.
+            val wasReady = ownListeners.areOpen
+            val cut = shutdown.run(dependencies.stopRequestedAt(), wasReady) { ownListeners.close(CALLER_LISTENER) }
             // Each request that is still open writes its last line.
             withTimeoutOrNull(MAX_CANCEL_TIME) { scope.coroutineContext.job.cancelAndJoin() }
             cut
@@ -410,13 +395,5 @@
 
         /** Longest wait for the end of cancelled tasks, none of which waits for another process. */
         val MAX_CANCEL_TIME = 100.milliseconds
-
-        /** Maximum size of the head of a request on the listeners that callers do not use. */
-        const val HEAD_BYTES = 16_384
-
-        /** Longest time for which a client of those listeners may read nothing of an answer. */
-        val OTHER_TIMEOUT = 10.seconds
-        const val OK = 200
-        const val UNAVAILABLE = 503
     }
 }
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/Shutdown.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/Shutdown.kt
@@ -68,14 +68,16 @@
     }
 
     /**
-     * Accepts connections until readiness checks have failed, then calls [closeListener] and waits for the connections
-     * that are not idle. Returns the number of requests that are still in progress at the end.
+     * Accepts connections until readiness checks have failed, or only until now if the process was never ready, then calls
+     * [closeListener] and waits for the connections that are not idle. Returns the number of requests that are still in
+     * progress at the end.
      *
      * The platform counts the stop timeout from its signal, so the stop ends by [requestedAt], or by the present if that
      * is null. Readiness is withdrawn only now: on a busy machine the event loop may begin the stop seconds later.
      */
     suspend fun run(
         requestedAt: Instant? = null,
+        wasReady: Boolean = true,
         closeListener: suspend () -> Unit,
     ): Int {
         logger.info("gateway: stopping with {} requests in progress", inProgress)
@@ -85,10 +87,12 @@
             logger.warn("gateway: the stop begins {} ms after its signal", (start - signalledAt).inWholeMilliseconds)
         }
         val end = signalledAt + stopTimeout - STOP_RESERVE
-        val closedAt = signalledAt + UNREADY_TIME - SIGNAL_DELAY
-        times = StopTimes(start, unreadyAt = start + READINESS_DELAY, closedAt, endsAt = end)
+        val unreadyTime = if (wasReady) UNREADY_TIME else Duration.ZERO
+        val readinessDelay = if (wasReady) READINESS_DELAY else Duration.ZERO
+        val closedAt = signalledAt + unreadyTime - SIGNAL_DELAY
+        times = StopTimes(start, unreadyAt = start + readinessDelay, closedAt, endsAt = end)
         stopStarted.complete()
-        delay(minOf(UNREADY_TIME, end - start))
+        delay(minOf(unreadyTime, end - start))
         closeListener()
         // The requests that have reached the sockets before are read meanwhile.
         delay(STOP_POLL)
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/http/HttpListener.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/http/HttpListener.kt
@@ -9,21 +9,14 @@
 import io.netty.handler.codec.http.HttpMessage
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpResponseEncoder
+import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.launch
 import org.cicadaturn.schema.generated.NetworkAddress
+import org.cicadaturn.tasks.listen.Listener
 import java.net.InetSocketAddress
 import kotlin.time.Duration
 
-/** Listening socket. */
-public interface HttpListener {
-    /** Address of the socket, with the port that the system chose if port 0 was requested. */
-    public val address: NetworkAddress
-
-    /** Stops accepting connections; open connections stay open. */
-    public suspend fun close()
-}
-
 /**
  * Bounds on the connections of a listener.
  *
@@ -39,6 +32,8 @@
 
 /**
  * Listens on [address] and runs [serve] in [scope] for each connection within [bounds], which is closed when [serve] returns.
+ *
+ * Connections stay open when the listener is closed.
  */
 public suspend fun listen(
     runtime: HttpRuntime,
@@ -46,7 +41,7 @@
     address: NetworkAddress,
     bounds: ListenerBounds,
     serve: suspend (HttpLink) -> Unit,
-): HttpListener {
+): Listener {
     val initializer =
         object : ChannelInitializer<SocketChannel>() {
             override fun initChannel(channel: SocketChannel) {
@@ -87,14 +82,20 @@
         @Suppress("UNCHECKED_CAST")
         server.childOption(option as ChannelOption<Any>, value)
     }
-    val channel = server.bind(InetSocketAddress(address.ip, address.port)).also { it.awaitDone() }.channel()
-    return NettyListener(channel, address.ip)
+    val binding = server.bind(InetSocketAddress(address.ip, address.port))
+    try {
+        binding.awaitDone()
+    } catch (e: CancellationException) {
+        binding.channel().close()
+        throw e
+    }
+    return NettyListener(binding.channel(), address.ip)
 }
 
 private class NettyListener(
     private val channel: Channel,
     ip: String,
-) : HttpListener {
+) : Listener {
     override val address = NetworkAddress(ip, (channel.localAddress() as InetSocketAddress).port)
 
     override suspend fun close() {
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/observe/AdminServer.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/observe/AdminServer.kt
@@ -13,21 +13,14 @@
 import io.ktor.server.routing.routing
 import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter
 import io.prometheus.metrics.model.registry.PrometheusRegistry
+import kotlinx.coroutines.CoroutineScope
 import org.cicadaturn.schema.generated.NetworkAddress
+import org.cicadaturn.tasks.listen.Listener
 import java.io.ByteArrayOutputStream
 
 private const val STOP_GRACE_MILLIS = 100L
 private const val STOP_TIMEOUT_MILLIS = 1000L
 
-/** HTTP server that runs until it is closed. */
-public interface RunningServer {
-    /** Address of the server, with the port that the system chose if port 0 was requested. */
-    public val address: NetworkAddress
-
-    /** Stops the server after a short grace period; calls that are still in progress are cut. */
-    public suspend fun close()
-}
-
 /**
  * Content that an admin server provides.
  *
@@ -46,7 +39,7 @@
     address: NetworkAddress,
     content: AdminContent,
     routes: Routing.() -> Unit = {},
-): RunningServer =
+): Listener =
     startServer(address) {
         routing {
             get("/healthz") { call.respondText("ok\n") }
@@ -65,25 +58,27 @@
         }
     }
 
-/** Starts an HTTP server on [address] with the application that [module] configures. */
+/**
+ * Starts an HTTP server on [address] with the application that [module] configures.
+ *
+ * Closing it cuts calls that are in progress after a short grace period.
+ */
 public suspend fun startServer(
     address: NetworkAddress,
     module: Application.() -> Unit,
-): RunningServer {
-    val server = embeddedServer(CIO, port = address.port, host = address.ip, module = module)
-    server.startSuspend(wait = false)
-    val port =
-        server.engine
-            .resolvedConnectors()
-            .first()
-            .port
-    return EngineServer(server, NetworkAddress(address.ip, port))
+): Listener {
+    val server =
+        startEngine(address) { onFailure ->
+            CoroutineScope(onFailure)
+                .embeddedServer(CIO, address.port, address.ip, parentCoroutineContext = onFailure, module = module)
+        }
+    return EngineServer(server, NetworkAddress(address.ip, portOf(server)))
 }
 
 private class EngineServer(
     private val server: EmbeddedServer<*, *>,
     override val address: NetworkAddress,
-) : RunningServer {
+) : Listener {
     override suspend fun close() {
         server.stopSuspend(STOP_GRACE_MILLIS, STOP_TIMEOUT_MILLIS)
     }
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/wire/Connections.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/wire/Wire.kt
@@ -19,6 +19,7 @@
 import kotlinx.io.IOException
 import org.cicadaturn.schema.generated.NetworkAddress
 import org.cicadaturn.schema.generated.Role
+import org.cicadaturn.tasks.listen.Listener
 import java.security.SecureRandom
 import kotlin.time.Duration.Companion.milliseconds
 
@@ -54,13 +55,13 @@
         return runAndReport(socket, setOf(role), use)
     }
 
-    /** Listens on [address] and runs [use] in [scope] with each link from a process that has one of [roles]. */
+    /** Listens on [address] and runs [use] in [scope] with each link from a process that has one of [roles]; links outlive the listener. */
     public suspend fun listen(
         address: NetworkAddress,
         roles: Set<Role>,
         scope: CoroutineScope,
         use: suspend (FrameLink) -> Unit,
-    ): WireListener {
+    ): Listener {
         val server = aSocket(selector).tcp().bind(address.ip, address.port) { reuseAddress = true }
         scope.launch { accept(server, roles, use) }
         return SocketListener(server)
@@ -142,22 +143,13 @@
     }
 }
 
-/** Listening socket that accepts links until it is closed. */
-public interface WireListener {
-    /** Address of the socket, with the port that the system chose if port 0 was requested. */
-    public val address: NetworkAddress
-
-    /** Stops accepting links; established links stay open. */
-    public fun close()
-}
-
 private class SocketListener(
     private val server: ServerSocket,
-) : WireListener {
+) : Listener {
     override val address: NetworkAddress
         get() = (server.localAddress as InetSocketAddress).let { NetworkAddress(it.hostname, it.port) }
 
-    override fun close() {
+    override suspend fun close() {
         server.close()
     }
 }
--- a/tasks/src/test/kotlin/org/cicadaturn/tasks/entry/PeerNetworkTest.kt
+++ b/tasks/src/test/kotlin/org/cicadaturn/tasks/entry/PeerNetworkTest.kt
@@ -84,10 +84,8 @@
             scope: CoroutineScope,
             peers: List<NetworkAddress>,
         ): NetworkAddress {
-            val listener =
-                network.start(scope, NetworkAddress("127.0.0.1", 0), peers) {
-                    fullJitterBackoff(10.milliseconds, 100.milliseconds, Random(1))
-                }
+            network.start(scope, peers) { fullJitterBackoff(10.milliseconds, 100.milliseconds, Random(1)) }
+            val listener = network.listen(scope, NetworkAddress("127.0.0.1", 0))
             val organisation = Organisation(survey, emptyList(), 10_000, LIMIT)
             val accepted = Instant.fromEpochSeconds(0)
             limits.configure(Configuration(Revision(1), accepted, "operator", organisations = listOf(organisation)))
--- a/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/TestGateway.kt
+++ b/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/TestGateway.kt
@@ -33,6 +33,7 @@
 import org.cicadaturn.tasks.http.ResponseHead
 import org.cicadaturn.tasks.http.httpRuntime
 import org.cicadaturn.tasks.http.valueOf
+import org.cicadaturn.tasks.listening
 import java.net.Socket
 import kotlin.random.Random
 import kotlin.time.Clock
@@ -84,7 +85,9 @@
             journal = journal,
         )
     private val node: Node =
-        runBlocking { gatewayNode(testFile(stopTimeout, retrySlack, id, peerPort, eventNumbers), dependencies) }
+        runBlocking {
+            gatewayNode(testFile(stopTimeout, retrySlack, id, peerPort, eventNumbers), dependencies).listening()
+        }
     val port: Int get() = node.listeners.getValue("listen").port
     val readyPort: Int get() = node.listeners.getValue("ready").port
     val adminPort: Int get() = node.listeners.getValue("admin").port
