List requests that share the evidence of a crash from 0.3 on

Seen to fail without the change: RequestQuarantineTest 'requests that were lost in the same state are listed, and the one that causes a second crash is held back'.

--- a/decisions/src/main/kotlin/org/cicadaturn/decisions/quarantine/Verdict.kt
+++ b/decisions/src/main/kotlin/org/cicadaturn/decisions/quarantine/Verdict.kt
@@ -125,10 +125,12 @@
 private const val QUARANTINE_CONFIDENCE = 0.9
 
 /**
- * Confidence from which a request is held back for itself if several endpoints were lost with it. A wrong verdict costs this one request, a crash the requests
- * that are in progress at the endpoint, and with some engines a whole group for seconds.
+ * Confidence from which a request is held back for itself if several endpoints were lost with it at once, and listed in
+ * the store from its first crash on. A wrong verdict costs this one request, a crash the requests that are in progress at
+ * the endpoint, and with some engines a whole group for seconds. Two or three that were lost in the same state share the
+ * evidence (0.49 or 0.32 each); if they were not listed, a loss of power of all processes would clear them.
  */
-private const val REQUEST_QUARANTINE_CONFIDENCE = 0.5
+private const val REQUEST_QUARANTINE_CONFIDENCE = 0.3
 
 /**
  * The same after several outages with no whole answer to the request in between. The requests that are lost beside it
--- a/decisions/src/test/kotlin/org/cicadaturn/decisions/quarantine/RequestQuarantineTest.kt
+++ b/decisions/src/test/kotlin/org/cicadaturn/decisions/quarantine/RequestQuarantineTest.kt
@@ -133,6 +133,29 @@
         assertTrue(last.verdict(bad, start + 1.hours) is Verdict.Quarantined)
     }
 
+    /** Guards against suspicions that a loss of power ends, as several requests share the evidence of one crash. */
+    @Test
+    fun `requests that were lost in the same state are listed, and the one that causes a second crash is held back`() {
+        for (count in 2..3) {
+            val quarantine = segmentQuarantine()
+            val lost = (1..count).map { Request("", "lost $it of $count") }
+            quarantine.crash(start, *lost.map { it to STRONG }.toTypedArray())
+            val listed = quarantine.changes(start, start).added
+            assertEquals(count, listed.size)
+            val late = segmentQuarantine()
+            late.listed(listed, start, start)
+            lost.forEach {
+                assertTrue(
+                    late.verdict(it, start) is Verdict.Suspected,
+                    "$count: ${late.verdict(it, start)}",
+                )
+            }
+            late.crash(start + 1.seconds, lost[0] to WEAK)
+            assertTrue(late.verdict(lost[0], start + 1.seconds) is Verdict.Quarantined)
+            assertTrue(late.verdict(lost[1], start + 1.seconds) is Verdict.Suspected)
+        }
+    }
+
     /** Guards against one crash that counts twice where the clocks of processes differ. */
     @Test
     fun `the crash that is in the list and in the evidence counts once`() {
