Tell a connection that is reset as it is made from one that gets no answer

A reset that arrives before the connection is reported made opening it fail in the same way as a silence. Since a silent endpoint is not known to run, so whole answers of an endpoint that resets connections beyond its maximum, as PROTOCOL.md allows, were cut now and then. Both ends of the system tell such a reset by one function now.

ResetOpeningTest: 597 of 1,000 connections to a server that resets them failed without this, none does now. ConnectionEndedAnswerTest "an answer without a length whose endpoint resets further connections is complete" failed in two of four cases in each of two runs.

--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/endpoint/BodyAtClose.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/endpoint/BodyAtClose.kt
@@ -8,10 +8,10 @@
 import kotlinx.serialization.json.JsonArray
 import kotlinx.serialization.json.JsonObject
 import org.cicadaturn.schema.generated.NetworkAddress
+import org.cicadaturn.tasks.http.isReset
 import java.io.ByteArrayOutputStream
 import java.net.InetSocketAddress
 import java.net.Socket
-import java.net.SocketException
 import java.net.SocketTimeoutException
 import java.util.zip.GZIPInputStream
 import kotlin.time.Duration
@@ -104,13 +104,6 @@
     return failure == null || isReset(failure)
 }
 
-/**
- * Returns true if [failure] to connect is a reset behind the handshake. Only its message tells it from failures without a
- * type of their own, such as a lack of file descriptors, which say nothing about the back end.
- */
-private fun isReset(failure: IOException): Boolean =
-    failure is SocketException && failure.message?.startsWith("Connection reset") == true
-
 /** Waits until the peer ends the connection; throws a [SocketTimeoutException] if it stays open. */
 private fun Socket.awaitEnd() {
     soTimeout = OPEN_TIME.inWholeMilliseconds.toInt()
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/ClosedAnswerCheck.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/ClosedAnswerCheck.kt
@@ -77,6 +77,7 @@
             is Opening.Opened ->
                 if (keep(endpoint, opening.link, pool)) EndpointAccess.ACCEPTS else EndpointAccess.RESETS
             Opening.Refused -> EndpointAccess.REFUSES
+            Opening.Reset -> EndpointAccess.RESETS
             Opening.Failed -> EndpointAccess.UNKNOWN
         }
 
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/http/HttpConnector.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/http/HttpConnector.kt
@@ -20,6 +20,7 @@
 import java.io.IOException
 import java.net.ConnectException
 import java.net.InetSocketAddress
+import java.net.SocketException
 import kotlin.time.Duration
 
 /** Result of opening a connection. */
@@ -32,7 +33,10 @@
     /** The host has refused the connection, as nothing listens at the address. */
     public data object Refused : Opening
 
-    /** The connection was not established in time, was reset as it was, or this process could open no socket for it. */
+    /** The connection was reset as it was established. */
+    public data object Reset : Opening
+
+    /** The connection was not established in time, or this process could open no socket for it. */
     public data object Failed : Opening
 }
 
@@ -121,7 +125,7 @@
         } catch (e: ConnectException) {
             Opening.Refused
         } catch (e: IOException) {
-            Opening.Failed
+            if (isReset(e)) Opening.Reset else Opening.Failed
         } catch (e: ChannelException) {
             // Netty reports with this type that no socket can be created, as when all descriptors are in use.
             Opening.Failed
@@ -133,6 +137,13 @@
     }
 }
 
+/**
+ * Returns true if [failure] to connect is a reset behind the handshake. Only its message tells it from failures without a
+ * type of their own, such as a lack of file descriptors, which say nothing about the server.
+ */
+internal fun isReset(failure: IOException): Boolean =
+    failure is SocketException && failure.message?.startsWith("Connection reset") == true
+
 private fun kotlin.coroutines.CoroutineContext.isActiveNow(): Boolean = runCatching { ensureActive() }.isSuccess
 
 private class ClientInitializer(
