Start: serve while the port file cannot be written

Seen: a process whose port file could not be written for a moment (full disk, directory that is made later) ended with code 1 although it served.

Cause: the file was written once, by the coroutine that starts the process.

A process needs no port file to serve, so no cause of a failure ends it.

--- a/daemons/src/main/kotlin/org/cicadaturn/daemons/Nodes.kt
+++ b/daemons/src/main/kotlin/org/cicadaturn/daemons/Nodes.kt
@@ -36,8 +36,6 @@
 import java.io.FileOutputStream
 import java.nio.file.Path
 import java.security.SecureRandom
-import kotlin.io.path.moveTo
-import kotlin.io.path.writeText
 import kotlin.random.Random
 import kotlin.time.Clock
 
@@ -104,7 +102,7 @@
                     failure.complete(Unit)
                     return@launch
                 }
-                process.portFile?.let { writePorts(Path.of(it), node.listeners) }
+                process.portFile?.let { keepWritingPorts(Path.of(it), node.listeners) }
             }
         select {
             stop.onAwait {}
@@ -129,16 +127,6 @@
 
 private val logger = LogManager.getLogger("org.cicadaturn.daemons.Nodes")
 
-/** Writes one `name=port` line for each of [ports]; the file is moved into place only when it is complete. */
-internal fun writePorts(
-    path: Path,
-    ports: Map<String, NetworkAddress>,
-) {
-    val partial = path.resolveSibling("${path.fileName}.partial")
-    partial.writeText(ports.entries.joinToString("") { (name, address) -> "$name=${address.port}\n" })
-    partial.moveTo(path, overwrite = true)
-}
-
 private fun openStore(
     settings: StoreSettings,
     process: ProcessSettings,
--- a/daemons/src/main/kotlin/org/cicadaturn/daemons/Standins.kt
+++ b/daemons/src/main/kotlin/org/cicadaturn/daemons/Standins.kt
@@ -75,7 +75,7 @@
         standin.launch {
             try {
                 val ports = standin.start()
-                listener.portFile?.let { writePorts(it, ports) }
+                listener.portFile?.let { keepWritingPorts(it, ports) }
             } catch (e: IOException) {
                 logger.error("standin: {}", e.message)
                 failure.complete(Unit)
--- a/daemons/src/test/kotlin/org/cicadaturn/daemons/start/StartedProcess.kt
+++ b/daemons/src/test/kotlin/org/cicadaturn/daemons/start/StartedProcess.kt
@@ -34,10 +34,11 @@
     private val ports: Map<String, Int> = freePorts(role),
     private val name: String = "process",
     private val ip: (String) -> String = { "127.0.0.1" },
+    portDirectory: Path = directory,
 ) : AutoCloseable {
     private val log = directory.resolve("$name.log")
     private val classLog = directory.resolve("$name.classes")
-    val portFile: Path = directory.resolve("$name.ports")
+    val portFile: Path = portDirectory.resolve("$name.ports")
 
     private val process: Process =
         run {
