Supervisor: a vital task may fail for a minute before the process stops

Seen: a vital task that fails seven times in a row ended the process within 1.6 s. If the cause is one that all processes share, such as an entry in the store, all of them ended, and again after each restart.

Cause: the bound was chosen for a task whose own state is damaged, which a restart mends.

The process now stops after 20 failures, 61 s after the first. It is not ready meanwhile, so callers go elsewhere, and it keeps what it has learned; a cause that passes within a minute ends nothing. It still ends if it cannot serve, as a task with damaged state would never run again. A damaged state therefore costs one process a minute in place of 1.6 s.

--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/Supervisor.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/Supervisor.kt
@@ -123,8 +123,12 @@
         /** Time without a failure after which earlier failures of a task no longer count. */
         val QUIET_TIME: Duration = 30.seconds
 
-        /** Failures until the process is asked to stop; their pauses take 1.6 s. */
-        const val MAX_FAILURES = 7
+        /**
+         * Failures until the process is asked to stop; their pauses take 61 s, in which it is not ready. The cause may be
+         * common to all processes, such as an entry in the store; a restart would not remove it, and what the processes
+         * have learned would be lost. A task whose own state is damaged never runs again, so the process still ends.
+         */
+        const val MAX_FAILURES = 20
 
         /**
          * Pauses from the second failure on. The longest one exceeds the time after which another process takes over a
