--- a/daemons/src/test/kotlin/org/cicadaturn/daemons/crowd/EntryCrowdTest.kt
+++ b/daemons/src/test/kotlin/org/cicadaturn/daemons/crowd/EntryCrowdTest.kt
@@ -67,15 +67,17 @@
         private val passing =
             setOf(
                 "listen: connections without bytes",
-                "admin: connections without bytes",
                 "peer: frame of 4,096 bytes that never ends",
             )
 
+        private fun isPassing(script: CrowdScript): Boolean =
+            script.name.startsWith("admin: ") || script.name in passing
+
         @JvmStatic
-        fun scripts(): List<Arguments> = argumentsOf { it.name in passing }
+        fun scripts(): List<Arguments> = argumentsOf { isPassing(it) }
 
         @JvmStatic
-        fun knownRedScripts(): List<Arguments> = argumentsOf { it.name !in passing }
+        fun knownRedScripts(): List<Arguments> = argumentsOf { !isPassing(it) }
 
         private fun argumentsOf(filter: (CrowdScript) -> Boolean): List<Arguments> {
             val all = (http("listen") + http("admin") + wire()).filter { filter(it.first) }
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/FatalErrors.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/FatalErrors.kt
@@ -9,6 +9,12 @@
 /** Reports that the thread on which all sockets and coroutines run has ended although it was not closed. */
 public class EventLoopEndedError : Error("the event loop thread ended", null, false, false)
 
+/** Passes [error] to the handler of uncaught exceptions of this thread, as if it had ended the thread. */
+internal fun reportUncaught(error: Error) {
+    val thread = Thread.currentThread()
+    thread.uncaughtExceptionHandler.uncaughtException(thread, error)
+}
+
 /**
  * Returns [cause] or the error that led to it if the process cannot serve after that error, and null otherwise.
  *
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/endpoint/EndpointNode.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/endpoint/EndpointNode.kt
@@ -44,14 +44,17 @@
 import org.cicadaturn.tasks.configuration.decodeConfiguration
 import org.cicadaturn.tasks.confirmation.confirmations
 import org.cicadaturn.tasks.control.LocalDrainTask
-import org.cicadaturn.tasks.control.localDrainRoutes
+import org.cicadaturn.tasks.control.localDrainRoute
+import org.cicadaturn.tasks.http.httpRuntime
 import org.cicadaturn.tasks.listen.ListenFailure
 import org.cicadaturn.tasks.listen.ListenTarget
 import org.cicadaturn.tasks.listen.NodeListeners
 import org.cicadaturn.tasks.observe.AdminContent
+import org.cicadaturn.tasks.observe.ConnectionMetrics
 import org.cicadaturn.tasks.observe.adminServer
 import org.cicadaturn.tasks.observe.endpointMetrics
 import org.cicadaturn.tasks.observe.processMetrics
+import org.cicadaturn.tasks.reportUncaught
 import org.cicadaturn.tasks.store.ObjectStore
 import org.cicadaturn.tasks.wire.FrameLink
 import org.cicadaturn.tasks.wire.Wire
@@ -95,6 +98,7 @@
     private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
     private val supervisor = Supervisor(dependencies.clock)
     private val selector = SelectorManager(Dispatchers.IO)
+    private val httpRuntime = httpRuntime(::reportUncaught)
     private val client = backendClient()
     private val configurationManager = ConfigurationTask(supervisor = supervisor)
     private val gate = GateTask(admissionGate(limits()), dependencies.clock)
@@ -162,6 +166,8 @@
         val wire =
             Wire(selector, identity, wireTimes(file.wire)) { commonMetrics.wireErrors.labelValues(it.kind).inc() }
         val content = AdminContent(::isReady, { Json.encodeToString(dump()) }, dependencies.registry)
+        val connectionMetrics = ConnectionMetrics("endpoint", dependencies.registry, dependencies.clock)
+        val routes = listOf(localDrainRoute(configurationManager.inForce, localDrain))
         val admin = file.process.adminListen
         return NodeListeners(
             scope,
@@ -169,9 +175,7 @@
                 "listen" to
                     ListenTarget(settings.listen) { wire.listen(settings.listen, setOf(Role.ENTRY), scope, ::serve) },
                 "admin" to
-                    ListenTarget(admin) {
-                        adminServer(admin, content) { localDrainRoutes(configurationManager.inForce, localDrain) }
-                    },
+                    ListenTarget(admin) { adminServer(httpRuntime, admin, content, connectionMetrics, routes) },
             ),
         )
     }
@@ -284,6 +288,7 @@
         scope.cancel()
         client.close()
         selector.close()
+        httpRuntime.close()
         log.info("endpoint: stopped, {} requests cut", cut)
         return cut
     }
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/entry/EntryNode.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/entry/EntryNode.kt
@@ -39,15 +39,18 @@
 import org.cicadaturn.tasks.control.LocalDrainTask
 import org.cicadaturn.tasks.control.control
 import org.cicadaturn.tasks.control.controlRoutes
+import org.cicadaturn.tasks.http.httpRuntime
 import org.cicadaturn.tasks.limits.LimitsTask
 import org.cicadaturn.tasks.listen.ListenFailure
 import org.cicadaturn.tasks.listen.ListenTarget
 import org.cicadaturn.tasks.listen.NodeListeners
 import org.cicadaturn.tasks.observe.AdminContent
+import org.cicadaturn.tasks.observe.ConnectionMetrics
 import org.cicadaturn.tasks.observe.adminServer
 import org.cicadaturn.tasks.observe.entryMetrics
 import org.cicadaturn.tasks.observe.processMetrics
 import org.cicadaturn.tasks.observe.startServer
+import org.cicadaturn.tasks.reportUncaught
 import org.cicadaturn.tasks.store.ObjectStore
 import org.cicadaturn.tasks.wire.Wire
 import org.cicadaturn.tasks.wireIdentity
@@ -101,6 +104,8 @@
     private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
     private val supervisor = Supervisor(dependencies.clock)
     private val selector = SelectorManager(Dispatchers.IO)
+    private val httpRuntime = httpRuntime(::reportUncaught)
+    private val connectionMetrics = ConnectionMetrics("entry", dependencies.registry, dependencies.clock)
     private val metrics = entryMetrics(dependencies.registry)
     private val commonMetrics = processMetrics(dependencies.registry)
     private val configurationManager = ConfigurationTask(file.store.peerWait, supervisor)
@@ -145,7 +150,7 @@
 
     private fun startListeners(): NodeListeners {
         val content = AdminContent(::isReady, { Json.encodeToString(dump()) }, dependencies.registry)
-        val control = operatorControl()
+        val routes = controlRoutes(operatorControl())
         val admin = file.process.adminListen
         return NodeListeners(
             scope,
@@ -153,7 +158,7 @@
                 "listen" to
                     ListenTarget(settings.listen) { startServer(settings.listen) { callerServer().install(this) } },
                 "peer" to ListenTarget(settings.peerListen) { network.listen(scope, settings.peerListen) },
-                "admin" to ListenTarget(admin) { adminServer(admin, content) { controlRoutes(control) } },
+                "admin" to ListenTarget(admin) { adminServer(httpRuntime, admin, content, connectionMetrics, routes) },
             ),
         )
     }
@@ -232,6 +237,7 @@
         scope.cancel()
         network.close()
         selector.close()
+        httpRuntime.close()
         log.info("entry: stopped, {} requests cut", cut)
         return cut
     }
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/GatewayAdmin.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/GatewayAdmin.kt
@@ -17,6 +17,8 @@
 import org.cicadaturn.schema.generated.SegmentStatus
 import org.cicadaturn.tasks.http.HttpLink
 import org.cicadaturn.tasks.http.ResponseHead
+import org.cicadaturn.tasks.http.receiveInternalRequest
+import org.cicadaturn.tasks.http.sendInternalAnswer
 import java.io.ByteArrayOutputStream
 
 /** Serves health, readiness, metrics and the state dump of a gateway process. */
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/GatewayListeners.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/GatewayListeners.kt
@@ -9,6 +9,7 @@
 import org.cicadaturn.tasks.http.ListenerBounds
 import org.cicadaturn.tasks.http.ResponseHead
 import org.cicadaturn.tasks.http.listen
+import org.cicadaturn.tasks.http.receiveInternalRequest
 import org.cicadaturn.tasks.listen.ListenTarget
 import org.cicadaturn.tasks.listen.NodeListeners
 import kotlin.time.Duration.Companion.seconds
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/GatewayNode.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/GatewayNode.kt
@@ -54,6 +54,7 @@
 import org.cicadaturn.tasks.http.httpConnector
 import org.cicadaturn.tasks.listen.ListenFailure
 import org.cicadaturn.tasks.listen.NodeListeners
+import org.cicadaturn.tasks.observe.ConnectionMetrics
 import kotlin.random.Random
 import kotlin.time.Clock
 import kotlin.time.Duration
@@ -213,7 +214,7 @@
             ),
         )
     private var routes: RouteTable? = null
-    private val connectionMetrics = ConnectionMetrics(registry, dependencies.clock)
+    private val connectionMetrics = ConnectionMetrics("gateway", registry, dependencies.clock)
     private val descriptors = descriptorsToUse()
     private val callerAccounts =
         connectionAccounts(callerLimits(settings, descriptors)) { connectionMetrics.lost("callers", it) }
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/PeerRelay.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/PeerRelay.kt
@@ -25,6 +25,8 @@
 import org.cicadaturn.tasks.http.ResponseHead
 import org.cicadaturn.tasks.http.call
 import org.cicadaturn.tasks.http.connect
+import org.cicadaturn.tasks.http.receiveInternalRequest
+import org.cicadaturn.tasks.http.sendInternalAnswer
 import org.cicadaturn.tasks.http.valueOf
 import kotlin.random.Random
 import kotlin.time.Duration
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/InternalRequests.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/http/InternalRequests.kt
@@ -1,13 +1,7 @@
-package org.cicadaturn.tasks.gateway
+package org.cicadaturn.tasks.http
 
 import kotlinx.coroutines.withTimeoutOrNull
 import org.cicadaturn.decisions.connection.ConnectionUse
-import org.cicadaturn.tasks.http.ConnectionLoss
-import org.cicadaturn.tasks.http.HttpLink
-import org.cicadaturn.tasks.http.HttpPart
-import org.cicadaturn.tasks.http.RequestHead
-import org.cicadaturn.tasks.http.ResponseHead
-import org.cicadaturn.tasks.http.receiveRequest
 import java.io.ByteArrayOutputStream
 import kotlin.time.Duration.Companion.seconds
 
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/ConnectionMetrics.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/observe/ConnectionMetrics.kt
@@ -1,4 +1,4 @@
-package org.cicadaturn.tasks.gateway
+package org.cicadaturn.tasks.observe
 
 import io.prometheus.metrics.core.metrics.Counter
 import io.prometheus.metrics.model.registry.PrometheusRegistry
@@ -8,15 +8,20 @@
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.Instant
 
-/** Counts refused and closed connections by reason, and logs their numbers now and then. Used on the event loop only. */
+/**
+ * Counts refused and closed connections by reason, and logs their numbers now and then. Used on the event loop only.
+ *
+ * @param process kind of the process, which is a part of the name of the counter
+ */
 internal class ConnectionMetrics(
+    process: String,
     registry: PrometheusRegistry,
     private val clock: Clock,
 ) {
     private val losses =
         Counter
             .builder()
-            .name("cicadaturn_gateway_connection_losses")
+            .name("cicadaturn_${process}_connection_losses")
             .help(
                 "Connections and requests that were refused or closed to protect this process, by listener and reason.",
             ).labelNames("listener", "reason")
