--- a/daemons/src/test/kotlin/org/cicadaturn/daemons/crowd/EntryCrowdTest.kt
+++ b/daemons/src/test/kotlin/org/cicadaturn/daemons/crowd/EntryCrowdTest.kt
@@ -40,6 +40,7 @@
 
         private fun http(listener: String): List<Pair<CrowdScript, String>> {
             val ahead = "GET /nowhere HTTP/1.1\r\nHost: x\r\n\r\n"
+            val bodyHead = "${POST}Content-Length: 900000\r\n\r\n"
             val longHead = POST + "a:\r\n".repeat(1_900)
             return listOf(
                 script("$listener: requests ahead, unread", ahead, ahead.repeat(100)),
@@ -55,9 +56,16 @@
                 script("$listener: trailers without end", "${CHUNKED}0\r\n", short),
                 script("$listener: empty lines without end", "", "\r\n".repeat(2_000)),
                 script("$listener: connections without bytes", "", size = LARGE),
+                script("$listener: bodies of 900 kB ahead, unread", bodyHead, "a".repeat(900_000) + bodyHead),
             ).map { it to listener }
         }
 
+        /** Guards against documents that are built for clients who do not read them. */
+        private fun documents(): List<Pair<CrowdScript, String>> {
+            val ahead = "GET /dump HTTP/1.1\r\nHost: x\r\n\r\n"
+            return listOf(script("admin: requests ahead for /dump, unread", ahead, ahead.repeat(100)) to "admin")
+        }
+
         private fun wire(): List<Pair<CrowdScript, String>> =
             listOf(
                 script("peer: frame of 4,096 bytes that never ends", "\u0000\u0000\u000f\u0000", size = LARGE),
@@ -73,7 +81,7 @@
         fun knownRedScripts(): List<Arguments> = argumentsOf { it.name in knownRed }
 
         private fun argumentsOf(filter: (CrowdScript) -> Boolean): List<Arguments> {
-            val all = (http("listen") + http("admin") + wire()).filter { filter(it.first) }
+            val all = (http("listen") + http("admin") + documents() + wire()).filter { filter(it.first) }
             val chosen = CrowdCheck.chosenOf(all.map { it.first }).toSet()
             return all.filter { it.first in chosen }.map { (script, listener) -> Arguments.of(script, listener) }
         }
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/entry/CallerServer.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/entry/CallerServer.kt
@@ -76,7 +76,11 @@
         val request =
             when (val read = read(exchange, reservation)) {
                 is RequestRead.Complete -> read.request
-                is RequestRead.Refused -> return exchange.refuse(read.refusal)
+                is RequestRead.Refused -> {
+                    // The rest of a body may be awaited for seconds without being kept.
+                    reservation.close()
+                    return exchange.refuse(read.refusal)
+                }
                 RequestRead.Cut -> return false
             }
         val index = inForce.value?.index ?: return exchange.refuse(notReady())
