Do not try a request before it is known whether its service has groups

Every service may have groups until the configuration is known.

Seen to fail without the change: QuarantineTaskTest 'a listed request to a group is not tried before the configuration is known'.

--- a/decisions/src/main/kotlin/org/cicadaturn/decisions/quarantine/RefusedCopies.kt
+++ b/decisions/src/main/kotlin/org/cicadaturn/decisions/quarantine/RefusedCopies.kt
@@ -15,11 +15,12 @@
 
     /**
      * Returns the requests among [suspicions] of which further copies must be refused before one is tried, and forgets
-     * the others; [grouped] are the services whose endpoints form groups.
+     * the others; [grouped] are the services whose endpoints form groups, or null while that is not known, as at the
+     * start of a process. Every service may have groups then.
      */
     public fun waiting(
         suspicions: List<Suspicion>,
-        grouped: Set<ServiceId>,
+        grouped: Set<ServiceId>?,
     ): Set<ServiceSegment>
 }
 
@@ -37,10 +38,10 @@
 
     override fun waiting(
         suspicions: List<Suspicion>,
-        grouped: Set<ServiceId>,
+        grouped: Set<ServiceId>?,
     ): Set<ServiceSegment> {
-        val tried = suspicions.filter { it.isTried && it.isProbable && it.segment.service in grouped }
-        val requests = tried.mapTo(HashSet()) { it.segment }
+        val tried = suspicions.filter { it.isTried && it.isProbable }.map { it.segment }
+        val requests = tried.filterTo(HashSet()) { grouped == null || it.service in grouped }
         counts.keys.retainAll(requests)
         requests.forEach { counts.putIfAbsent(it, 0) }
         return requests.filterTo(HashSet()) { counts.getValue(it) < COPIES_BEFORE_TRIAL }
--- a/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/QuarantineTask.kt
+++ b/tasks/src/main/kotlin/org/cicadaturn/tasks/gateway/QuarantineTask.kt
@@ -301,12 +301,11 @@
         scheduleStoreUpdate()
     }
 
-    private fun groupedServices(): Set<ServiceId> {
-        val services =
-            dependencies.fleet.state.value.view.configuration
-                ?.services
-        return services.orEmpty().filter { it.experts != null }.mapTo(HashSet()) { it.id }
-    }
+    private fun groupedServices(): Set<ServiceId>? =
+        dependencies.fleet.state.value.view.configuration
+            ?.services
+            ?.filter { it.experts != null }
+            ?.mapTo(HashSet()) { it.id }
 
     /**
      * Brings the list in the store up to date, one call at a time. It waits until the other processes have told what they
--- a/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/QuarantineFleet.kt
+++ b/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/QuarantineFleet.kt
@@ -21,6 +21,7 @@
 import org.cicadaturn.decisions.quarantine.trialRegistry
 import org.cicadaturn.schema.generated.AdmissionState
 import org.cicadaturn.schema.generated.AnswerProgress
+import org.cicadaturn.schema.generated.CallerLimits
 import org.cicadaturn.schema.generated.Digest
 import org.cicadaturn.schema.generated.EndpointId
 import org.cicadaturn.schema.generated.FailureDomainId
@@ -66,7 +67,8 @@
 internal class QuarantineFleet(
     private val test: TestScope,
     endpointCount: Int = 4,
-    private val configuration: RoutingConfiguration? = null,
+    var configuration: RoutingConfiguration? =
+        RoutingConfiguration(1, emptyList(), emptyList(), limits = CallerLimits()),
 ) {
     val cutOff = mutableSetOf<String>()
     var crashed = setOf("e1", "e2", "e3")
--- a/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/QuarantineTaskTest.kt
+++ b/tasks/src/test/kotlin/org/cicadaturn/tasks/gateway/QuarantineTaskTest.kt
@@ -24,6 +24,14 @@
 class QuarantineTaskTest {
     private val service = ServiceId("draft")
 
+    /** Configuration in which the endpoints of the service form groups. */
+    private val groupConfiguration: RoutingConfiguration
+        get() {
+            val profile = ExpertProfile(1, 4, 2, 1, 50.milliseconds, 100.milliseconds)
+            val services = listOf(RoutedService(service, maxConnections = 100, experts = profile))
+            return RoutingConfiguration(1, emptyList(), services, limits = CallerLimits())
+        }
+
     private fun assertQuarantined(
         process: QuarantineFleet.Process,
         prompt: String,
@@ -83,10 +91,7 @@
     @Test
     fun `a request to a group is tried after five refused copies, and by no process that has refused fewer`() =
         runTest {
-            val profile = ExpertProfile(1, 4, 2, 1, 50.milliseconds, 100.milliseconds)
-            val services = listOf(RoutedService(service, maxConnections = 100, experts = profile))
-            val configuration = RoutingConfiguration(1, emptyList(), services, limits = CallerLimits())
-            val fleet = QuarantineFleet(this, configuration = configuration)
+            val fleet = QuarantineFleet(this, configuration = groupConfiguration)
             val request = Digest("sound")
             val (first, second) = listOf("g1", "g2").map { fleet.start(it) }
             first.answer("shared own1")
@@ -105,6 +110,27 @@
             listOf(first, second).forEach { assertEquals(Verdict.Clear, it.verdict("shared own3", request), it.name) }
         }
 
+    /** Guards against a trial at a group after a loss of power, as the list is read before the configuration. */
+    @Test
+    fun `a listed request to a group is not tried before the configuration is known`() =
+        runTest {
+            val fleet = QuarantineFleet(this, configuration = groupConfiguration)
+            val bad = Digest("bad")
+            val first = fleet.start("g1")
+            first.answer("shared own1")
+            first.lose("e1", "shared own2", request = bad)
+            testScheduler.advanceTimeBy(1_000)
+            first.end()
+            fleet.configuration = null
+            val restarted = fleet.start("g1")
+            testScheduler.advanceTimeBy(10)
+            assertTrue(restarted.verdict("shared own3", bad) is Verdict.Quarantined)
+            fleet.configuration = groupConfiguration
+            fleet.publish()
+            testScheduler.advanceTimeBy(10)
+            assertTrue(restarted.verdict("shared own3", bad) is Verdict.Quarantined)
+        }
+
     /** Guards against a third crash by a request, as a loss of power comes between the first and the second. */
     @Test
     fun `a request that crashed an endpoint before a loss of power is held back after one further crash`() =
