--- a/daemons/src/test/kotlin/org/cicadaturn/daemons/start/StartedProcess.kt
+++ b/daemons/src/test/kotlin/org/cicadaturn/daemons/start/StartedProcess.kt
@@ -35,6 +35,7 @@
     private val name: String = "process",
     private val ip: (String) -> String = { "127.0.0.1" },
     portDirectory: Path = directory,
+    private val store: String = "127.0.0.1:1",
 ) : AutoCloseable {
     private val log = directory.resolve("$name.log")
     private val classLog = directory.resolve("$name.classes")
@@ -136,7 +137,7 @@
             stop-timeout = 5s
             port-file = $portFile
             [store]
-            address = 127.0.0.1:1
+            address = $store
             timeout = 1s
             watch-wait = 10s
             max-silence = 3s
